--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration, the load tool and the measurements."""
--- /dev/null
+++ b/marjoramspool/admission.py
@@ -0,0 +1,332 @@
+"""Admission to the engines of one cell: load, fair queue, headroom and refusals."""
+
+import asyncio
+import math
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from marjoramspool import hashing
+from marjoramspool.placement import Candidate, Holder, Policy, choose
+
+__all__ = ["Admission", "Ask", "Cell", "EngineView", "Granted", "Refused"]
+
+URGENT_AT_MOST = 1
+TYPICAL_MEAN_LIFE_S = 5.0
+SHORTEST_RETRY_S = 1.0
+LONGEST_RETRY_S = 30.0
+FIRST_SERVICE_TIME_S = 0.5
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """Ask for an engine for one attempt; `wait_s` bounds the time in the queue."""
+
+    cell: str
+    chat: int
+    holders: tuple[Holder, ...]
+    account: str
+    weight: int
+    urgency: int
+    exclude: tuple[str, ...]
+    wait_s: float
+    first_turn: bool = False
+
+    @property
+    def is_urgent(self) -> bool:
+        """Tell whether the attempt may use the reserved slots."""
+        return self.urgency <= URGENT_AT_MOST
+
+
+@dataclass(slots=True, frozen=True)
+class Granted:
+    """Grant one attempt on an engine."""
+
+    engine: str
+    incarnation: int
+    why: str
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """Refuse an attempt, with the time after which to ask again."""
+
+    reason: str
+    retry_after_s: float
+
+
+Admission = Granted | Refused
+
+
+@dataclass(slots=True, frozen=True)
+class EngineView:
+    """Hold what a cell must know of an engine."""
+
+    name: str
+    incarnation: int
+    slots: int
+
+
+@dataclass(slots=True)
+class Waiting:
+    """Hold one ask in the queue."""
+
+    ask: Ask
+    session: str
+    number: int
+    answer: asyncio.Future = field(repr=False)
+
+
+class Cell:
+    """Admit requests to the engines of one cell.
+
+    `view` returns the usable engines now. Loads are kept a session (one for each router), so that
+    a router that is gone takes its share of the load with it.
+    """
+
+    __slots__ = (
+        "accounts",
+        "busy",
+        "clock",
+        "loads",
+        "mean_updated",
+        "numbers",
+        "policy",
+        "reserve",
+        "service_time_s",
+        "sessions",
+        "typical_mean",
+        "view",
+        "waiting",
+    )
+
+    def __init__(
+        self,
+        policy: Policy,
+        reserve: float,
+        view: Callable[[], list[EngineView]],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.policy = policy
+        self.reserve = reserve
+        self.view = view
+        self.clock = clock
+        self.sessions: dict[str, Counter] = {}
+        self.loads: Counter = Counter()
+        self.accounts: Counter = Counter()
+        self.waiting: list[Waiting] = []
+        self.numbers = 0
+        self.typical_mean = 0.0
+        self.mean_updated = clock()
+        self.service_time_s = FIRST_SERVICE_TIME_S
+        self.busy: dict[tuple[str, str, str], list[float]] = {}
+
+    def place(self, ask: Ask, session: str) -> Granted | None:
+        """Grant an engine at once, or return None if every engine is at its limit."""
+        engines = self.view()
+        self.update_mean(len(engines))
+        candidates = [
+            Candidate(e.name, e.incarnation, self.loads[e.name], self.limit(e, ask))
+            for e in engines
+            if e.name not in ask.exclude
+        ]
+        self.numbers += 1
+        choice = choose(
+            self.policy,
+            ask.chat,
+            ask.holders,
+            candidates,
+            hashing.digest(f"{session}{self.numbers}"),
+            self.typical_mean,
+            ask.first_turn,
+        )
+        if choice is None:
+            return None
+        self.hold(session, choice.engine.name, ask.account)
+        return Granted(choice.engine.name, choice.engine.incarnation, choice.why)
+
+    def limit(self, engine: EngineView, ask: Ask) -> int:
+        """Return how many requests an engine may carry when an ask of this class is admitted."""
+        if ask.is_urgent:
+            return engine.slots
+        return max(1, math.floor(engine.slots * (1.0 - self.reserve)))
+
+    def update_mean(self, engines: int) -> None:
+        """Move the slow average of the load an engine towards the load of now."""
+        now = self.clock()
+        mean = sum(self.loads.values()) / max(1, engines)
+        share = 1.0 - math.exp(-(now - self.mean_updated) / TYPICAL_MEAN_LIFE_S)
+        self.typical_mean += (mean - self.typical_mean) * share
+        self.mean_updated = now
+
+    def admit_now(self, ask: Ask, session: str) -> Admission | None:
+        """Grant or refuse at once; return None if the ask has to wait."""
+        if not self.overtaken(ask):
+            granted = self.place(ask, session)
+            if granted:
+                return granted
+        return self.refusal(ask)
+
+    async def admit(self, ask: Ask, session: str) -> Admission:
+        """Grant an engine, wait for one within the ask's bound, or refuse at once."""
+        return self.admit_now(ask, session) or await self.wait(ask, session)
+
+    def overtaken(self, ask: Ask) -> bool:
+        """Tell whether asks of at least the same class wait already."""
+        return any(waiting.ask.urgency <= ask.urgency for waiting in self.waiting)
+
+    def refusal(self, ask: Ask) -> Refused | None:
+        """Return a refusal if an ask cannot be admitted within its wait."""
+        engines = [engine for engine in self.view() if engine.name not in ask.exclude]
+        if not engines:
+            return Refused("no engine of the service is usable", SHORTEST_RETRY_S)
+        estimate_s = self.estimate_wait(ask, engines)
+        if estimate_s > ask.wait_s:
+            return Refused("the queue is longer than the allowed wait", bounded_retry(estimate_s))
+        places = self.queue_places(engines)
+        if self.account_waiting(ask.account) >= self.account_places(ask, places):
+            return Refused("the account has its share of the queue", bounded_retry(estimate_s))
+        if len(self.waiting) >= places and not self.evict_for(ask):
+            return Refused("the queue is full", bounded_retry(estimate_s))
+        return None
+
+    def estimate_wait(self, ask: Ask, engines: list[EngineView]) -> float:
+        """Estimate the seconds until an ask would be admitted."""
+        before = sum(waiting.ask.urgency <= ask.urgency for waiting in self.waiting)
+        slots = sum(self.limit(engine, ask) for engine in engines)
+        return (before + 1) * self.service_time_s / max(1, slots)
+
+    def queue_places(self, engines: list[EngineView]) -> int:
+        """Return the length of the queue: one place for each slot."""
+        return max(1, sum(engine.slots for engine in engines))
+
+    def account_waiting(self, account: str) -> int:
+        """Return how many asks of an account wait."""
+        return sum(waiting.ask.account == account for waiting in self.waiting)
+
+    def account_places(self, ask: Ask, places: int) -> int:
+        """Return the places that an account may take: all if alone, else its weighted share."""
+        others = {w.ask.account: w.ask.weight for w in self.waiting if w.ask.account != ask.account}
+        if not others:
+            return max(1, places // 2)
+        share = ask.weight / (ask.weight + sum(others.values()))
+        return max(1, math.ceil(places * share))
+
+    def evict_for(self, ask: Ask) -> bool:
+        """Refuse the least urgent waiting ask to make room for a more urgent one."""
+        last = max(self.waiting, key=lambda waiting: (waiting.ask.urgency, waiting.number))
+        if last.ask.urgency <= ask.urgency:
+            return False
+        self.waiting.remove(last)
+        settle(last.answer, Refused("more urgent work took the place", SHORTEST_RETRY_S))
+        return True
+
+    async def wait(self, ask: Ask, session: str) -> Admission:
+        """Wait in the queue until a slot is free or the ask's wait is over."""
+        self.numbers += 1
+        answer = asyncio.get_running_loop().create_future()
+        waiting = Waiting(ask, session, self.numbers, answer)
+        self.waiting.append(waiting)
+        try:
+            await asyncio.wait([answer], timeout=ask.wait_s)
+        except asyncio.CancelledError:
+            if answer.done() and isinstance(answer.result(), Granted):
+                self.release(session, answer.result().engine, ask.account)
+            raise
+        finally:
+            if waiting in self.waiting:
+                self.waiting.remove(waiting)
+        if answer.done():
+            return answer.result()
+        estimate_s = self.estimate_wait(ask, self.view())
+        return Refused("no engine became free in time", bounded_retry(estimate_s))
+
+    def serve_waiting(self) -> None:
+        """Admit waiting asks in fair order while engines have room."""
+        while self.serve_one():
+            pass
+
+    def serve_one(self) -> bool:
+        """Admit the first waiting ask that an engine has room for."""
+        blocked: set[int] = set()
+        for waiting in self.fair_order():
+            if waiting.ask.urgency in blocked:
+                continue
+            granted = self.place(waiting.ask, waiting.session)
+            if granted:
+                self.waiting.remove(waiting)
+                settle(waiting.answer, granted)
+                return True
+            if not waiting.ask.exclude:
+                blocked.add(waiting.ask.urgency)
+        return False
+
+    def fair_order(self) -> list[Waiting]:
+        """Return the waiting asks: urgent first, then by weighted use of their accounts."""
+
+        def place(waiting: Waiting):
+            ask = waiting.ask
+            return (ask.urgency, self.accounts[ask.account] / ask.weight, waiting.number)
+
+        return sorted(self.waiting, key=place)
+
+    def hold(self, session: str, engine: str, account: str) -> None:
+        """Count one attempt of a session."""
+        self.sessions.setdefault(session, Counter())[engine, account] += 1
+        self.loads[engine] += 1
+        self.accounts[account] += 1
+        self.busy.setdefault((session, engine, account), []).append(self.clock())
+
+    def release(self, session: str, engine: str, account: str) -> None:
+        """Give back one attempt of a session; an unknown one is ignored."""
+        holds = self.sessions.get(session)
+        if not holds or holds[engine, account] <= 0:
+            return
+        self.uncount(session, engine, account, 1)
+        started = self.busy.get((session, engine, account))
+        if started:
+            took_s = self.clock() - started.pop(0)
+            self.service_time_s += (took_s - self.service_time_s) * 0.05
+            if not started:
+                del self.busy[session, engine, account]
+        self.serve_waiting()
+
+    def uncount(self, session: str, engine: str, account: str, count: int) -> None:
+        """Take attempts off every count."""
+        for counter, key in (
+            (self.sessions[session], (engine, account)),
+            (self.loads, engine),
+            (self.accounts, account),
+        ):
+            counter[key] -= count
+            if counter[key] <= 0:
+                del counter[key]
+
+    def replace(self, session: str, holds: dict[tuple[str, str], int]) -> None:
+        """Set all that a session holds, as its router says."""
+        self.drop(session, serve=False)
+        for (engine, account), count in holds.items():
+            for _ in range(count):
+                self.hold(session, engine, account)
+        self.serve_waiting()
+
+    def drop(self, session: str, serve: bool = True) -> None:
+        """Forget a session: its router is gone."""
+        for (engine, account), count in list(self.sessions.get(session, {}).items()):
+            self.uncount(session, engine, account, count)
+            self.busy.pop((session, engine, account), None)
+        self.sessions.pop(session, None)
+        if serve:
+            self.serve_waiting()
+
+
+def settle(answer: asyncio.Future, admission: Admission) -> None:
+    """Give a waiting ask its answer."""
+    if not answer.done():
+        answer.set_result(admission)
+
+
+def bounded_retry(estimate_s: float) -> float:
+    """Return the time after which to ask again, in seconds."""
+    return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, estimate_s))
--- /dev/null
+++ b/marjoramspool/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: the HTTP interface, accounts and problem details."""
--- /dev/null
+++ b/marjoramspool/daemon.py
@@ -0,0 +1,59 @@
+"""The daemon: marjoramspoold --settings FILE."""
+
+import asyncio
+import signal
+import sys
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+from logbook import StreamHandler
+
+from marjoramspool.inifile import InvalidFileError
+from marjoramspool.router import Router
+from marjoramspool.settings import Settings, load_settings
+
+__all__ = ["Daemon", "main"]
+
+EXIT_INVALID = 2
+EXIT_CUT = 1
+LOG_FORMAT = "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} {record.message}"
+
+
+@cappa.command(name="marjoramspoold", help="Run one router.")
+@dataclass
+class Daemon:
+    """Hold the arguments of the daemon."""
+
+    settings: Annotated[str, cappa.Arg(long=True, help="The settings file, INI.")]
+    check: Annotated[bool, cappa.Arg(long=True, help="Check the settings and exit.")] = False
+
+
+async def run(settings: Settings) -> int:
+    """Run a router until SIGTERM or SIGINT; return the exit code."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    async with Router(settings) as router:
+        await stopping.wait()
+        finished = await router.shut_down()
+    return 0 if finished else EXIT_CUT
+
+
+def main() -> None:
+    """Check the settings and run the router."""
+    arguments = cappa.parse(Daemon)
+    try:
+        settings = load_settings(arguments.settings)
+    except InvalidFileError as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(EXIT_INVALID) from error
+    if arguments.check:
+        return
+    with StreamHandler(sys.stderr, format_string=LOG_FORMAT).applicationbound():
+        raise SystemExit(asyncio.run(run(settings)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/marjoramspool/dispatch.py
@@ -0,0 +1,85 @@
+"""What routing needs of a target, whatever protocol it speaks."""
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from marjoramspool.document import Account, Document, Target
+from marjoramspool.placement import Holder
+
+__all__ = [
+    "Answer",
+    "BrokenAnswerError",
+    "Dispatcher",
+    "MayHaveRunError",
+    "NotSentError",
+    "Request",
+    "TargetRefusedError",
+    "single",
+]
+
+
+class NotSentError(Exception):
+    """Report that no byte of the request reached the target."""
+
+
+class TargetRefusedError(Exception):
+    """Report that the target's protocol says that it did not run the request."""
+
+
+class MayHaveRunError(Exception):
+    """Report that the request may have run, and that no byte of an answer was passed on."""
+
+
+class BrokenAnswerError(Exception):
+    """Report that an answer broke off after a part of it was passed on."""
+
+
+@dataclass(slots=True)
+class Request:
+    """Hold one checked request of a caller; `deadline` is on the monotonic clock."""
+
+    id: str
+    document: Document
+    account: Account
+    urgency: int
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    deadline: float
+    chat: int | None = None
+    holders: tuple[Holder, ...] = ()
+    key: str | None = None
+    is_unsafe: bool = False
+    is_stream: bool = False
+    first_turn: bool = False
+
+
+@dataclass(slots=True)
+class Answer:
+    """Hold an answer whose first bytes have come; `parts` raises BrokenAnswerError if cut."""
+
+    status: int
+    headers: dict[str, str]
+    parts: AsyncIterator[bytes]
+    length: int | None = None
+    holders: tuple[Holder, ...] = field(default=())
+
+
+class Dispatcher(Protocol):
+    """Send one attempt to a target."""
+
+    def open(
+        self, request: Request, target: Target, attempt: str
+    ) -> AbstractAsyncContextManager[Answer]:
+        """Send an attempt and yield its answer once the first bytes are there.
+
+        Raise NotSentError, TargetRefusedError or MayHaveRunError.
+        """
+
+
+async def single(body: bytes) -> AsyncIterator[bytes]:
+    """Yield one body."""
+    yield body
--- /dev/null
+++ b/marjoramspool/document.py
@@ -0,0 +1,183 @@
+"""Service documents: one INI file describes one service."""
+
+import fnmatch
+import hashlib
+from dataclasses import dataclass
+
+from marjoramspool.inifile import Reader
+
+__all__ = [
+    "Account",
+    "Document",
+    "InvalidFileError",
+    "Target",
+    "UnsafeRule",
+    "hash_key",
+    "read_document",
+]
+
+from marjoramspool.inifile import InvalidFileError
+
+LOWEST_URGENCY = 7
+SHA256_HEX_DIGITS = 64
+
+
+@dataclass(slots=True, frozen=True)
+class Target:
+    """Describe one engine or one target of a plain service."""
+
+    name: str
+    address: str
+    slots: int
+    failure_domain: str
+    checks_fencing: bool
+    drain: bool
+    model: str
+
+
+@dataclass(slots=True, frozen=True)
+class Account:
+    """Describe a client account and its share."""
+
+    name: str
+    key_sha256: str
+    weight: int
+    urgency: int
+
+
+@dataclass(slots=True, frozen=True)
+class UnsafeRule:
+    """Mark the requests of a method and path pattern as non-idempotent."""
+
+    name: str
+    methods: tuple[str, ...]
+    path: str
+
+    def covers(self, method: str, path: str) -> bool:
+        """Tell whether a request falls under this rule."""
+        return method in self.methods and fnmatch.fnmatchcase(path, self.path)
+
+
+@dataclass(slots=True, frozen=True)
+class Document:
+    """Hold one checked service document."""
+
+    name: str
+    kind: str
+    load_bound: float
+    deadline_s: float
+    queue_wait_s: float
+    urgent_reserve: float
+    retry_budget: float
+    idle_timeout_s: float
+    cell_engines: int
+    claim_retention_s: float
+    targets: dict[str, Target]
+    accounts: dict[str, Account]
+    unsafe: tuple[UnsafeRule, ...]
+
+    def account_of(self, key_sha256: str) -> Account | None:
+        """Return the account that a hashed key belongs to."""
+        for account in self.accounts.values():
+            if account.key_sha256 == key_sha256:
+                return account
+        return None
+
+    def is_unsafe(self, method: str, path: str) -> bool:
+        """Tell whether a request is marked as non-idempotent."""
+        return any(rule.covers(method, path) for rule in self.unsafe)
+
+
+def hash_key(key: str) -> str:
+    """Return the stored form of an account's key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def read_document(file: str, text: str) -> Document:
+    """Check the text of a service document; raise InvalidFileError with every fault."""
+    reader = Reader(file, text)
+    service = reader.section("service", required=True)
+    kind = service.choice("kind", ("model", "plain"))
+    document = Document(
+        name=service.text("name"),
+        kind=kind,
+        load_bound=service.number("load-bound", 1.0, 10.0, 1.25),
+        deadline_s=service.seconds("deadline", 0.1, 3600, 60.0),
+        queue_wait_s=service.seconds("queue-wait", 0, 60, 2.0),
+        urgent_reserve=service.number("urgent-reserve", 0, 0.9, 0.2),
+        retry_budget=service.number("retry-budget", 0, 1, 0.1),
+        idle_timeout_s=service.seconds("idle-timeout", 0.05, 600, 5.0),
+        cell_engines=service.whole("cell-engines", 1, 1000, 8),
+        claim_retention_s=service.seconds("claim-retention", 60, 604800, 86400.0),
+        targets=read_targets(reader, "engine" if kind == "model" else "target"),
+        accounts=read_accounts(reader),
+        unsafe=read_rules(reader),
+    )
+    service.finish()
+    check_whole(service, document)
+    reader.finish()
+    return document
+
+
+def check_whole(section, document: Document) -> None:
+    """Record faults that concern several sections at once."""
+    if not document.targets:
+        section.fault("kind", "the service has no target", "add [engine NAME] or [target NAME]")
+    if not document.accounts:
+        section.fault("name", "the service has no client account", "add [account NAME]")
+    addresses = [target.address for target in document.targets.values()]
+    for address in sorted({a for a in addresses if a and addresses.count(a) > 1}):
+        section.fault("name", f"two targets share {address}", "give each target its own address")
+    keys = [account.key_sha256 for account in document.accounts.values()]
+    if len(set(keys)) != len(keys):
+        section.fault("name", "two accounts share a key", "give each account a key of its own")
+
+
+def read_targets(reader: Reader, kind: str) -> dict[str, Target]:
+    """Read the engines or targets of a service."""
+    targets = {}
+    for name, section in reader.named(kind):
+        targets[name] = Target(
+            name=name,
+            address=section.endpoint("address"),
+            slots=section.whole("slots", 1, 100_000, 16),
+            failure_domain=section.text("failure-domain", ""),
+            checks_fencing=section.yes_no("checks-fencing", False),
+            drain=section.yes_no("drain", False),
+            model=section.text("model", ""),
+        )
+        section.finish()
+    return targets
+
+
+def parse_key_hash(text: str) -> str:
+    """Parse a SHA-256 digest in hexadecimal."""
+    text = text.strip().lower()
+    if len(text) != SHA256_HEX_DIGITS or set(text) - set("0123456789abcdef"):
+        raise ValueError(text)
+    return text
+
+
+def read_accounts(reader: Reader) -> dict[str, Account]:
+    """Read the client accounts of a service."""
+    accounts = {}
+    for name, section in reader.named("account"):
+        accounts[name] = Account(
+            name=name,
+            key_sha256=section.read("key-sha256", parse_key_hash, "the SHA-256 of the key in hex"),
+            weight=section.whole("weight", 1, 1000, 1),
+            urgency=section.whole("urgency", 0, LOWEST_URGENCY, 3),
+        )
+        section.finish()
+    return accounts
+
+
+def read_rules(reader: Reader) -> tuple[UnsafeRule, ...]:
+    """Read the rules that mark requests as non-idempotent."""
+    rules = []
+    for name, section in reader.named("non-idempotent"):
+        methods = section.text("methods") or ""
+        path = section.text("path")
+        rules.append(UnsafeRule(name, tuple(methods.upper().replace(",", " ").split()), path))
+        section.finish()
+    return tuple(rules)
--- /dev/null
+++ b/marjoramspool/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Model engines: answers, resumed streams, load reports and orders."""
--- /dev/null
+++ b/marjoramspool/engines/client.py
@@ -0,0 +1,244 @@
+"""Client of one kind of peer: the model engines."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+import msgspec
+
+from marjoramspool.dispatch import (
+    Answer,
+    BrokenAnswerError,
+    MayHaveRunError,
+    NotSentError,
+    Request,
+    TargetRefusedError,
+    single,
+)
+from marjoramspool.document import Target
+from marjoramspool.engines.stream import (
+    CutError,
+    Event,
+    ForeignAnswerError,
+    SilentError,
+    check_events,
+    chunk_id,
+    read_events,
+)
+from marjoramspool.events import Event as LogEvent
+from marjoramspool.events import log
+from marjoramspool.http import new_session
+from marjoramspool.targets import LoadReport
+
+__all__ = ["Engines"]
+
+REPORT_S = 1.0
+RESUMES = 5
+RESUME_PAUSE_S = 0.05
+NOT_RUN_STATUSES = (429, 503)
+HTTP_OK = 200
+JSON = "application/json"
+SSE = "text/event-stream"
+
+
+class Report(msgspec.Struct, frozen=True):
+    """Hold a load report as engines publish it."""
+
+    incarnation: int
+    in_flight: int = 0
+    queued: int = 0
+    leaving: bool = False
+
+
+class Engines:
+    """Send attempts to engines and read their reports."""
+
+    __slots__ = ("bytes", "connect_s", "fresh", "pooled")
+
+    def __init__(self, connect_s: float):
+        self.connect_s = connect_s
+        self.bytes = 0
+        self.pooled: aiohttp.ClientSession | None = None
+        self.fresh: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self):
+        self.pooled = new_session(self.connect_s)
+        self.fresh = new_session(self.connect_s, reuse=False)
+        return self
+
+    async def __aexit__(self, *details):
+        await self.pooled.close()
+        await self.fresh.close()
+
+    async def report(self, address: str) -> LoadReport | None:
+        """Read an engine's load report; None if it does not answer."""
+        try:
+            timeout = aiohttp.ClientTimeout(total=REPORT_S)
+            async with self.pooled.get(f"http://{address}/load", timeout=timeout) as response:
+                body = await response.read()
+            report = msgspec.json.decode(body, type=Report)
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
+            return None
+        self.bytes += len(body) + sum(len(k) + len(v) + 4 for k, v in response.raw_headers)
+        self.bytes += sum(len(k) + len(v) + 4 for k, v in response.request_info.headers.items())
+        return LoadReport(report.incarnation, report.in_flight, report.queued, report.leaving)
+
+    @asynccontextmanager
+    async def open(self, request: Request, target: Target, attempt: str):
+        """Send an attempt and yield its answer; raise as dispatch.Dispatcher says."""
+        # A reused connection may break just as the request is written, so that nobody knows
+        # whether it ran; requests that may not be repeated go over a new one.
+        session = self.fresh if request.is_unsafe or request.key else self.pooled
+        response = await self.send(session, request, target, attempt)
+        try:
+            if response.status in NOT_RUN_STATUSES:
+                raise TargetRefusedError(f"engine {target.name} answered {response.status}")
+            if request.is_stream and response.content_type == SSE:
+                async with self.stream(request, target, attempt, response) as answer:
+                    yield answer
+            else:
+                yield await self.read_whole(request, attempt, response)
+        finally:
+            response.close()
+
+    async def send(
+        self, session: aiohttp.ClientSession, request: Request, target: Target, attempt: str
+    ) -> aiohttp.ClientResponse:
+        """Send an attempt and return the response once its head is there."""
+        headers = {
+            "Content-Type": JSON,
+            "X-Request-Id": attempt,
+            "Priority": f"u={request.urgency}",
+        }
+        left_s = request.deadline - time.monotonic()
+        head_s = left_s if not request.is_stream else request.document.idle_timeout_s
+        try:
+            async with asyncio.timeout(min(left_s, head_s)):
+                return await session.post(
+                    f"http://{target.address}{request.path}", data=request.body, headers=headers
+                )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise NotSentError(f"engine {target.name} takes no connection") from error
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise MayHaveRunError(f"engine {target.name} did not answer: {error!r}") from error
+
+    async def read_whole(
+        self, request: Request, attempt: str, response: aiohttp.ClientResponse
+    ) -> Answer:
+        """Read an answer that is not a stream; nothing of it is passed on before all is there."""
+        try:
+            async with asyncio.timeout(max(0.0, request.deadline - time.monotonic())):
+                body = await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise MayHaveRunError(f"the answer broke off: {error!r}") from error
+        if response.status == HTTP_OK and chunk_id(Event(0, body, body)) != attempt:
+            log(LogEvent.ANSWER_REJECTED, attempt=attempt, engine=str(response.url.host))
+            raise MayHaveRunError("the engine answered with another attempt's content")
+        return Answer(response.status, {"Content-Type": JSON}, single(body), len(body))
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        request: Request,
+        target: Target,
+        attempt: str,
+        response: aiohttp.ClientResponse,
+    ):
+        """Yield a streamed answer whose first event has come."""
+        events = self.whole_stream(request, target, attempt, response)
+        try:
+            try:
+                first = await anext(events)
+            except (CutError, ForeignAnswerError, StopAsyncIteration) as error:
+                raise MayHaveRunError(
+                    f"the stream broke before its first event: {error}"
+                ) from error
+            yield Answer(HTTP_OK, {"Content-Type": SSE}, pass_on(first, events))
+        finally:
+            await events.aclose()
+
+    async def whole_stream(
+        self,
+        request: Request,
+        target: Target,
+        attempt: str,
+        response: aiohttp.ClientResponse,
+    ) -> AsyncIterator[Event]:
+        """Yield all events of an attempt, going on over new connections where one fails."""
+        after = -1
+        resumes = 0
+        finished = False
+        try:
+            while not finished:
+                idle_s = min(
+                    request.document.idle_timeout_s,
+                    max(0.001, request.deadline - time.monotonic()),
+                )
+                try:
+                    events = read_events(response.content, idle_s)
+                    async for event in check_events(events, attempt, after):
+                        after = max(after, event.number)
+                        resumes = 0
+                        finished = event.is_last
+                        yield event
+                        if finished:
+                            break
+                except (CutError, SilentError) as error:
+                    resumes += 1
+                    response.close()
+                    if resumes > RESUMES or time.monotonic() >= request.deadline:
+                        raise CutError(str(error)) from error
+                    response = await self.resume(target, attempt, after, resumes, error)
+                except ForeignAnswerError as error:
+                    log(LogEvent.ANSWER_REJECTED, attempt=attempt, engine=target.name)
+                    resumes += 1
+                    response.close()
+                    if resumes > RESUMES:
+                        raise
+                    response = await self.resume(target, attempt, after, resumes, error)
+        finally:
+            response.close()
+            if not finished:
+                await self.cancel(target, attempt)
+
+    async def resume(
+        self, target: Target, attempt: str, after: int, tries: int, cause: Exception
+    ) -> aiohttp.ClientResponse:
+        """Go on with the same generation over a new connection; raise CutError if it is gone."""
+        await asyncio.sleep(RESUME_PAUSE_S * (tries - 1))
+        url = f"http://{target.address}/v1/streams/{attempt}"
+        headers = {"Last-Event-ID": str(after)}
+        try:
+            async with asyncio.timeout(REPORT_S):
+                response = await self.fresh.get(url, headers=headers)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise CutError(f"{cause}; the engine takes no new connection") from error
+        if response.status != HTTP_OK:
+            response.close()
+            raise CutError(f"{cause}; the engine no longer has the attempt")
+        log(LogEvent.STREAM_RESUMED, attempt=attempt, engine=target.name, after=after)
+        return response
+
+    async def cancel(self, target: Target, attempt: str) -> None:
+        """Tell an engine that nobody waits for an attempt any more."""
+        try:
+            async with asyncio.timeout(REPORT_S):
+                url = f"http://{target.address}/v1/streams/{attempt}"
+                async with self.fresh.delete(url) as response:
+                    await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            pass
+
+
+async def pass_on(first: Event, events: AsyncIterator[Event]) -> AsyncIterator[bytes]:
+    """Yield events as they came; raise BrokenAnswerError if the stream cannot go on."""
+    yield first.raw
+    if first.is_last:
+        return
+    try:
+        async for event in events:
+            yield event.raw
+    except (CutError, ForeignAnswerError) as error:
+        raise BrokenAnswerError(str(error)) from error
--- /dev/null
+++ b/marjoramspool/engines/orders.py
@@ -0,0 +1,149 @@
+"""Engine orders: a reconciler for each service, under a lease."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from marjoramspool.audit import Audit
+from marjoramspool.configuration import Configuration
+from marjoramspool.document import Document, Target
+from marjoramspool.engines.client import Engines
+from marjoramspool.events import Event, log
+from marjoramspool.lease import Lease
+from marjoramspool.platform.client import Platform, PlatformError
+
+__all__ = ["Order", "Orders"]
+
+LEASE_LIFE_S = 10.0
+PERIOD_S = 3.0
+ORDER_S = 1.0
+HTTP_OK = 200
+
+
+class Order(msgspec.Struct, frozen=True):
+    """Order a desired end, never a step, so that a late order can be seen and put right."""
+
+    model: str
+    fencing: int
+
+
+class EngineModel(msgspec.Struct, frozen=True):
+    """Hold what an engine says it has loaded."""
+
+    model: str = ""
+
+
+class Orders:
+    """Compare what engines have loaded with the documents, and order the difference."""
+
+    __slots__ = (
+        "audit",
+        "configuration",
+        "engines",
+        "leases",
+        "life_s",
+        "period_s",
+        "platform",
+        "router",
+    )
+
+    def __init__(
+        self,
+        router: str,
+        platform: Platform,
+        configuration: Configuration,
+        engines: Engines,
+        audit: Audit,
+    ):
+        self.router = router
+        self.platform = platform
+        self.configuration = configuration
+        self.engines = engines
+        self.audit = audit
+        self.leases: dict[str, Lease] = {}
+        self.period_s = PERIOD_S
+        self.life_s = LEASE_LIFE_S
+
+    def held(self) -> dict[str, int]:
+        """Return the fencing number of each lease held."""
+        return {name: lease.version for name, lease in self.leases.items() if lease.is_held()}
+
+    async def reconcile_for_ever(self) -> None:
+        """Reconcile every service that orders anything, for ever."""
+        while True:
+            await asyncio.sleep(self.period_s)
+            for document in self.configuration.documents():
+                if any(target.model for target in document.targets.values()):
+                    await self.reconcile(document)
+
+    async def reconcile(self, document: Document) -> None:
+        """Order what a service's engines lack, while the lease is held."""
+        lease = self.lease(document.name)
+        was_held = lease.is_held()
+        if not await lease.keep():
+            if was_held:
+                log(Event.LEASE_LOST, service=document.name)
+            return
+        if not was_held:
+            log(Event.LEASE_TAKEN, service=document.name, fencing=lease.version)
+            self.audit.note("lease taken", service=document.name, fencing=lease.version)
+        for target in document.targets.values():
+            if target.model:
+                await self.reconcile_target(lease, target)
+
+    def lease(self, service: str) -> Lease:
+        """Return the lease of a service's orders."""
+        if service not in self.leases:
+            self.leases[service] = Lease(
+                f"orders-{service}", self.router, self.life_s, self.platform
+            )
+        return self.leases[service]
+
+    async def reconcile_target(self, lease: Lease, target: Target) -> None:
+        """Order one engine's model if it has another."""
+        loaded = await self.loaded(target)
+        if loaded is None or loaded == target.model:
+            return
+        try:
+            if not await self.platform.take_weights(1):
+                return
+        except PlatformError:
+            return
+        # Checked last: the holder may have been paused anywhere above.
+        if not lease.is_held(margin_s=ORDER_S):
+            return
+        await self.send(Order(target.model, lease.version), target)
+
+    async def loaded(self, target: Target) -> str | None:
+        """Return the model that an engine has loaded; None if it does not answer."""
+        url = f"http://{target.address}/model"
+        timeout = aiohttp.ClientTimeout(total=ORDER_S)
+        try:
+            async with self.engines.pooled.get(url, timeout=timeout) as response:
+                return msgspec.json.decode(await response.read(), type=EngineModel).model
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
+            return None
+
+    async def send(self, order: Order, target: Target) -> None:
+        """Send one order."""
+        url = f"http://{target.address}/orders"
+        timeout = aiohttp.ClientTimeout(total=ORDER_S)
+        body = msgspec.json.encode(order)
+        try:
+            async with self.engines.fresh.post(url, data=body, timeout=timeout) as response:
+                accepted = response.status == HTTP_OK
+        except (aiohttp.ClientError, TimeoutError):
+            accepted = False
+        event = Event.ORDER_SENT if accepted else Event.ORDER_FAILED
+        log(event, target=target.name, model=order.model, fencing=order.fencing)
+        self.audit.note(
+            "order sent" if accepted else "order failed",
+            target=target.name,
+            model=order.model,
+            fencing=order.fencing,
+        )
+
+    async def hand_over(self) -> None:
+        """Give up all leases."""
+        await asyncio.gather(*[lease.give_up() for lease in self.leases.values()])
--- /dev/null
+++ b/marjoramspool/explain.py
@@ -0,0 +1,56 @@
+"""Traces of recent requests: why a target was chosen, what was tried, what happened."""
+
+import time
+from collections import OrderedDict
+
+import msgspec
+
+__all__ = ["Step", "Trace", "Traces"]
+
+
+class Step(msgspec.Struct, frozen=True):
+    """Record one step of a request; `at_ms` counts from its arrival."""
+
+    at_ms: float
+    what: str
+    details: dict[str, str | int | float]
+
+
+class Trace(msgspec.Struct):
+    """Record the steps of one request."""
+
+    request: str
+    router: str
+    service: str
+    account: str
+    arrived: float
+    steps: list[Step] = []
+    outcome: str = "in flight"
+
+    def note(self, what: str, **details) -> None:
+        """Add a step."""
+        at_ms = round((time.time() - self.arrived) * 1000, 1)
+        self.steps.append(Step(at_ms, what, details))
+
+
+class Traces:
+    """Keep the traces of the last requests."""
+
+    __slots__ = ("limit", "router", "traces")
+
+    def __init__(self, router: str, limit: int):
+        self.router = router
+        self.limit = limit
+        self.traces: OrderedDict[str, Trace] = OrderedDict()
+
+    def start(self, request: str, service: str, account: str) -> Trace:
+        """Start the trace of a request."""
+        trace = Trace(request, self.router, service, account, time.time(), [])
+        self.traces[request] = trace
+        while len(self.traces) > self.limit:
+            self.traces.popitem(last=False)
+        return trace
+
+    def get(self, request: str) -> Trace | None:
+        """Return the trace of a request."""
+        return self.traces.get(request)
--- /dev/null
+++ b/marjoramspool/hashing.py
@@ -0,0 +1,36 @@
+"""Weighted rendezvous hashing over names."""
+
+import math
+from collections.abc import Iterable
+
+import xxhash
+
+__all__ = ["digest", "long_digest", "rank", "score"]
+
+HASH_SPACE = 1 << 64
+
+
+def digest(text: str | bytes) -> int:
+    """Return the 64-bit hash of a text."""
+    return xxhash.xxh3_64_intdigest(encode(text))
+
+
+def long_digest(text: str | bytes) -> str:
+    """Return the 128-bit hash of a text in hexadecimal."""
+    return xxhash.xxh3_128_hexdigest(encode(text))
+
+
+def encode(text: str | bytes) -> bytes:
+    """Return a text as bytes."""
+    return text.encode() if isinstance(text, str) else text
+
+
+def score(key: int, name: str, weight: float = 1.0) -> float:
+    """Return the rendezvous score of a name for a key; the highest score wins."""
+    draw = (xxhash.xxh3_64_intdigest(name.encode(), seed=key) + 1) / (HASH_SPACE + 2)
+    return -weight / math.log(draw)
+
+
+def rank(key: int, names: Iterable[str]) -> list[str]:
+    """Return the names in the preference order of a key."""
+    return sorted(names, key=lambda name: (score(key, name), name), reverse=True)
--- /dev/null
+++ b/marjoramspool/ledger.py
@@ -0,0 +1,172 @@
+"""Claims of idempotency keys: entries, operations on them and the stored shard."""
+
+import msgspec
+
+from marjoramspool import hashing
+
+__all__ = [
+    "Claimed",
+    "Entry",
+    "Finish",
+    "Granted",
+    "Mismatch",
+    "Operation",
+    "Release",
+    "Repeated",
+    "Result",
+    "Segment",
+    "Shard",
+    "Take",
+    "Unsettled",
+    "apply",
+    "claim_key",
+    "shard_of",
+]
+
+ANSWER_KEPT_BYTES = 2048
+STALE_CLAIM_S = 3600.0
+HEAD_ENTRIES = 400
+
+
+class Entry(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Hold one claimed key; `status` 0 means that no outcome is recorded."""
+
+    attempt: str
+    body: str
+    at: float
+    status: int = 0
+    answer: str = ""
+    content_type: str = ""
+    is_kept: bool = True
+
+
+class Segment(msgspec.Struct, frozen=True):
+    """Name an immutable object of older entries and the age of its newest one."""
+
+    name: str
+    newest: float
+
+
+class Shard(msgspec.Struct, omit_defaults=True):
+    """Hold the head object of one shard; `commit` names the write that made it."""
+
+    commit: str = ""
+    entries: dict[str, Entry] = {}
+    segments: list[Segment] = []
+    rolled: int = 0
+
+
+class Take(msgspec.Struct, frozen=True):
+    """Claim a key for one attempt."""
+
+    key: str
+    body: str
+    attempt: str
+
+
+class Finish(msgspec.Struct, frozen=True):
+    """Record the outcome of the attempt that holds a key."""
+
+    key: str
+    attempt: str
+    status: int
+    answer: str
+    content_type: str
+    is_kept: bool = True
+
+
+class Release(msgspec.Struct, frozen=True):
+    """Give a key back: its attempt never ran and never will."""
+
+    key: str
+    attempt: str
+
+
+Operation = Take | Finish | Release
+
+
+class Granted(msgspec.Struct, frozen=True):
+    """State that the attempt holds the key, and may run once."""
+
+
+class Repeated(msgspec.Struct, frozen=True):
+    """Hold the recorded outcome of an earlier attempt; a long answer is not kept."""
+
+    status: int
+    answer: str
+    content_type: str
+    is_kept: bool
+
+
+class Claimed(msgspec.Struct, frozen=True):
+    """State that another attempt holds the key and has no recorded outcome."""
+
+    attempt: str
+
+
+class Mismatch(msgspec.Struct, frozen=True):
+    """State that the key was used with another body."""
+
+
+class Unsettled(msgspec.Struct, frozen=True):
+    """State that it is not known whether the operation was written."""
+
+    why: str
+
+
+Result = Granted | Repeated | Claimed | Mismatch | Unsettled
+
+
+def claim_key(service: str, account: str, key: str) -> str:
+    """Return the stored form of a caller's key; keys of two accounts never meet."""
+    return hashing.long_digest(f"{service}\0{account}\0{key}")
+
+
+def shard_of(key: str, shards: int) -> int:
+    """Return the shard of a stored key."""
+    return int(key[:8], 16) % shards
+
+
+def apply(shard: Shard, older: dict[str, Entry], operation: Operation, now: float) -> Result:
+    """Apply an operation to a shard; applying it twice gives the same result."""
+    held = shard.entries.get(operation.key) or older.get(operation.key)
+    match operation:
+        case Take(key, body, attempt):
+            if held is None:
+                shard.entries[key] = Entry(attempt, body, now)
+                return Granted()
+            return judge(held, operation)
+        case Finish(key, attempt, status, answer, content_type, is_kept):
+            if held and held.attempt == attempt:
+                shard.entries[key] = Entry(
+                    attempt, held.body, held.at, status, answer, content_type, is_kept
+                )
+            return Granted()
+        case Release(key, attempt):
+            if held and held.attempt == attempt and not held.status:
+                shard.entries.pop(key, None)
+            return Granted()
+
+
+def judge(held: Entry, take: Take) -> Result:
+    """Tell what a claim gets that meets an entry."""
+    if held.attempt == take.attempt:
+        return Granted()
+    if held.body != take.body:
+        return Mismatch()
+    if held.status:
+        return Repeated(held.status, held.answer, held.content_type, held.is_kept)
+    return Claimed(held.attempt)
+
+
+def removable(shard: Shard, now: float) -> list[str]:
+    """Return the oldest settled keys of a head that has grown too long."""
+    if len(shard.entries) <= HEAD_ENTRIES:
+        return []
+    settled = [
+        key
+        for key, entry in shard.entries.items()
+        if entry.status or now - entry.at > STALE_CLAIM_S
+    ]
+    settled.sort(key=lambda key: shard.entries[key].at)
+    return settled[: HEAD_ENTRIES // 2]
--- /dev/null
+++ b/marjoramspool/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators: the read-only interface of a router and the command line."""
--- /dev/null
+++ b/marjoramspool/operators/client.py
@@ -0,0 +1,193 @@
+"""What the command line does at the platform and at routers."""
+
+import asyncio
+import difflib
+import time
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from marjoramspool import audit
+from marjoramspool.configuration import KIND, Change, DocumentBody, encode_body
+from marjoramspool.document import read_document
+from marjoramspool.explain import Trace
+from marjoramspool.http import new_session
+from marjoramspool.operators.server import Status
+from marjoramspool.platform.client import (
+    Conflict,
+    Platform,
+    PlatformError,
+    Stored,
+    WriteUncertainError,
+    Written,
+)
+
+__all__ = ["Applied", "ConflictError", "Operator", "ask_router", "status_of"]
+
+CALLS_PER_S = 1000.0
+PLATFORM_WAIT_S = 5.0
+ROUTER_WAIT_S = 2.0
+POLL_S = 0.1
+READ_BACKS = 5
+
+
+class ConflictError(Exception):
+    """Report that another operator's change came first."""
+
+
+@dataclass(slots=True, frozen=True)
+class Applied:
+    """Tell in which version a document was accepted and which routers lack it."""
+
+    version: int
+    missing: list[str]
+    waited_s: float
+
+
+class Operator:
+    """Read and change service documents; use as an async context manager."""
+
+    __slots__ = ("platform",)
+
+    def __init__(self, address: str):
+        self.platform = Platform(address, PLATFORM_WAIT_S, CALLS_PER_S)
+
+    async def __aenter__(self):
+        await self.platform.__aenter__()
+        return self
+
+    async def __aexit__(self, *details):
+        await self.platform.__aexit__(*details)
+
+    async def get(self, service: str) -> tuple[int, DocumentBody | None]:
+        """Return the stored document of a service and its version."""
+        stored = await self.platform.read(KIND, service)
+        return stored.version, decode_stored(stored)
+
+    async def apply(self, text: str, who: str, expect: int | None) -> int:
+        """Store a checked document; return its version.
+
+        Raise ConflictError, naming who won, if it changed since the expected version.
+        """
+        name = read_document("document", text).name
+        stored = await self.platform.read(KIND, name)
+        before = decode_stored(stored)
+        if expect is not None and stored.version != expect:
+            raise ConflictError(conflict_text(name, stored.version, before))
+        changes = list(before.changes) if before else []
+        summary = summarize(before.text if before else "", text)
+        changes.append(Change(who, time.time(), stored.version, summary))
+        body = encode_body(text, changes)
+        try:
+            written = await self.platform.write(KIND, name, body, stored.version)
+        except WriteUncertainError:
+            return await self.read_back(name, body, stored.version)
+        match written:
+            case Written(version):
+                return version
+            case Conflict(version):
+                _, winner = await self.get(name)
+                raise ConflictError(conflict_text(name, version, winner))
+
+    async def read_back(self, name: str, body: str, before: int) -> int:
+        """Settle a write whose reply was lost."""
+        for _ in range(READ_BACKS):
+            try:
+                stored = await self.platform.read(KIND, name)
+            except PlatformError:
+                await asyncio.sleep(POLL_S * 5)
+                continue
+            if stored.value == body:
+                return stored.version
+            if stored.version == before:
+                raise PlatformError("the change was not written; apply it again")
+            raise ConflictError(conflict_text(name, stored.version, decode_stored(stored)))
+        raise WriteUncertainError("it is not known whether the change was written; see `get`")
+
+    async def routers(self) -> dict[str, str]:
+        """Return the operators' endpoint of each router in the host list."""
+        hosts = await self.platform.hosts()
+        return {h.name: h.operators for h in hosts if h.role == "router" and h.operators}
+
+    async def wait_in_force(self, service: str, version: int, wait_s: float) -> Applied:
+        """Wait until every router has a version in force; say where it is not."""
+        started = time.monotonic()
+        routers = await self.routers()
+        missing = dict(routers)
+        while missing and time.monotonic() - started < wait_s:
+            replies = await asyncio.gather(*[status_of(a) for a in missing.values()])
+            missing = {
+                name: address
+                for (name, address), status in zip(missing.items(), replies, strict=True)
+                if status is None or status.versions.get(service, 0) < version
+            }
+            if missing:
+                await asyncio.sleep(POLL_S)
+        return Applied(version, sorted(missing), time.monotonic() - started)
+
+    async def trails(self) -> list[audit.Record]:
+        """Return what the routers decided by themselves, the oldest first."""
+        listing = await self.platform.list_objects(audit.KIND)
+        records = []
+        for stored in listing.objects:
+            if stored.value is not None:
+                records += msgspec.json.decode(stored.value, type=audit.Trail).records
+        return sorted(records, key=lambda record: record.when)
+
+    async def explain(self, request: str) -> Trace | None:
+        """Return the trace of a request, from any router that answers."""
+        for address in (await self.routers()).values():
+            body = await ask_router(address, f"/explain/{request}")
+            if body is not None:
+                return msgspec.json.decode(body, type=Trace)
+        return None
+
+
+async def ask_router(address: str, path: str) -> bytes | None:
+    """Read one page of a router; None if it does not answer or has none."""
+    timeout = aiohttp.ClientTimeout(total=ROUTER_WAIT_S)
+    try:
+        async with (
+            new_session(ROUTER_WAIT_S) as session,
+            session.get(f"http://{address}{path}", timeout=timeout) as response,
+        ):
+            return await response.read() if response.status == 200 else None
+    except (aiohttp.ClientError, TimeoutError):
+        return None
+
+
+async def status_of(address: str) -> Status | None:
+    """Return the status of a router, None if it does not answer."""
+    body = await ask_router(address, "/status")
+    return msgspec.json.decode(body, type=Status) if body is not None else None
+
+
+def decode_stored(stored: Stored) -> DocumentBody | None:
+    """Decode a stored document; a body that is not one counts as its text."""
+    if stored.value is None:
+        return None
+    try:
+        return msgspec.json.decode(stored.value, type=DocumentBody)
+    except msgspec.MsgspecError:
+        return DocumentBody(stored.value, [])
+
+
+def conflict_text(name: str, version: int, winner: DocumentBody | None) -> str:
+    """Say who changed a document first."""
+    who = winner.changes[-1].who if winner and winner.changes else "somebody"
+    return (
+        f"{name}: {who} changed it first, to version {version}; "
+        f"read it with `marjoramspool get {name}` and apply your change to that"
+    )
+
+
+def summarize(before: str, after: str) -> str:
+    """Return how many lines a change adds and removes."""
+    lines = list(difflib.ndiff(before.splitlines(), after.splitlines()))
+    return f"+{count(lines, '+ ')} -{count(lines, '- ')} lines"
+
+
+def count(lines: list[str], start: str) -> int:
+    """Count the lines with a start."""
+    return sum(line.startswith(start) for line in lines)
--- /dev/null
+++ b/marjoramspool/operators/server.py
@@ -0,0 +1,147 @@
+"""The HTTP interface for operators: liveness, status and explanations."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+from aiohttp import web
+
+from marjoramspool.routers import peers_pb2 as pb
+
+if TYPE_CHECKING:
+    from marjoramspool.router import Router
+
+__all__ = ["OperatorsServer", "Status", "build_status"]
+
+EXPLAIN_WAIT_S = 1.0
+JSON = "application/json"
+
+
+class MemberStatus(msgspec.Struct, frozen=True):
+    """Report one router as seen by another."""
+
+    name: str
+    address: str
+    operators: str
+    domain: str
+    state: str
+
+
+class CellStatus(msgspec.Struct, frozen=True):
+    """Report the load of a cell that a router owns, in requests."""
+
+    loads: dict[str, int]
+    waiting: int
+
+
+class ControlStatus(msgspec.Struct, frozen=True):
+    """Report what coordination has cost since the start, both ways."""
+
+    router_bytes: int
+    platform_bytes: int
+    report_bytes: int
+    platform_calls: int
+
+
+class Status(msgspec.Struct, frozen=True):
+    """Report the state of one router."""
+
+    router: str
+    domain: str
+    is_ready: bool
+    is_draining: bool
+    in_flight: int
+    versions: dict[str, int]
+    faults: dict[str, str]
+    members: list[MemberStatus]
+    owned: dict[str, CellStatus]
+    leaving: list[str]
+    control: ControlStatus
+    counts: dict[str, int]
+    leases: dict[str, int]
+
+
+class OperatorsServer:
+    """Serve operators."""
+
+    __slots__ = ("router", "runner")
+
+    def __init__(self, router: "Router"):
+        self.router = router
+        self.runner: web.AppRunner | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen for operators."""
+        app = web.Application()
+        app.router.add_get("/livez", self.router.callers.livez)
+        app.router.add_get("/readyz", self.router.callers.readyz)
+        app.router.add_get("/status", self.status)
+        app.router.add_get("/explain/{request}", self.explain)
+        self.runner = web.AppRunner(app, access_log=None)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, host, port).start()
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self.runner:
+            await self.runner.cleanup()
+
+    async def status(self, _: web.Request) -> web.Response:
+        """Report the state of this router."""
+        body = msgspec.json.encode(build_status(self.router))
+        return web.Response(body=body, content_type=JSON)
+
+    async def explain(self, request: web.Request) -> web.Response:
+        """Explain a recent request, asking the other routers if this one did not serve it."""
+        number = request.match_info["request"]
+        trace = await self.router.explain(number) or await self.explain_elsewhere(number)
+        if not trace:
+            return web.Response(status=404, text="no router remembers this request\n")
+        return web.Response(body=trace, content_type=JSON)
+
+    async def explain_elsewhere(self, number: str) -> bytes:
+        """Ask the other routers for the trace of a request."""
+        message = pb.ExplainRequest(request=number)
+        calls = [
+            self.router.links.call(member.address, "Explain", message, EXPLAIN_WAIT_S)
+            for member in self.router.membership.others()
+        ]
+        for reply in await asyncio.gather(*calls):
+            if reply is not None and reply.trace:
+                return reply.trace
+        return b""
+
+
+def build_status(router: "Router") -> Status:
+    """Return the state of a router."""
+    members = [
+        MemberStatus(m.name, m.address, m.operators, m.domain, m.state.name.lower())
+        for m in [router.membership.me, *router.membership.members.values()]
+    ]
+    return Status(
+        router=router.settings.name,
+        domain=router.settings.failure_domain,
+        is_ready=router.configuration.is_complete and not router.callers.is_draining,
+        is_draining=router.callers.is_draining,
+        in_flight=router.callers.in_flight,
+        versions=router.configuration.versions(),
+        faults=dict(router.configuration.faults),
+        members=members,
+        owned={name: cell_status(router, name) for name in router.admissions.owned()},
+        leaving=sorted(a for a in router.targets.states if router.targets.is_leaving(a)),
+        control=ControlStatus(
+            router.links.total_bytes() + router.servicer.bytes,
+            router.platform.bytes,
+            router.engines.bytes,
+            router.platform.calls,
+        ),
+        counts=dict(router.metrics.counts),
+        leases=router.orders.held(),
+    )
+
+
+def cell_status(router: "Router", name: str) -> CellStatus:
+    """Return the state of one cell."""
+    cell = router.admissions.cell(name)
+    loads = {engine.name: cell.loads[engine.name] for engine in cell.view()}
+    return CellStatus(loads, len(cell.waiting))
--- /dev/null
+++ b/marjoramspool/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform: object API, host list and weight store."""
--- /dev/null
+++ b/marjoramspool/router.py
@@ -0,0 +1,289 @@
+"""One router: everything it owns, started and stopped in order."""
+
+import asyncio
+import random
+import time
+from contextlib import AsyncExitStack
+
+import grpc
+import msgspec
+
+from marjoramspool import cells
+from marjoramspool.admissions import Admissions
+from marjoramspool.audit import Audit
+from marjoramspool.callers.server import CallersServer
+from marjoramspool.claims import Claims, preferred_router
+from marjoramspool.configuration import Configuration
+from marjoramspool.engines.client import Engines
+from marjoramspool.engines.orders import Orders
+from marjoramspool.events import Event, log
+from marjoramspool.explain import Traces
+from marjoramspool.membership import Member, Membership
+from marjoramspool.metrics import Metrics
+from marjoramspool.operators.server import OperatorsServer
+from marjoramspool.platform.client import Platform
+from marjoramspool.platform.watcher import Watcher
+from marjoramspool.routers.gossip import Gossip
+from marjoramspool.routers.links import Links
+from marjoramspool.routers.server import RoutersServer, start_server
+from marjoramspool.routing import Routing
+from marjoramspool.services.client import Services
+from marjoramspool.settings import Settings, TlsFiles
+from marjoramspool.targets import Targets
+
+__all__ = ["Router"]
+
+RESTART_PAUSE_S = 0.5
+IDLE_CHECK_S = 10.0
+
+
+class Router:
+    """Own every part of one router; use as an async context manager."""
+
+    __slots__ = (
+        "admissions",
+        "audit",
+        "callers",
+        "claims",
+        "configuration",
+        "engines",
+        "gossip",
+        "links",
+        "membership",
+        "metrics",
+        "operators",
+        "orders",
+        "platform",
+        "routing",
+        "services",
+        "servicer",
+        "settings",
+        "stack",
+        "targets",
+        "tasks",
+        "traces",
+        "watcher",
+    )
+
+    def __init__(self, settings: Settings):
+        timings = settings.timings
+        self.settings = settings
+        self.stack = AsyncExitStack()
+        self.tasks: list[asyncio.Task] = []
+        self.metrics = Metrics(settings.statsd)
+        self.targets = Targets()
+        self.configuration = Configuration()
+        self.membership = Membership(
+            Member(
+                name=settings.name,
+                address=f"{settings.address}:{settings.peers_port}",
+                domain=settings.failure_domain,
+                operators=f"{settings.address}:{settings.operators_port}",
+                incarnation=int(time.time() * 1000),
+            )
+        )
+        self.platform = Platform(
+            settings.platform, timings.platform_timeout_s, settings.limits.platform_calls_per_s
+        )
+        self.engines = Engines(timings.connect_s)
+        self.services = Services(timings.connect_s)
+        self.links = Links(
+            settings.name, timings.owner_answer_s, self.address_of, client_credentials(settings)
+        )
+        self.admissions = Admissions(
+            self.configuration, self.membership, self.targets, settings.placement, self.links
+        )
+        self.links.held = self.admissions.held
+        self.claims = Claims(
+            self.platform,
+            settings.claim_shards,
+            lambda shard: preferred_router(shard, settings.name, self.membership.responsive()),
+            self.links.claim,
+            self.retention_s,
+        )
+        self.gossip = Gossip(
+            self.membership, self.configuration, self.targets, self.links, timings.probe_timeout_s
+        )
+        self.watcher = Watcher(
+            self.platform,
+            self.configuration,
+            self.membership,
+            self.targets,
+            timings.watch_s,
+            timings.host_period_s,
+        )
+        self.audit = Audit(settings.name, self.platform)
+        self.orders = Orders(
+            settings.name, self.platform, self.configuration, self.engines, self.audit
+        )
+        self.traces = Traces(settings.name, settings.limits.traces)
+        self.routing = Routing(
+            self.admissions,
+            self.claims,
+            self.targets,
+            {"model": self.engines, "plain": self.services},
+            self.traces,
+        )
+        self.callers = CallersServer(
+            self.routing, self.configuration, settings.limits, self.metrics
+        )
+        self.operators = OperatorsServer(self)
+        self.servicer = RoutersServer(
+            self.admissions, self.configuration, self.claims, self.gossip, self.explain
+        )
+
+    def address_of(self, router: str) -> str | None:
+        """Return the address of a router for other routers."""
+        member = self.membership.members.get(router)
+        return member.address if member else None
+
+    def retention_s(self) -> float:
+        """Return the longest retention that any service asks of its claims, in seconds."""
+        kept = [document.claim_retention_s for document in self.configuration.documents()]
+        return max(kept, default=86400.0)
+
+    async def explain(self, request: str) -> bytes:
+        """Return this router's trace of a request, empty if it has none."""
+        trace = self.traces.get(request)
+        return msgspec.json.encode(trace) if trace else b""
+
+    async def __aenter__(self):
+        async with AsyncExitStack() as stack:
+            await self.open(stack)
+            self.stack = stack.pop_all()
+        return self
+
+    async def __aexit__(self, *details):
+        await self.stack.aclose()
+        log(Event.ROUTER_STOPPED, router=self.settings.name)
+
+    async def open(self, stack: AsyncExitStack) -> None:
+        """Open every part; the stack closes them in reverse order."""
+        settings = self.settings
+        await stack.enter_async_context(self.platform)
+        await stack.enter_async_context(self.engines)
+        await stack.enter_async_context(self.services)
+        await stack.enter_async_context(self.links)
+        stack.push_async_callback(self.claims.close)
+        stack.push_async_callback(self.gossip.close)
+        server = await start_server(
+            self.servicer,
+            f"{settings.address}:{settings.peers_port}",
+            server_credentials(settings.peers_tls),
+        )
+        stack.push_async_callback(server.stop, 0)
+        stack.push_async_callback(self.callers.close)
+        await self.callers.start(settings.address, settings.callers_port, settings.callers_tls)
+        stack.push_async_callback(self.operators.close)
+        await self.operators.start(settings.address, settings.operators_port)
+        stack.push_async_callback(self.stop_tasks)
+        self.start_tasks()
+        log(Event.ROUTER_STARTED, router=settings.name, domain=settings.failure_domain)
+
+    def start_tasks(self) -> None:
+        """Start the background tasks: one for each peer, and the probes."""
+        timings = self.settings.timings
+        work = {
+            "documents": self.watcher.follow_documents,
+            "hosts": self.watcher.follow_hosts,
+            "reports": self.follow_reports,
+            "links": self.close_idle_links,
+            "audit": self.audit.write_for_ever,
+            "orders": self.orders.reconcile_for_ever,
+            "probes": lambda: self.membership.probe_for_ever(
+                self.gossip.probe,
+                self.gossip.probe_through,
+                timings.probe_period_s,
+                timings.suspect_s,
+            ),
+        }
+        for name, start in work.items():
+            self.tasks.append(asyncio.create_task(keep_running(name, start), name=name))
+
+    async def stop_tasks(self) -> None:
+        """Stop the background tasks."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def follow_reports(self) -> None:
+        """Read the load reports of the engines of owned cells, for ever."""
+        period_s = self.settings.timings.poll_period_s
+        while True:
+            addresses = list(self.owned_addresses())
+            await asyncio.gather(*[self.read_report(address) for address in addresses])
+            await asyncio.sleep(period_s * random.uniform(0.9, 1.1))
+
+    def owned_addresses(self):
+        """Yield the addresses of the engines of owned cells."""
+        for name in self.admissions.owned():
+            document = self.configuration.document(cells.service_of(name))
+            for engine in cells.engines_of(document, name):
+                yield document.targets[engine].address
+
+    async def read_report(self, address: str) -> None:
+        """Read one load report; silence on a new connection counts as a failure."""
+        report = await self.engines.report(address)
+        if report is None:
+            self.targets.note_failure(address)
+        else:
+            self.targets.note_report(address, report)
+
+    async def close_idle_links(self) -> None:
+        """Close links that nothing uses, for ever."""
+        while True:
+            await asyncio.sleep(IDLE_CHECK_S)
+            self.links.reset_idle()
+
+    async def shut_down(self) -> bool:
+        """Leave gracefully: fail readiness, wait for the balancer, finish all, hand over.
+
+        Return whether everything in flight was finished.
+        """
+        timings = self.settings.timings
+        log(Event.ROUTER_DRAINING, in_flight=self.callers.in_flight)
+        self.callers.is_draining = True
+        self.membership.leave()
+        await asyncio.gather(*[self.gossip.probe(m) for m in self.membership.others()[:8]])
+        await asyncio.sleep(timings.drain_delay_s)
+        finished = await self.callers.drain(timings.drain_s)
+        await self.orders.hand_over()
+        await self.audit.flush()
+        return finished
+
+
+async def keep_running(name: str, start) -> None:
+    """Run a task for ever; start it again if it fails."""
+    while True:
+        try:
+            await start()
+        except Exception as error:
+            log(Event.TASK_FAILED, task=name, error=repr(error))
+        await asyncio.sleep(RESTART_PAUSE_S)
+
+
+def client_credentials(settings: Settings) -> grpc.ChannelCredentials | None:
+    """Return the credentials towards other routers."""
+    files = settings.peers_tls
+    if files is None:
+        return None
+    return grpc.ssl_channel_credentials(*read_pem(files))
+
+
+def server_credentials(files: TlsFiles | None) -> grpc.ServerCredentials | None:
+    """Return the credentials of the listener for other routers, which must show a certificate."""
+    if files is None:
+        return None
+    authority, key, certificate = read_pem(files)
+    return grpc.ssl_server_credentials(
+        [(key, certificate)], root_certificates=authority, require_client_auth=True
+    )
+
+
+def read_pem(files: TlsFiles) -> tuple[bytes, bytes, bytes]:
+    """Read the authority, the key and the certificate."""
+    parts = []
+    for path in (files.authority, files.key, files.certificate):
+        with open(path, "rb") as file:
+            parts.append(file.read())
+    return tuple(parts)
--- /dev/null
+++ b/marjoramspool/routers/__init__.py
@@ -0,0 +1,1 @@
+"""Router to router: placement sessions, probes, documents, claims and traces."""
--- /dev/null
+++ b/marjoramspool/routers/convert.py
@@ -0,0 +1,146 @@
+"""Conversion between the messages of the wire and the types of the decisions."""
+
+import msgspec
+
+from marjoramspool import admission, ledger, membership, placement
+from marjoramspool.routers import peers_pb2 as pb
+
+__all__ = [
+    "admission_from",
+    "admission_to",
+    "ask_from",
+    "ask_to",
+    "holdings_from",
+    "holdings_to",
+    "member_from",
+    "member_to",
+    "operation_from",
+    "operation_to",
+    "result_from",
+    "result_to",
+]
+
+
+def ask_to(ask: admission.Ask) -> pb.Ask:
+    """Encode an ask."""
+    return pb.Ask(
+        cell=ask.cell,
+        chat=ask.chat,
+        holders=[pb.Holder(engine=h.engine, incarnation=h.incarnation) for h in ask.holders],
+        account=ask.account,
+        weight=ask.weight,
+        urgency=ask.urgency,
+        exclude=ask.exclude,
+        wait=ask.wait_s,
+        first=ask.first_turn,
+    )
+
+
+def ask_from(message: pb.Ask) -> admission.Ask:
+    """Decode an ask."""
+    return admission.Ask(
+        cell=message.cell,
+        chat=message.chat,
+        holders=tuple(placement.Holder(h.engine, h.incarnation) for h in message.holders),
+        account=message.account,
+        weight=max(1, message.weight),
+        urgency=message.urgency,
+        exclude=tuple(message.exclude),
+        wait_s=message.wait,
+        first_turn=message.first,
+    )
+
+
+def admission_to(number: int, decision: admission.Admission) -> pb.PlaceReply:
+    """Encode a decision."""
+    match decision:
+        case admission.Granted(engine, incarnation, why):
+            granted = pb.Granted(engine=engine, incarnation=incarnation, why=why)
+            return pb.PlaceReply(number=number, granted=granted)
+        case admission.Refused(reason, retry_after_s):
+            refused = pb.Refused(reason=reason, retry_after=retry_after_s)
+            return pb.PlaceReply(number=number, refused=refused)
+
+
+def admission_from(message: pb.PlaceReply) -> admission.Admission | None:
+    """Decode a decision; None means that the ask waits in the queue."""
+    match message.WhichOneof("kind"):
+        case "granted":
+            granted = message.granted
+            return admission.Granted(granted.engine, granted.incarnation, granted.why)
+        case "refused":
+            return admission.Refused(message.refused.reason, message.refused.retry_after)
+    return None
+
+
+def holdings_to(cell: str, holds: dict[tuple[str, str], int]) -> pb.Holdings:
+    """Encode what a router holds in a cell."""
+    parts = [pb.Hold(engine=e, account=a, count=n) for (e, a), n in holds.items()]
+    return pb.Holdings(cell=cell, holds=parts)
+
+
+def holdings_from(message: pb.Holdings) -> dict[tuple[str, str], int]:
+    """Decode what a router holds in a cell."""
+    return {(hold.engine, hold.account): hold.count for hold in message.holds}
+
+
+def member_to(member: membership.Member) -> pb.Member:
+    """Encode a member."""
+    return pb.Member(
+        name=member.name,
+        address=member.address,
+        domain=member.domain,
+        operators=member.operators,
+        incarnation=member.incarnation,
+        state=int(member.state),
+    )
+
+
+def member_from(message: pb.Member) -> membership.Member:
+    """Decode a member."""
+    return membership.Member(
+        name=message.name,
+        address=message.address,
+        domain=message.domain,
+        operators=message.operators,
+        incarnation=message.incarnation,
+        state=membership.State(min(message.state, max(membership.State))),
+    )
+
+
+STEPS = {ledger.Take: 1, ledger.Finish: 2, ledger.Release: 3}
+RESULTS = {
+    ledger.Granted: 1,
+    ledger.Repeated: 2,
+    ledger.Claimed: 3,
+    ledger.Mismatch: 4,
+    ledger.Unsettled: 5,
+}
+
+
+def operation_to(operation: ledger.Operation, wait_s: float) -> pb.ClaimRequest:
+    """Encode an operation on the ledger."""
+    step = STEPS[type(operation)]
+    body = msgspec.msgpack.encode(operation)
+    return pb.ClaimRequest(step=step, body=body, wait=wait_s)
+
+
+def operation_from(message: pb.ClaimRequest) -> ledger.Operation:
+    """Decode an operation on the ledger; raise ValueError if it is malformed."""
+    kinds = {number: kind for kind, number in STEPS.items()}
+    if message.step not in kinds:
+        raise ValueError(f"ledger step {message.step} is not known")
+    return msgspec.msgpack.decode(message.body, type=kinds[message.step])
+
+
+def result_to(result: ledger.Result) -> pb.ClaimReply:
+    """Encode the result of an operation."""
+    return pb.ClaimReply(kind=RESULTS[type(result)], answer=msgspec.msgpack.encode(result))
+
+
+def result_from(message: pb.ClaimReply) -> ledger.Result:
+    """Decode the result of an operation; raise ValueError if it is malformed."""
+    kinds = {number: kind for kind, number in RESULTS.items()}
+    if message.kind not in kinds:
+        raise ValueError(f"ledger result {message.kind} is not known")
+    return msgspec.msgpack.decode(message.answer, type=kinds[message.kind])
--- /dev/null
+++ b/marjoramspool/routers/gossip.py
@@ -0,0 +1,173 @@
+"""Probes that carry membership, document versions and leaving targets."""
+
+import asyncio
+import random
+
+from marjoramspool.configuration import Configuration
+from marjoramspool.membership import Member, Membership, State
+from marjoramspool.routers import peers_pb2 as pb
+from marjoramspool.routers.convert import member_from, member_to
+from marjoramspool.routers.links import Links
+from marjoramspool.targets import Targets
+
+__all__ = ["Gossip"]
+
+PUSHED_TO = 3
+PROBED_THROUGH_MARGIN_S = 0.5
+FETCH_S = 2.0
+LEAVING_SOURCE = "peers"
+LEAVING_LIFE_S = 4.0
+
+
+class Gossip:
+    """Exchange soft state with other routers; newer documents are fetched from their teller."""
+
+    __slots__ = ("configuration", "links", "membership", "targets", "tasks", "timeout_s")
+
+    def __init__(
+        self,
+        membership: Membership,
+        configuration: Configuration,
+        targets: Targets,
+        links: Links,
+        timeout_s: float,
+    ):
+        self.membership = membership
+        self.configuration = configuration
+        self.targets = targets
+        self.links = links
+        self.timeout_s = timeout_s
+        self.tasks: set[asyncio.Task] = set()
+        configuration.changes.subscribe(lambda _: self.push_to_some())
+
+    def request(self, versions: dict[str, int] | None = None) -> pb.ProbeRequest:
+        """Return a probe that carries what the others may not know."""
+        return pb.ProbeRequest(
+            sender=member_to(self.membership.me),
+            members=[member_to(member) for member in self.membership.updates()],
+            versions=encode_versions(versions or {}),
+            leaving=self.leaving(),
+            versions_digest=self.configuration.versions_digest(),
+            members_digest=self.membership.digest(),
+        )
+
+    def leaving(self) -> list[pb.Evidence]:
+        """Return fresh evidence of leaving targets; its age keeps it from living for ever."""
+        ages = self.targets.fresh_evidence(LEAVING_LIFE_S)
+        return [pb.Evidence(target=t, age_ms=int(age * 1000)) for t, age in ages.items()]
+
+    async def probe(self, member: Member, versions: dict[str, int] | None = None) -> bool:
+        """Probe a router and take in its reply; return whether it answered."""
+        reply = await self.links.probe(member.address, self.request(versions), self.timeout_s)
+        if reply is None:
+            return False
+        self.take_members(reply.members)
+        self.take_leaving(reply.leaving)
+        theirs = decode_versions(reply.versions)
+        if theirs:
+            self.fetch_soon(member.address, theirs)
+        if reply.versions_digest != self.configuration.versions_digest() and not versions:
+            ahead = self.configuration.newer_than(theirs)
+            if ahead:
+                self.start(self.probe(member, ahead))
+        return True
+
+    async def probe_through(self, helper: Member, member: Member) -> bool:
+        """Have one router probe another."""
+        return await self.links.probe_through(helper, member, self.timeout_s)
+
+    async def probe_address(self, address: str) -> bool:
+        """Probe an address on behalf of another router."""
+        reply = await self.links.probe(address, self.request(), self.timeout_s)
+        return reply is not None
+
+    def answer(self, request: pb.ProbeRequest) -> pb.ProbeReply:
+        """Take in what a probe says and reply with what its sender lacks."""
+        sender = member_from(request.sender)
+        known = self.membership.members.get(sender.name)
+        self.membership.merge(sender)
+        self.take_members(request.members)
+        self.take_leaving(request.leaving)
+        self.fetch_soon(sender.address, decode_versions(request.versions))
+        members = self.membership.updates()
+        if request.members_digest != self.membership.digest():
+            members = list(self.membership.members.values()) + [self.membership.me]
+        elif known and known.state != State.ALIVE:
+            members.append(self.membership.members[sender.name])
+        versions = {}
+        if request.versions_digest != self.configuration.versions_digest():
+            versions = self.configuration.versions()
+        return pb.ProbeReply(
+            members=[member_to(member) for member in members],
+            versions=encode_versions(versions),
+            leaving=self.leaving(),
+            versions_digest=self.configuration.versions_digest(),
+            members_digest=self.membership.digest(),
+        )
+
+    def take_members(self, messages) -> None:
+        """Take in updates about routers."""
+        for message in messages:
+            self.membership.merge(member_from(message))
+
+    def take_leaving(self, messages) -> None:
+        """Take in evidence of leaving targets, with its age."""
+        for message in messages:
+            age_s = message.age_ms / 1000 + self.timeout_s / 10
+            self.targets.note_leaving(message.target, LEAVING_SOURCE, age_s)
+
+    def fetch_soon(self, address: str, versions: dict[str, int]) -> None:
+        """Fetch the documents of which another router has a newer version."""
+        missing = self.configuration.missing(versions)
+        if missing:
+            self.start(self.fetch(address, missing))
+
+    async def fetch(self, address: str, services: list[str]) -> None:
+        """Fetch documents from the router that told of them."""
+        for service in services:
+            request = pb.FetchRequest(service=service)
+            reply = await self.links.call(address, "Fetch", request, FETCH_S)
+            if reply is not None and reply.version:
+                body = None if reply.deleted else reply.text
+                self.configuration.offer(service, reply.version, body, address)
+        if self.configuration.adopted:
+            self.configuration.is_complete = True
+
+    def push_to_some(self) -> None:
+        """Tell some routers at once that a document is newer; they tell others."""
+        if not self.is_running():
+            return
+        others = self.membership.others()
+        for member in random.sample(others, min(PUSHED_TO, len(others))):
+            self.start(self.probe(member, self.configuration.versions()))
+
+    def is_running(self) -> bool:
+        """Tell whether an event loop runs, so that tasks can be started."""
+        try:
+            asyncio.get_running_loop()
+        except RuntimeError:
+            return False
+        return True
+
+    def start(self, work) -> None:
+        """Run work in the background."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def close(self) -> None:
+        """Stop all background work."""
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def encode_versions(versions: dict[str, int]) -> list[pb.Version]:
+    """Encode versions of documents."""
+    return [pb.Version(service=name, version=version) for name, version in versions.items()]
+
+
+def decode_versions(messages) -> dict[str, int]:
+    """Decode versions of documents."""
+    return {message.service: message.version for message in messages}
--- /dev/null
+++ b/marjoramspool/routers/links.py
@@ -0,0 +1,334 @@
+"""Client side of router to router: one link, and one task, for each peer."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Callable
+
+import grpc
+import msgspec
+
+from marjoramspool.admission import Admission, Ask, Granted
+from marjoramspool.admissions import OwnerSilentError
+from marjoramspool.ledger import Operation, Result
+from marjoramspool.membership import Member
+from marjoramspool.routers import peers_pb2 as pb
+from marjoramspool.routers import peers_pb2_grpc as rpc
+from marjoramspool.routers.convert import (
+    admission_from,
+    ask_to,
+    holdings_to,
+    operation_to,
+    result_from,
+)
+
+__all__ = ["Link", "Links", "channel_options"]
+
+QUEUED_MARGIN_S = 0.5
+IDLE_LINK_S = 30.0
+MESSAGE_BYTES = 4 << 20
+FRAME_BYTES = 14
+
+
+def channel_options() -> list[tuple[str, int]]:
+    """Return the options of all channels: no retries behind our back, bounded messages."""
+    return [
+        ("grpc.enable_retries", 0),
+        ("grpc.max_receive_message_length", MESSAGE_BYTES),
+        ("grpc.initial_reconnect_backoff_ms", 100),
+        ("grpc.max_reconnect_backoff_ms", 1000),
+        ("grpc.use_local_subchannel_pool", 1),
+    ]
+
+
+class Link:
+    """Hold the channel to one peer and the placement session on it."""
+
+    __slots__ = (
+        "answers",
+        "bytes",
+        "channel",
+        "greet",
+        "me",
+        "numbers",
+        "outbox",
+        "queued",
+        "stub",
+        "task",
+        "used",
+    )
+
+    def __init__(
+        self,
+        me: str,
+        channel: grpc.aio.Channel,
+        greet: Callable[[], list[pb.Holdings]] = list,
+    ):
+        self.me = me
+        self.greet = greet
+        self.channel = channel
+        self.stub = rpc.RoutersStub(channel)
+        self.outbox: asyncio.Queue = asyncio.Queue()
+        self.answers: dict[int, asyncio.Future] = {}
+        self.queued: dict[int, asyncio.Event] = {}
+        self.numbers = 0
+        self.bytes = 0
+        self.used = time.monotonic()
+        self.task: asyncio.Task | None = None
+
+    def send(self, message: pb.PlaceRequest) -> None:
+        """Queue a message for the session, opening it if need be."""
+        self.used = time.monotonic()
+        if self.task is None or self.task.done():
+            self.outbox = asyncio.Queue()
+            self.outbox.put_nowait(pb.PlaceRequest(hello=self.me))
+            for holdings in self.greet():
+                self.outbox.put_nowait(pb.PlaceRequest(holdings=holdings))
+            self.task = asyncio.create_task(self.converse())
+        self.outbox.put_nowait(message)
+
+    async def converse(self) -> None:
+        """Run the placement session until it breaks."""
+        call = self.stub.Place(self.outgoing())
+        try:
+            async for reply in call:
+                self.bytes += reply.ByteSize() + FRAME_BYTES
+                self.take(reply)
+        except grpc.RpcError:
+            pass
+        finally:
+            call.cancel()
+            self.fail_all()
+
+    async def outgoing(self) -> AsyncIterator[pb.PlaceRequest]:
+        """Yield the messages of the session."""
+        outbox = self.outbox
+        while True:
+            message = await outbox.get()
+            self.bytes += message.ByteSize() + FRAME_BYTES
+            yield message
+
+    def take(self, reply: pb.PlaceReply) -> None:
+        """Give one reply to the ask that waits for it."""
+        decision = admission_from(reply)
+        answer = self.answers.get(reply.number)
+        if decision is None:
+            if reply.number in self.queued:
+                self.queued[reply.number].set()
+        elif answer and not answer.done():
+            answer.set_result(decision)
+        elif isinstance(decision, Granted):
+            # The ask was abandoned before its grant came: give the grant back.
+            self.send(pb.PlaceRequest(number=reply.number, cancel=pb.Cancel()))
+
+    def fail_all(self) -> None:
+        """Fail every ask that waits: the session broke."""
+        for answer in self.answers.values():
+            if not answer.done():
+                answer.set_exception(OwnerSilentError("the placement session broke"))
+
+    async def place(self, ask: Ask, answer_s: float) -> Admission:
+        """Ask the peer; raise OwnerSilentError if no sign of it comes within `answer_s`."""
+        self.numbers += 1
+        number = self.numbers
+        answer = asyncio.get_running_loop().create_future()
+        queued = asyncio.Event()
+        self.answers[number] = answer
+        self.queued[number] = queued
+        self.send(pb.PlaceRequest(number=number, ask=ask_to(ask)))
+        try:
+            return await self.await_answer(answer, queued, answer_s, ask.wait_s)
+        except BaseException:
+            self.abandon(number, ask, answer)
+            raise
+        finally:
+            del self.answers[number]
+            del self.queued[number]
+
+    async def await_answer(
+        self, answer: asyncio.Future, queued: asyncio.Event, answer_s: float, wait_s: float
+    ) -> Admission:
+        """Wait for a decision; once the ask is queued, for as long as it may wait there."""
+        sign = asyncio.ensure_future(queued.wait())
+        try:
+            await asyncio.wait([answer, sign], timeout=answer_s, return_when="FIRST_COMPLETED")
+        finally:
+            sign.cancel()
+        if not answer.done() and queued.is_set():
+            await asyncio.wait([answer], timeout=wait_s + QUEUED_MARGIN_S)
+        if not answer.done():
+            raise OwnerSilentError("the owner did not answer in time")
+        return answer.result()
+
+    def abandon(self, number: int, ask: Ask, answer: asyncio.Future) -> None:
+        """Withdraw an ask; give its grant back if it has one already."""
+        if self.task is None or self.task.done():
+            return
+        if answer.done() and not answer.cancelled() and answer.exception() is None:
+            decision = answer.result()
+            if isinstance(decision, Granted):
+                self.release(ask.cell, decision.engine, ask.account, False)
+            return
+        self.send(pb.PlaceRequest(number=number, cancel=pb.Cancel()))
+
+    def release(self, cell: str, engine: str, account: str, failed: bool) -> None:
+        """Give back one attempt."""
+        if self.task and not self.task.done():
+            release = pb.Release(cell=cell, engine=engine, account=account, failed=failed)
+            self.send(pb.PlaceRequest(release=release))
+
+    def hold(self, cell: str, holds: dict[tuple[str, str], int]) -> None:
+        """Tell the peer all that this router holds in a cell."""
+        if holds or (self.task and not self.task.done()):
+            self.send(pb.PlaceRequest(holdings=holdings_to(cell, holds)))
+
+    async def close(self) -> None:
+        """Close the session and the channel."""
+        if self.task:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+        await self.channel.close()
+
+
+class Links:
+    """Keep one link for each peer in use; implements admissions.Owners."""
+
+    __slots__ = (
+        "address_of",
+        "answer_s",
+        "bytes",
+        "closing",
+        "credentials",
+        "held",
+        "links",
+        "me",
+    )
+
+    def __init__(
+        self,
+        me: str,
+        answer_s: float,
+        address_of: Callable[[str], str | None],
+        credentials: grpc.ChannelCredentials | None = None,
+    ):
+        self.me = me
+        self.answer_s = answer_s
+        self.address_of = address_of
+        self.credentials = credentials
+        self.links: dict[str, Link] = {}
+        self.closing: set[asyncio.Task] = set()
+        self.bytes = 0
+        self.held: Callable[[], list[tuple[str, str, dict]]] = list
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *details):
+        for address in list(self.links):
+            self.reset(address)
+        await asyncio.gather(*self.closing, return_exceptions=True)
+
+    def link(self, address: str) -> Link:
+        """Return the link to an address, opened at first use."""
+        if address not in self.links:
+            options = channel_options()
+            if self.credentials:
+                channel = grpc.aio.secure_channel(address, self.credentials, options)
+            else:
+                channel = grpc.aio.insecure_channel(address, options)
+            self.links[address] = Link(self.me, channel, lambda: self.greeting(address))
+        return self.links[address]
+
+    def greeting(self, address: str) -> list[pb.Holdings]:
+        """Return what a new session first tells its peer."""
+        return [
+            holdings_to(cell, holds)
+            for router, cell, holds in self.held()
+            if self.address_of(router) == address
+        ]
+
+    def link_to(self, router: str) -> Link | None:
+        """Return the link to a router, None if its address is not known."""
+        address = self.address_of(router)
+        return self.link(address) if address else None
+
+    def reset(self, address: str) -> None:
+        """Close a link; the next use opens a new connection."""
+        link = self.links.pop(address, None)
+        if link is None:
+            return
+        self.bytes += link.bytes
+        task = asyncio.create_task(link.close())
+        self.closing.add(task)
+        task.add_done_callback(self.closing.discard)
+
+    def reset_idle(self) -> None:
+        """Close the links that nothing used for a while."""
+        oldest = time.monotonic() - IDLE_LINK_S
+        for address, link in list(self.links.items()):
+            if link.used < oldest and not link.answers:
+                self.reset(address)
+
+    def total_bytes(self) -> int:
+        """Return the bytes of all messages, framing included."""
+        return self.bytes + sum(link.bytes for link in self.links.values())
+
+    async def place(self, owner: str, ask: Ask) -> Admission:
+        """Ask an owner; raise OwnerSilentError if it does not answer in time."""
+        address = self.address_of(owner)
+        if address is None:
+            raise OwnerSilentError(f"the address of {owner} is not known")
+        try:
+            return await self.link(address).place(ask, self.answer_s)
+        except OwnerSilentError:
+            # The connection may have gone silent while the host lives: use a new one.
+            self.reset(address)
+            raise
+
+    def release(self, owner: str, cell: str, engine: str, account: str, failed: bool) -> None:
+        """Give back one attempt."""
+        link = self.links.get(self.address_of(owner))
+        if link:
+            link.release(cell, engine, account, failed)
+
+    def hold(self, owner: str, cell: str, holds: dict[tuple[str, str], int]) -> None:
+        """Tell an owner all that this router holds in a cell."""
+        link = self.link_to(owner)
+        if link:
+            link.hold(cell, holds)
+
+    async def call(self, address: str, method: str, request, timeout_s: float):
+        """Make one unary call; return None if the peer does not answer."""
+        link = self.link(address)
+        link.used = time.monotonic()
+        link.bytes += request.ByteSize() + FRAME_BYTES
+        try:
+            reply = await getattr(link.stub, method)(request, timeout=timeout_s)
+        except grpc.RpcError:
+            return None
+        link.bytes += reply.ByteSize() + FRAME_BYTES
+        return reply
+
+    async def claim(self, router: str, operation: Operation, wait_s: float) -> Result | None:
+        """Have a shard's preferred router commit an operation."""
+        address = self.address_of(router)
+        if address is None:
+            return None
+        # A slow platform delays the reply too, so silence says nothing of the connection.
+        reply = await self.call(address, "Claim", operation_to(operation, wait_s), wait_s)
+        try:
+            return result_from(reply) if reply else None
+        except (ValueError, msgspec.DecodeError):
+            return None
+
+    async def probe(self, address: str, request: pb.ProbeRequest, timeout_s: float):
+        """Probe a router; return None, and use a new connection next, if it does not answer."""
+        reply = await self.call(address, "Probe", request, timeout_s)
+        if reply is None:
+            self.reset(address)
+        return reply
+
+    async def probe_through(self, helper: Member, member: Member, timeout_s: float) -> bool:
+        """Have one router probe another."""
+        request = pb.ProbeForRequest(name=member.name, address=member.address)
+        reply = await self.call(helper.address, "ProbeFor", request, timeout_s * 2)
+        return bool(reply and reply.answered)
--- /dev/null
+++ b/marjoramspool/routing.py
@@ -0,0 +1,303 @@
+"""The life of one request: claim, admission, attempts, outcome."""
+
+import asyncio
+import time
+import uuid
+from collections.abc import AsyncIterator, Coroutine
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, replace
+
+from marjoramspool import cells, hashing, ledger
+from marjoramspool.admission import Ask, Refused
+from marjoramspool.admissions import Admissions, Grant
+from marjoramspool.claims import Claims
+from marjoramspool.dispatch import (
+    Answer,
+    BrokenAnswerError,
+    Dispatcher,
+    MayHaveRunError,
+    NotSentError,
+    Request,
+    TargetRefusedError,
+    single,
+)
+from marjoramspool.events import Event, log
+from marjoramspool.explain import Trace, Traces
+from marjoramspool.outcomes import NotRun, Problem, Unknown
+from marjoramspool.placement import Holder
+from marjoramspool.targets import Targets
+from marjoramspool.tokens import RetryBudget
+
+__all__ = ["Routing"]
+
+ATTEMPTS = 4
+HOLDERS_KEPT = 3
+RETRY_SOON_S = 1.0
+FINISH_WAIT_S = 5.0
+
+
+@dataclass(slots=True, frozen=True)
+class Claim:
+    """Name a claimed key and the one attempt that may run under it."""
+
+    key: str
+    attempt: str
+
+
+class Routing:
+    """Serve requests; every answer is whole, and every failure says whether it ran."""
+
+    __slots__ = (
+        "admissions",
+        "claims",
+        "dispatchers",
+        "retries",
+        "targets",
+        "traces",
+        "unfinished",
+    )
+
+    def __init__(
+        self,
+        admissions: Admissions,
+        claims: Claims,
+        targets: Targets,
+        dispatchers: dict[str, Dispatcher],
+        traces: Traces,
+    ):
+        self.admissions = admissions
+        self.claims = claims
+        self.targets = targets
+        self.dispatchers = dispatchers
+        self.traces = traces
+        self.retries: dict[str, RetryBudget] = {}
+        self.unfinished: set[asyncio.Task] = set()
+
+    @asynccontextmanager
+    async def serve(self, request: Request) -> AsyncIterator[Answer | NotRun | Unknown]:
+        """Serve a request; yield its answer, or why there is none."""
+        trace = self.traces.start(request.id, request.document.name, request.account.name)
+        async with AsyncExitStack() as stack:
+            if request.key is None:
+                outcome = await self.attempts(request, trace, stack)
+            else:
+                outcome = await self.claimed(request, trace, stack)
+            if not isinstance(outcome, Answer):
+                trace.outcome = outcome.tag
+                trace.note("gave up", why=outcome.problem.title)
+            yield outcome
+
+    async def claimed(
+        self, request: Request, trace: Trace, stack: AsyncExitStack
+    ) -> Answer | NotRun | Unknown:
+        """Serve a request with an idempotency key: claim the key, then run at most once."""
+        claim = Claim(
+            ledger.claim_key(request.document.name, request.account.name, request.key),
+            uuid.uuid4().hex,
+        )
+        result = await self.claims.commit(ledger.Take(claim.key, body_hash(request), claim.attempt))
+        trace.note("claim", result=type(result).__name__)
+        match result:
+            case ledger.Granted():
+                # A caller that leaves must not cut a run whose outcome its repeat will ask for.
+                return await asyncio.shield(self.background(self.run(request, trace, claim)))
+            case ledger.Repeated(status, answer, content_type, is_kept):
+                return replay(status, answer, content_type) if is_kept else not_kept(status)
+            case ledger.Mismatch():
+                title = "the key was used with another request"
+                return NotRun(Problem(422, title, "use a new key"))
+            case ledger.Claimed():
+                remedy = "ask again later with the same key; it will not run twice"
+                title = "an earlier attempt with this key has no recorded outcome"
+                return Unknown(Problem(409, title, remedy, RETRY_SOON_S))
+            case ledger.Unsettled(why):
+                self.claims.release_later(claim.key, claim.attempt)
+                title = f"the key could not be claimed: {why}"
+                return NotRun(Problem(503, title, "send it again with the same key", RETRY_SOON_S))
+
+    async def run(self, request: Request, trace: Trace, claim: Claim) -> Answer | NotRun | Unknown:
+        """Run the attempt that holds a key, and record what came of it."""
+        async with AsyncExitStack() as stack:
+            outcome = await self.attempts(request, trace, stack)
+            if isinstance(outcome, Answer):
+                try:
+                    body = b"".join([part async for part in outcome.parts])
+                except BrokenAnswerError as error:
+                    return Unknown(Problem(502, str(error), remedy_unknown(request)))
+                outcome = replace(outcome, parts=single(body), length=len(body))
+                self.background(self.claims.commit(finish(claim, outcome, body), FINISH_WAIT_S))
+            elif isinstance(outcome, NotRun):
+                release = ledger.Release(claim.key, claim.attempt)
+                self.background(self.claims.commit(release, FINISH_WAIT_S))
+                self.claims.release_later(claim.key, claim.attempt)
+            return outcome
+
+    def background(self, work: Coroutine) -> asyncio.Task:
+        """Run work that a graceful shutdown waits for."""
+        task = asyncio.create_task(work)
+        self.unfinished.add(task)
+        task.add_done_callback(self.unfinished.discard)
+        return task
+
+    async def attempts(
+        self, request: Request, trace: Trace, stack: AsyncExitStack
+    ) -> Answer | NotRun | Unknown:
+        """Try targets until one answers; say honestly whether the request may have run."""
+        budget = self.retry_budget(request)
+        budget.earn()
+        may_have_run = False
+        exclude: list[str] = []
+        problem = Problem(503, "no target answered", "send it again", RETRY_SOON_S)
+        for number in range(ATTEMPTS):
+            if time.monotonic() >= request.deadline:
+                problem = Problem(504, "the deadline passed", "send it again", RETRY_SOON_S)
+                break
+            async with AsyncExitStack() as attempt_stack:
+                try:
+                    result = await self.attempt(request, trace, attempt_stack, number, exclude)
+                except NotSentError as error:
+                    problem = Problem(503, str(error), "send it again", RETRY_SOON_S)
+                    continue
+                except TargetRefusedError as error:
+                    problem = Problem(503, str(error), "send it again", RETRY_SOON_S)
+                    if not budget.spend():
+                        break
+                    continue
+                except MayHaveRunError as error:
+                    may_have_run = True
+                    problem = Problem(502, str(error), remedy_unknown(request), RETRY_SOON_S)
+                    if request.is_unsafe or request.key or not budget.spend():
+                        break
+                    continue
+                if isinstance(result, Answer):
+                    stack.push_async_exit(attempt_stack.pop_all())
+                    return result
+                problem = result
+                break
+        return Unknown(problem) if may_have_run else NotRun(problem)
+
+    async def attempt(
+        self,
+        request: Request,
+        trace: Trace,
+        stack: AsyncExitStack,
+        number: int,
+        exclude: list[str],
+    ) -> Answer | Problem:
+        """Admit and send one attempt; return the problem if it is refused."""
+        document = request.document
+        ask = self.ask(request, tuple(exclude))
+        if ask is None:
+            title = "no target of the service is usable"
+            return Problem(503, title, "send it again", RETRY_SOON_S)
+        decision = await stack.enter_async_context(self.admissions.admitted(ask))
+        if isinstance(decision, Refused):
+            trace.note("refused", reason=decision.reason, retry_after_s=decision.retry_after_s)
+            remedy = "send it again after the given time"
+            return Problem(503, decision.reason, remedy, decision.retry_after_s)
+        target = document.targets.get(decision.engine)
+        if target is None:
+            raise NotSentError(f"{decision.engine} is not in this router's document")
+        exclude.append(decision.engine)
+        note_grant(trace, decision)
+        dispatcher = self.dispatchers[document.kind]
+        # Two callers may choose one request id; attempts must differ all the same.
+        attempt = f"{request.id}.{uuid.uuid4().hex[:12]}.{number}"
+        try:
+            answer = await stack.enter_async_context(dispatcher.open(request, target, attempt))
+        except (NotSentError, TargetRefusedError, MayHaveRunError) as error:
+            if isinstance(error, NotSentError):
+                self.targets.note_failure(target.address)
+            trace.note("attempt failed", target=target.name, why=str(error))
+            log(Event.ATTEMPT_FAILED, request=request.id, target=target.name, why=str(error))
+            raise
+        trace.note("answer begun", target=target.name, status=answer.status)
+        answer.holders = next_holders(decision, request.holders)
+        return answer
+
+    def ask(self, request: Request, exclude: tuple[str, ...]) -> Ask | None:
+        """Return what to ask the owner; None if no target is usable."""
+        document = request.document
+        chat = request.chat if request.chat is not None else hashing.digest(request.id)
+        usable = self.targets.usable(document) - set(exclude)
+        cell = cells.cell_of(document, chat, request.holders, usable)
+        if cell is None:
+            return None
+        left_s = request.deadline - time.monotonic()
+        return Ask(
+            cell=cell,
+            chat=chat,
+            holders=request.holders,
+            account=request.account.name,
+            weight=request.account.weight,
+            urgency=request.urgency,
+            exclude=exclude,
+            wait_s=max(0.0, min(document.queue_wait_s, left_s)),
+            first_turn=request.first_turn or request.chat is None,
+        )
+
+    def retry_budget(self, request: Request) -> RetryBudget:
+        """Return the retry budget of a service."""
+        name = request.document.name
+        if name not in self.retries:
+            self.retries[name] = RetryBudget(request.document.retry_budget)
+        budget = self.retries[name]
+        budget.fraction = request.document.retry_budget
+        return budget
+
+    async def finish(self) -> None:
+        """Wait until the outcomes of claimed requests are recorded."""
+        while self.unfinished:
+            await asyncio.wait(list(self.unfinished))
+
+
+def body_hash(request: Request) -> str:
+    """Return a hash over what a key must not be reused for."""
+    head = f"{request.method} {request.path}\0".encode()
+    return hashing.long_digest(head + request.body)
+
+
+def finish(claim: Claim, answer: Answer, body: bytes) -> ledger.Finish:
+    """Return the record of a completed attempt; only a short text is kept."""
+    content_type = answer.headers.get("Content-Type", "")
+    try:
+        text = body.decode()
+    except UnicodeDecodeError:
+        return ledger.Finish(claim.key, claim.attempt, answer.status, "", content_type, False)
+    is_kept = len(body) <= ledger.ANSWER_KEPT_BYTES
+    kept = text if is_kept else ""
+    return ledger.Finish(claim.key, claim.attempt, answer.status, kept, content_type, is_kept)
+
+
+def replay(status: int, answer: str, content_type: str) -> Answer:
+    """Return the recorded answer of an earlier attempt."""
+    body = answer.encode()
+    headers = {"Content-Type": content_type} if content_type else {}
+    headers["Marjoramspool-Replayed"] = "true"
+    return Answer(status, headers, single(body), len(body))
+
+
+def not_kept(status: int) -> Unknown:
+    """Return what a repeat gets whose recorded answer was too long to keep."""
+    title = f"the request ran once with status {status}; its answer was too long to keep"
+    return Unknown(Problem(409, title, "read the result at the service; do not send it again"))
+
+
+def remedy_unknown(request: Request) -> str:
+    """Return what a caller can do about a request that may have run."""
+    if request.key:
+        return "it will not run again; check at the service whether it ran"
+    if request.is_unsafe:
+        return "check at the service whether it ran before you send it again"
+    return "send it again"
+
+
+def note_grant(trace: Trace, grant: Grant) -> None:
+    """Record why a target was chosen."""
+    trace.note("admitted", target=grant.engine, why=grant.why, owner=grant.owner)
+
+
+def next_holders(grant: Grant, holders: tuple[Holder, ...]) -> tuple[Holder, ...]:
+    """Return the engines that hold a chat's prefix now, the latest first."""
+    others = tuple(holder for holder in holders if holder.engine != grant.engine)
+    return (Holder(grant.engine, grant.incarnation), *others)[:HOLDERS_KEPT]
--- /dev/null
+++ b/marjoramspool/services/__init__.py
@@ -0,0 +1,1 @@
+"""Plain services beside the model engines."""
--- /dev/null
+++ b/marjoramspool/services/client.py
@@ -0,0 +1,104 @@
+"""Client of one kind of peer: the plain services."""
+
+import asyncio
+import time
+from contextlib import asynccontextmanager
+
+import aiohttp
+
+from marjoramspool.dispatch import (
+    Answer,
+    MayHaveRunError,
+    NotSentError,
+    Request,
+    single,
+)
+from marjoramspool.document import Target
+from marjoramspool.events import Event, log
+from marjoramspool.http import new_session
+
+__all__ = ["Services"]
+
+HOP_BY_HOP = {
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+    "authorization",
+    "date",
+    "server",
+    "x-request-id",
+}
+
+
+class Services:
+    """Send attempts to the targets of plain services."""
+
+    __slots__ = ("connect_s", "fresh", "pooled")
+
+    def __init__(self, connect_s: float):
+        self.connect_s = connect_s
+        self.pooled: aiohttp.ClientSession | None = None
+        self.fresh: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self):
+        self.pooled = new_session(self.connect_s)
+        self.fresh = new_session(self.connect_s, reuse=False)
+        return self
+
+    async def __aexit__(self, *details):
+        await self.pooled.close()
+        await self.fresh.close()
+
+    @asynccontextmanager
+    async def open(self, request: Request, target: Target, attempt: str):
+        """Send an attempt and yield its answer; raise as dispatch.Dispatcher says."""
+        once = request.is_unsafe or request.key
+        response = await self.send(self.fresh if once else self.pooled, request, target, attempt)
+        try:
+            if response.headers.get("X-Request-Id", attempt) != attempt:
+                log(Event.ANSWER_REJECTED, attempt=attempt, target=target.name)
+                raise MayHaveRunError("the target answered with another attempt's content")
+            # A body is passed on only whole, so that an idempotent request can still be retried.
+            body = await self.read(request, response)
+            yield Answer(response.status, pass_headers(response.headers), single(body), len(body))
+        finally:
+            response.close()
+
+    async def send(
+        self, session: aiohttp.ClientSession, request: Request, target: Target, attempt: str
+    ) -> aiohttp.ClientResponse:
+        """Send an attempt and return the response once its head is there."""
+        headers = pass_headers(request.headers) | {"X-Request-Id": attempt}
+        try:
+            async with asyncio.timeout(max(0.0, request.deadline - time.monotonic())):
+                return await session.request(
+                    request.method,
+                    f"http://{target.address}{request.path}",
+                    data=request.body or None,
+                    headers=headers,
+                    allow_redirects=False,
+                )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise NotSentError(f"target {target.name} takes no connection") from error
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise MayHaveRunError(f"target {target.name} did not answer: {error!r}") from error
+
+    async def read(self, request: Request, response: aiohttp.ClientResponse) -> bytes:
+        """Read the whole body of a response."""
+        try:
+            async with asyncio.timeout(max(0.0, request.deadline - time.monotonic())):
+                return await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise MayHaveRunError(f"the answer broke off: {error!r}") from error
+
+
+def pass_headers(headers) -> dict[str, str]:
+    """Return the headers that go from one end to the other."""
+    return {key: value for key, value in headers.items() if key.lower() not in HOP_BY_HOP}
--- /dev/null
+++ b/marjoramspool/settings.py
@@ -0,0 +1,157 @@
+"""Settings of one router, read from an INI file."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from marjoramspool.inifile import Fault, InvalidFileError, Reader
+
+__all__ = ["Limits", "Settings", "Timings", "TlsFiles", "load_settings", "read_settings"]
+
+MEGABYTE = 1 << 20
+
+
+@dataclass(slots=True, frozen=True)
+class TlsFiles:
+    """Name the TLS files of a listener."""
+
+    certificate: str
+    key: str
+    authority: str | None
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """Bound what one router takes on."""
+
+    body_bytes: int
+    header_bytes: int
+    requests: int
+    platform_calls_per_s: float
+    traces: int
+
+
+@dataclass(slots=True, frozen=True)
+class Timings:
+    """Give the periods and waits of a router, in seconds."""
+
+    probe_period_s: float
+    probe_timeout_s: float
+    suspect_s: float
+    owner_answer_s: float
+    poll_period_s: float
+    host_period_s: float
+    watch_s: float
+    platform_timeout_s: float
+    connect_s: float
+    drain_delay_s: float
+    drain_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    """Hold the checked settings of a router."""
+
+    name: str
+    address: str
+    failure_domain: str
+    callers_port: int
+    peers_port: int
+    operators_port: int
+    platform: str
+    placement: str
+    claim_shards: int
+    limits: Limits
+    timings: Timings
+    callers_tls: TlsFiles | None
+    peers_tls: TlsFiles | None
+    statsd: str | None
+
+
+def load_settings(path: str) -> Settings:
+    """Read and check a settings file; raise InvalidFileError with every fault."""
+    try:
+        text = Path(path).read_text()
+    except OSError as error:
+        fault = Fault(path, "-", "-", str(error), "name a readable settings file")
+        raise InvalidFileError([fault]) from error
+    return read_settings(path, text)
+
+
+def read_settings(file: str, text: str) -> Settings:
+    """Check the text of a settings file; raise InvalidFileError with every fault."""
+    reader = Reader(file, text)
+    router = reader.section("router", required=True)
+    platform = reader.section("platform", required=True)
+    metrics = reader.section("metrics")
+    settings = Settings(
+        name=router.text("name"),
+        address=router.text("address"),
+        failure_domain=router.text("failure-domain"),
+        callers_port=router.whole("callers-port", 1, 65535),
+        peers_port=router.whole("peers-port", 1, 65535),
+        operators_port=router.whole("operators-port", 1, 65535),
+        placement=router.choice("placement", ("owner", "quota", "hash", "two-choices"), "owner"),
+        platform=platform.endpoint("address"),
+        claim_shards=platform.whole("claim-shards", 1, 4096, 16),
+        limits=read_limits(reader, platform),
+        timings=read_timings(reader),
+        callers_tls=read_tls(reader, "callers-tls", authority=False),
+        peers_tls=read_tls(reader, "peers-tls", authority=True),
+        statsd=metrics.endpoint("statsd", None),
+    )
+    for section in (router, platform, metrics):
+        section.finish()
+    reader.finish()
+    return settings
+
+
+def read_limits(reader: Reader, platform) -> Limits:
+    """Read the limits of a router."""
+    section = reader.section("limits")
+    limits = Limits(
+        body_bytes=section.whole("body-bytes", 1024, 64 * MEGABYTE, 4 * MEGABYTE),
+        header_bytes=section.whole("header-bytes", 1024, 65536, 16384),
+        requests=section.whole("requests", 1, 100_000, 4096),
+        platform_calls_per_s=platform.number("calls-per-second", 0.1, 1000, 20.0),
+        traces=section.whole("traces", 1, 100_000, 2000),
+    )
+    section.finish()
+    return limits
+
+
+def read_timings(reader: Reader) -> Timings:
+    """Read the periods and waits of a router."""
+    section = reader.section("timings")
+    timings = Timings(
+        probe_period_s=section.seconds("probe-period", 0.02, 60, 1.0),
+        probe_timeout_s=section.seconds("probe-timeout", 0.02, 10, 0.5),
+        suspect_s=section.seconds("suspect", 0.05, 60, 2.0),
+        owner_answer_s=section.seconds("owner-answer", 0.01, 5, 0.25),
+        poll_period_s=section.seconds("poll-period", 0.05, 60, 2.0),
+        host_period_s=section.seconds("host-period", 0.05, 60, 2.0),
+        watch_s=section.seconds("watch", 0.2, 60, 20.0),
+        platform_timeout_s=section.seconds("platform-timeout", 0.05, 30, 1.0),
+        connect_s=section.seconds("connect", 0.05, 30, 1.0),
+        drain_delay_s=section.seconds("drain-delay", 0, 60, 2.0),
+        drain_s=section.seconds("drain", 1, 3600, 300.0),
+    )
+    section.finish()
+    return timings
+
+
+def read_tls(reader: Reader, name: str, authority: bool) -> TlsFiles | None:
+    """Read the TLS files of a listener; an absent section means no TLS."""
+    if not reader.parser.has_section(name):
+        return None
+    section = reader.section(name)
+    files = TlsFiles(
+        certificate=section.text("certificate"),
+        key=section.text("key"),
+        authority=section.text("authority") if authority else None,
+    )
+    for key in ("certificate", "key", "authority"):
+        path = getattr(files, key)
+        if path and not Path(path).is_file():
+            section.fault(key, f"{path!r} is not a file", "name a readable PEM file")
+    section.finish()
+    return files
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,381 @@
+"""Stand-in for a model engine: continuous batching, a prefix cache, streams that resume."""
+
+import asyncio
+import heapq
+import itertools
+import random
+import re
+from collections import OrderedDict
+
+import msgspec
+import xxhash
+from aiohttp import web
+
+from standins.faults import Faults, hang, sever
+
+__all__ = ["EngineStandin", "Pace"]
+
+GRACE_S = 1.0
+CHARACTERS_A_TOKEN = 4
+DEFAULT_TOKENS = 16
+STREAMS_KEPT = 2000
+
+
+class Pace(msgspec.Struct, frozen=True):
+    """Give the times of an engine, in seconds a token, and its sizes in tokens and requests."""
+
+    prefill_s: float = 0.00002
+    decode_s: float = 0.001
+    slots: int = 16
+    cache_tokens: int = 200_000
+    report_lag_s: float = 0.2
+
+
+class Generation:
+    """Hold the events of one attempt, so that its stream can be resumed."""
+
+    __slots__ = ("changed", "events", "is_cancelled", "is_done", "readers", "task")
+
+    def __init__(self):
+        self.events: list[bytes] = []
+        self.is_done = False
+        self.is_cancelled = False
+        self.readers = 0
+        self.changed = asyncio.Event()
+        self.task: asyncio.Task | None = None
+
+    def add(self, data: bytes) -> None:
+        """Add an event."""
+        number = len(self.events)
+        self.events.append(b"id: %d\ndata: %s\n\n" % (number, data))
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake all readers."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class EngineStandin:
+    """Serve one model on loopback."""
+
+    def __init__(self, pace: Pace | None = None, checks_fencing: bool = True, seed: int = 1):
+        self.pace = pace or Pace()
+        self.checks_fencing = checks_fencing
+        self.random = random.Random(seed)
+        self.faults = Faults()
+        self.incarnation = self.random.randrange(1, 1 << 31)
+        self.leaving = False
+        self.running = 0
+        self.peak = 0
+        self.queue: list[tuple[int, int, asyncio.Future]] = []
+        self.numbers = itertools.count()
+        self.cache: OrderedDict[int, int] = OrderedDict()
+        self.generations: OrderedDict[str, Generation] = OrderedDict()
+        self.executions: dict[str, int] = {}
+        self.cached_tokens = 0
+        self.prompt_tokens = 0
+        self.model = ""
+        self.fencing = 0
+        self.orders: list[dict] = []
+        self.silent: set[int] = set()
+        self.reported = (0, 0)
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=1 << 26, middlewares=[self.spoil])
+        app.router.add_post("/v1/chat/completions", self.complete)
+        app.router.add_get("/v1/streams/{attempt}", self.resume)
+        app.router.add_delete("/v1/streams/{attempt}", self.cancel)
+        app.router.add_get("/load", self.load)
+        app.router.add_get("/model", self.read_model)
+        app.router.add_post("/orders", self.order)
+        app.router.add_get("/_stats", self.stats)
+        app.router.add_post("/_leave", self.leave)
+        self.faults.add_routes(app)
+        return app
+
+    @web.middleware
+    async def spoil(self, request: web.Request, handler):
+        """Show the armed faults that concern whole requests."""
+        if request.path.startswith("/_"):
+            return await handler(request)
+        await self.faults.thawed.wait()
+        if id(request.transport) in self.silent:
+            await hang()
+        if request.path == "/v1/chat/completions":
+            if self.faults.take("refuse"):
+                return web.Response(status=503)
+            if self.faults.take("cut-before-run"):
+                sever(request)
+                return web.Response(status=503)
+        return await handler(request)
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Serve a chat completion."""
+        body = msgspec.json.decode(await request.read())
+        attempt = request.headers.get("X-Request-Id", f"attempt-{next(self.numbers)}")
+        urgency = re.search(r"u=(\d)", request.headers.get("Priority", ""))
+        priority = int(urgency.group(1)) if urgency else 3
+        generation = Generation()
+        self.generations[attempt] = generation
+        while len(self.generations) > STREAMS_KEPT:
+            self.generations.popitem(last=False)
+        self.executions[attempt] = self.executions.get(attempt, 0) + 1
+        generation.task = asyncio.create_task(self.generate(generation, attempt, body, priority))
+        if self.faults.take("cut-after-run"):
+            sever(request)
+            return web.Response(status=503)
+        if body.get("stream"):
+            return await self.stream(request, attempt, generation, 0)
+        return await self.whole(request, attempt, generation)
+
+    async def generate(
+        self, generation: Generation, attempt: str, body: dict, priority: int
+    ) -> None:
+        """Run one generation in a slot."""
+        await self.take_slot(priority)
+        self.peak = max(self.peak, self.running)
+        try:
+            prompt, cached = self.look_up(body)
+            await asyncio.sleep((prompt - cached) * self.pace.prefill_s)
+            tokens = body.get("max_tokens", DEFAULT_TOKENS)
+            words = words_of(body)
+            for number in range(tokens):
+                if generation.is_cancelled:
+                    return
+                await asyncio.sleep(self.pace.decode_s)
+                generation.add(chunk(attempt, f"{words}-{number} "))
+            generation.add(last_chunk(attempt, prompt, cached, tokens))
+            generation.add(b"[DONE]")
+            generation.is_done = True
+        finally:
+            self.give_slot()
+            generation.wake()
+
+    async def take_slot(self, priority: int) -> None:
+        """Wait for a slot, the most urgent first."""
+        if self.running < self.pace.slots:
+            self.running += 1
+            return
+        turn = asyncio.get_running_loop().create_future()
+        heapq.heappush(self.queue, (priority, next(self.numbers), turn))
+        await turn
+
+    def give_slot(self) -> None:
+        """Give a slot to the next in the queue."""
+        while self.queue:
+            _, _, turn = heapq.heappop(self.queue)
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.running -= 1
+
+    def look_up(self, body: dict) -> tuple[int, int]:
+        """Return the prompt's tokens and how many of them the cache holds; add the prompt."""
+        hashed, prompt, cached, key = xxhash.xxh3_64(), 0, 0, 0
+        for message in body["messages"]:
+            text = f"{message['role']}:{message['content']}"
+            hashed.update(text.encode())
+            key = hashed.intdigest()
+            prompt += max(1, len(text) // CHARACTERS_A_TOKEN)
+            if key in self.cache:
+                self.cache.move_to_end(key)
+                cached = prompt
+            else:
+                self.cache[key] = max(1, len(text) // CHARACTERS_A_TOKEN)
+        while sum(self.cache.values()) > self.pace.cache_tokens:
+            self.cache.popitem(last=False)
+        self.prompt_tokens += prompt
+        self.cached_tokens += cached
+        return prompt, cached
+
+    async def stream(
+        self, request: web.Request, attempt: str, generation: Generation, start: int
+    ) -> web.StreamResponse:
+        """Send the events of a generation from a number on."""
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        generation.readers += 1
+        number = start
+        try:
+            while True:
+                changed = generation.changed
+                while number < len(generation.events):
+                    if not await self.send_event(request, response, generation, number):
+                        return response
+                    number += 1
+                if generation.is_done or generation.task.done():
+                    break
+                await changed.wait()
+            await response.write_eof()
+            return response
+        finally:
+            generation.readers -= 1
+            self.reap_later(generation)
+
+    async def send_event(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        generation: Generation,
+        number: int,
+    ) -> bool:
+        """Send one event with the armed faults; return whether to go on."""
+        event = generation.events[number]
+        fault = next((f for f in self.faults.armed if f.after == number), None)
+        if fault and fault.kind in STREAM_FAULTS:
+            self.faults.take(fault.kind)
+            match fault.kind:
+                case "cut":
+                    sever(request)
+                    return False
+                case "truncate":
+                    await response.write_eof()
+                    return False
+                case "silent":
+                    self.silent.add(id(request.transport))
+                    await hang()
+                case "delay":
+                    await asyncio.sleep(fault.seconds)
+                case "duplicate":
+                    await response.write(event)
+                case "skip":
+                    return True
+                case "cross" | "wrong-id":
+                    event = b"id: %d\ndata: %s\n\n" % (number, chunk("another-attempt", "stray "))
+        await response.write(event)
+        return True
+
+    def reap_later(self, generation: Generation) -> None:
+        """Cancel a generation that nobody reads any more after a moment."""
+
+        def reap() -> None:
+            if not generation.readers and not generation.is_done:
+                generation.is_cancelled = True
+
+        asyncio.get_running_loop().call_later(GRACE_S, reap)
+
+    async def whole(
+        self, request: web.Request, attempt: str, generation: Generation
+    ) -> web.StreamResponse:
+        """Send an answer that is not a stream."""
+        await generation.task
+        texts, usage = [], None
+        for event in generation.events[:-1]:
+            data = msgspec.json.decode(event.partition(b"data: ")[2])
+            texts += [choice["delta"].get("content", "") for choice in data["choices"]]
+            usage = data.get("usage") or usage
+        identity = "another-attempt" if self.faults.take("wrong-id") else attempt
+        message = {"role": "assistant", "content": "".join(texts)}
+        body = msgspec.json.encode(
+            {
+                "id": identity,
+                "object": "chat.completion",
+                "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
+                "usage": usage,
+            }
+        )
+        if self.faults.take("cut"):
+            response = web.StreamResponse(headers={"Content-Length": str(len(body))})
+            await response.prepare(request)
+            await response.write(body[: len(body) // 2])
+            sever(request)
+            return response
+        return web.Response(body=body, content_type="application/json")
+
+    async def resume(self, request: web.Request) -> web.StreamResponse:
+        """Go on with a stream after the last event that its reader has."""
+        generation = self.generations.get(request.match_info["attempt"])
+        if generation is None or generation.is_cancelled:
+            return web.Response(status=404)
+        start = int(request.headers.get("Last-Event-ID", "-1")) + 1
+        return await self.stream(request, request.match_info["attempt"], generation, start)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Cancel an attempt."""
+        generation = self.generations.get(request.match_info["attempt"])
+        if generation:
+            generation.is_cancelled = True
+        return web.Response(status=204)
+
+    async def load(self, request: web.Request) -> web.Response:
+        """Report the load, with a lag."""
+        seen = (self.running, len(self.queue))
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.pace.report_lag_s, setattr, self, "reported", seen)
+        return reply(
+            {
+                "incarnation": self.incarnation,
+                "in_flight": self.reported[0],
+                "queued": self.reported[1],
+                "leaving": self.leaving,
+            }
+        )
+
+    async def read_model(self, request: web.Request) -> web.Response:
+        """Return the loaded model."""
+        return reply({"model": self.model})
+
+    async def order(self, request: web.Request) -> web.Response:
+        """Obey an order, unless its fencing number is old and this engine checks it."""
+        order = msgspec.json.decode(await request.read())
+        if self.checks_fencing and order["fencing"] < self.fencing:
+            return web.Response(status=409)
+        self.fencing = max(self.fencing, order["fencing"])
+        self.model = order["model"]
+        self.orders.append(order)
+        return web.Response()
+
+    async def leave(self, request: web.Request) -> web.Response:
+        """Start or stop leaving."""
+        self.leaving = not self.leaving
+        return web.Response()
+
+    async def stats(self, request: web.Request) -> web.Response:
+        """Return counts for tests and measurements."""
+        return reply(
+            {
+                "running": self.running,
+                "queued": len(self.queue),
+                "peak": self.peak,
+                "executions": sum(self.executions.values()),
+                "prompt_tokens": self.prompt_tokens,
+                "cached_tokens": self.cached_tokens,
+            }
+        )
+
+
+STREAM_FAULTS = ("cut", "truncate", "silent", "delay", "duplicate", "skip", "cross", "wrong-id")
+
+
+def words_of(body: dict) -> str:
+    """Return a word by which a caller knows the answer to its own question."""
+    content = str(body["messages"][-1]["content"])
+    return f"re:{xxhash.xxh3_64_hexdigest(content.encode())[:8]}"
+
+
+def chunk(attempt: str, text: str) -> bytes:
+    """Return one chunk of an answer."""
+    choice = {"index": 0, "delta": {"content": text}, "finish_reason": None}
+    return msgspec.json.encode(
+        {"id": attempt, "object": "chat.completion.chunk", "choices": [choice]}
+    )
+
+
+def last_chunk(attempt: str, prompt: int, cached: int, tokens: int) -> bytes:
+    """Return the chunk that ends an answer."""
+    usage = {
+        "prompt_tokens": prompt,
+        "completion_tokens": tokens,
+        "prompt_tokens_details": {"cached_tokens": cached},
+    }
+    choice = {"index": 0, "delta": {}, "finish_reason": "stop"}
+    return msgspec.json.encode(
+        {"id": attempt, "object": "chat.completion.chunk", "choices": [choice], "usage": usage}
+    )
+
+
+def reply(body) -> web.Response:
+    """Return a JSON response."""
+    return web.Response(body=msgspec.json.encode(body), content_type="application/json")
--- /dev/null
+++ b/standins/run.py
@@ -0,0 +1,70 @@
+"""Run one stand-in as a process: python -m standins.run KIND --port PORT."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+from aiohttp import web
+
+from standins.engine import EngineStandin, Pace
+from standins.platform import PlatformStandin
+from standins.service import ServiceStandin
+
+__all__ = ["Run", "main", "serve"]
+
+
+@cappa.command(name="standin", help="Run one stand-in.")
+@dataclass
+class Run:
+    """Hold the arguments."""
+
+    kind: Annotated[str, cappa.Arg(help="platform, engine or service.")]
+    port: Annotated[int, cappa.Arg(long=True)]
+    slots: Annotated[int, cappa.Arg(long=True)] = 16
+    decode_ms: Annotated[float, cappa.Arg(long=True)] = 1.0
+    prefill_us: Annotated[float, cappa.Arg(long=True)] = 20.0
+    cache_tokens: Annotated[int, cappa.Arg(long=True)] = 200_000
+    writes: Annotated[float, cappa.Arg(long=True)] = 1e9
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+
+
+def make(run: Run) -> web.Application:
+    """Return the application of the named kind."""
+    match run.kind:
+        case "platform":
+            return PlatformStandin(writes_per_s=run.writes).app()
+        case "engine":
+            pace = Pace(
+                prefill_s=run.prefill_us / 1e6,
+                decode_s=run.decode_ms / 1e3,
+                slots=run.slots,
+                cache_tokens=run.cache_tokens,
+            )
+            return EngineStandin(pace, seed=run.seed).app()
+        case "service":
+            return ServiceStandin().app()
+    raise SystemExit(f"{run.kind!r} is not platform, engine or service")
+
+
+async def serve(app: web.Application, port: int) -> web.AppRunner:
+    """Serve an application on loopback."""
+    runner = web.AppRunner(app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    return runner
+
+
+async def run_for_ever(run: Run) -> None:
+    """Serve until the process is ended."""
+    await serve(make(run), run.port)
+    await asyncio.get_running_loop().create_future()
+
+
+def main() -> None:
+    """Run one stand-in."""
+    asyncio.run(run_for_ever(cappa.parse(Run)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,91 @@
+"""Stand-in for a plain service that counts how often each request ran."""
+
+import asyncio
+from collections import Counter
+
+import msgspec
+from aiohttp import web
+
+from standins.faults import Faults, hang, sever
+
+__all__ = ["ServiceStandin"]
+
+
+class ServiceStandin:
+    """Run requests and count them by the tag that the caller put into the body."""
+
+    def __init__(self, work_s: float = 0.0, executions: Counter | None = None):
+        self.work_s = work_s
+        self.faults = Faults()
+        self.executions = executions if executions is not None else Counter()
+        self.attempts: Counter = Counter()
+        self.in_flight = 0
+        self.incarnation = 1
+        self.leaving = False
+        self.silent: set[int] = set()
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_get("/load", self.load)
+        app.router.add_get("/_executions", self.read_executions)
+        self.faults.add_routes(app)
+        app.router.add_route("*", "/{path:.*}", self.run)
+        return app
+
+    async def run(self, request: web.Request) -> web.StreamResponse:
+        """Run one request, with the armed faults around it."""
+        await self.faults.thawed.wait()
+        if id(request.transport) in self.silent:
+            await hang()
+        body = (await request.read()).decode()
+        if self.faults.take("silent"):
+            self.silent.add(id(request.transport))
+            await hang()
+        if self.faults.take("cut-before-run"):
+            sever(request)
+            return web.Response(status=503)
+        self.executions[body or request.path] += 1
+        self.attempts[request.headers.get("X-Request-Id", "")] += 1
+        self.in_flight += 1
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            self.in_flight -= 1
+        if self.faults.take("cut-after-run"):
+            sever(request)
+            return web.Response(status=503)
+        if self.faults.take("silent-after-run"):
+            await hang()
+        return await self.answer(request, body)
+
+    async def answer(self, request: web.Request, body: str) -> web.StreamResponse:
+        """Answer with the count of runs."""
+        count = self.executions[body or request.path]
+        data = msgspec.json.encode({"ran": body or request.path, "count": count})
+        headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
+        if self.faults.take("cross"):
+            headers["X-Request-Id"] = "another-attempt"
+        if self.faults.take("cut-midway"):
+            response = web.StreamResponse(headers=headers | {"Content-Length": str(len(data))})
+            await response.prepare(request)
+            await response.write(data[: len(data) // 2])
+            sever(request)
+            return response
+        return web.Response(body=data, content_type="application/json", headers=headers)
+
+    async def load(self, request: web.Request) -> web.Response:
+        """Report the load."""
+        report = {
+            "incarnation": self.incarnation,
+            "in_flight": self.in_flight,
+            "queued": 0,
+            "leaving": self.leaving,
+        }
+        return web.Response(body=msgspec.json.encode(report), content_type="application/json")
+
+    async def read_executions(self, request: web.Request) -> web.Response:
+        """Return how often each request ran."""
+        return web.Response(
+            body=msgspec.json.encode(dict(self.executions)), content_type="application/json"
+        )
