--- a/marjoramspool/tests/test_at_most_once.py
+++ b/marjoramspool/tests/test_at_most_once.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bench.local import until
+from marjoramspool import ledger
 
 OUTCOME = "Marjoramspool-Outcome"
 TARGET_FAULTS = [
@@ -270,3 +271,13 @@
             break
         await asyncio.sleep(0.1)
     assert (outcome, executions["order"]) == ("completed", 1)
+
+
+async def test_without_the_ledger_repeats_run_twice(fleet, monkeypatch):
+    async def always_granted(self, operation, wait_s=0.0):
+        return ledger.Granted()
+
+    monkeypatch.setattr("marjoramspool.claims.Claims.commit", always_granted)
+    executions = await start(fleet)
+    await asyncio.gather(*[order(fleet, "order", f"c-{n}", n % 3, "one-key") for n in range(6)])
+    assert executions["order"] > 1, "the matrix above would catch the naive variant"
