--- /dev/null
+++ b/bench/wire.py
@@ -0,0 +1,71 @@
+"""A TCP path between two processes that can lose track of its open connections."""
+
+import asyncio
+
+__all__ = ["Wire"]
+
+CHUNK_BYTES = 65536
+
+
+class Wire:
+    """Forward connections to a port; `silence` stops all open ones, `block` new ones too."""
+
+    def __init__(self, target: int):
+        self.target = target
+        self.port = 0
+        self.passing = asyncio.Event()
+        self.passing.set()
+        self.blocked = False
+        self.bytes = 0
+        self.connections = 0
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task] = set()
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *details):
+        self.server.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def silence(self) -> None:
+        """Stop every open connection without closing it; new ones work."""
+        self.passing.clear()
+        self.passing = asyncio.Event()
+        self.passing.set()
+
+    def block(self, blocked: bool) -> None:
+        """Stop every open connection; refuse or accept new ones."""
+        self.silence()
+        self.blocked = blocked
+
+    async def accept(self, reader, writer) -> None:
+        """Forward one connection."""
+        if self.blocked:
+            writer.transport.abort()
+            return
+        self.connections += 1
+        there_reader, there_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        passing = self.passing
+        for pair in ((reader, there_writer), (there_reader, writer)):
+            task = asyncio.create_task(self.forward(*pair, passing))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def forward(self, reader, writer, passing: asyncio.Event) -> None:
+        """Forward one direction of a connection."""
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                await passing.wait()
+                self.bytes += len(data)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            if passing.is_set():
+                writer.close()
--- a/marjoramspool/admission.py
+++ b/marjoramspool/admission.py
@@ -193,7 +193,8 @@
 
     def estimate_wait(self, ask: Ask, engines: list[EngineView]) -> float:
         """Estimate the seconds until an ask would be admitted."""
-        before = sum(waiting.ask.urgency <= ask.urgency for waiting in self.waiting)
+        mine = self.fair_place(ask)
+        before = sum(self.fair_place(waiting.ask) <= mine for waiting in self.waiting)
         slots = sum(self.limit(engine, ask) for engine in engines)
         return (before + 1) * self.service_time_s / max(1, slots)
 
@@ -214,14 +215,25 @@
         return max(1, math.ceil(places * share))
 
     def evict_for(self, ask: Ask) -> bool:
-        """Refuse the least urgent waiting ask to make room for a more urgent one."""
-        last = max(self.waiting, key=lambda waiting: (waiting.ask.urgency, waiting.number))
-        if last.ask.urgency <= ask.urgency:
+        """Refuse a waiting ask to make room: a less urgent one, or one of a greedier account."""
+        last = max(self.waiting, key=self.eviction_order)
+        is_less_urgent = last.ask.urgency > ask.urgency
+        is_greedier = self.queue_use(last.ask) > self.queue_use(ask, 1)
+        if not is_less_urgent and not (last.ask.urgency == ask.urgency and is_greedier):
             return False
         self.waiting.remove(last)
-        settle(last.answer, Refused("more urgent work took the place", SHORTEST_RETRY_S))
+        reason = "more urgent work, or an account with less in the queue, took the place"
+        settle(last.answer, Refused(reason, SHORTEST_RETRY_S))
         return True
 
+    def eviction_order(self, waiting: Waiting) -> tuple[int, float, int]:
+        """Return the order of eviction, the last first."""
+        return (waiting.ask.urgency, self.queue_use(waiting.ask), waiting.number)
+
+    def queue_use(self, ask: Ask, more: int = 0) -> float:
+        """Return how much of the queue an account uses for its weight."""
+        return (self.account_waiting(ask.account) + more) / ask.weight
+
     async def wait(self, ask: Ask, session: str) -> Admission:
         """Wait in the queue until a slot is free or the ask's wait is over."""
         self.numbers += 1
@@ -264,12 +276,11 @@
 
     def fair_order(self) -> list[Waiting]:
         """Return the waiting asks: urgent first, then by weighted use of their accounts."""
+        return sorted(self.waiting, key=lambda w: (*self.fair_place(w.ask), w.number))
 
-        def place(waiting: Waiting):
-            ask = waiting.ask
-            return (ask.urgency, self.accounts[ask.account] / ask.weight, waiting.number)
-
-        return sorted(self.waiting, key=place)
+    def fair_place(self, ask: Ask) -> tuple[int, float]:
+        """Return the place of an ask in the queue, the lowest first."""
+        return (ask.urgency, self.accounts[ask.account] / ask.weight)
 
     def hold(self, session: str, engine: str, account: str) -> None:
         """Count one attempt of a session."""
--- a/marjoramspool/inifile.py
+++ b/marjoramspool/inifile.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-__all__ = ["Fault", "InvalidFileError", "Reader", "Section"]
+__all__ = ["Fault", "InvalidFileError", "Reader", "Section", "parse_endpoint"]
 
 REQUIRED = object()
 
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -190,6 +190,7 @@
             "links": self.close_idle_links,
             "audit": self.audit.write_for_ever,
             "orders": self.orders.reconcile_for_ever,
+            "seeds": lambda: self.gossip.seek_peers(self.settings.seeds, timings.probe_period_s),
             "probes": lambda: self.membership.probe_for_ever(
                 self.gossip.probe,
                 self.gossip.probe_through,
--- a/marjoramspool/routers/gossip.py
+++ b/marjoramspool/routers/gossip.py
@@ -56,30 +56,43 @@
         ages = self.targets.fresh_evidence(LEAVING_LIFE_S)
         return [pb.Evidence(target=t, age_ms=int(age * 1000)) for t, age in ages.items()]
 
-    async def probe(self, member: Member, versions: dict[str, int] | None = None) -> bool:
+    async def probe(self, member: Member) -> bool:
         """Probe a router and take in its reply; return whether it answered."""
-        reply = await self.links.probe(member.address, self.request(versions), self.timeout_s)
+        return await self.exchange(member.address)
+
+    async def exchange(self, address: str, versions: dict[str, int] | None = None) -> bool:
+        """Exchange soft state with the router at an address; return whether it answered."""
+        reply = await self.links.probe(address, self.request(versions), self.timeout_s)
         if reply is None:
             return False
         self.take_members(reply.members)
         self.take_leaving(reply.leaving)
         theirs = decode_versions(reply.versions)
         if theirs:
-            self.fetch_soon(member.address, theirs)
+            self.fetch_soon(address, theirs)
         if reply.versions_digest != self.configuration.versions_digest() and not versions:
             ahead = self.configuration.newer_than(theirs)
             if ahead:
-                self.start(self.probe(member, ahead))
+                self.start(self.exchange(address, ahead))
         return True
 
+    async def seek_peers(self, seeds: tuple[str, ...], period_s: float) -> None:
+        """Ask the seeds for the other routers while none is known, for ever.
+
+        A router that starts while the platform is out has no host list.
+        """
+        while True:
+            if not self.membership.others():
+                await asyncio.gather(*[self.exchange(seed) for seed in seeds])
+            await asyncio.sleep(period_s)
+
     async def probe_through(self, helper: Member, member: Member) -> bool:
         """Have one router probe another."""
         return await self.links.probe_through(helper, member, self.timeout_s)
 
     async def probe_address(self, address: str) -> bool:
         """Probe an address on behalf of another router."""
-        reply = await self.links.probe(address, self.request(), self.timeout_s)
-        return reply is not None
+        return await self.exchange(address)
 
     def answer(self, request: pb.ProbeRequest) -> pb.ProbeReply:
         """Take in what a probe says and reply with what its sender lacks."""
@@ -139,7 +152,7 @@
             return
         others = self.membership.others()
         for member in random.sample(others, min(PUSHED_TO, len(others))):
-            self.start(self.probe(member, self.configuration.versions()))
+            self.start(self.exchange(member.address, self.configuration.versions()))
 
     def is_running(self) -> bool:
         """Tell whether an event loop runs, so that tasks can be started."""
--- a/marjoramspool/settings.py
+++ b/marjoramspool/settings.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from marjoramspool.inifile import Fault, InvalidFileError, Reader
+from marjoramspool.inifile import Fault, InvalidFileError, Reader, parse_endpoint
 
 __all__ = ["Limits", "Settings", "Timings", "TlsFiles", "load_settings", "read_settings"]
 
@@ -65,6 +65,7 @@
     callers_tls: TlsFiles | None
     peers_tls: TlsFiles | None
     statsd: str | None
+    seeds: tuple[str, ...]
 
 
 def load_settings(path: str) -> Settings:
@@ -98,6 +99,7 @@
         callers_tls=read_tls(reader, "callers-tls", authority=False),
         peers_tls=read_tls(reader, "peers-tls", authority=True),
         statsd=metrics.endpoint("statsd", None),
+        seeds=router.read("seeds", parse_endpoints, "endpoints IP:PORT with commas", ()),
     )
     for section in (router, platform, metrics):
         section.finish()
@@ -105,6 +107,11 @@
     return settings
 
 
+def parse_endpoints(text: str) -> tuple[str, ...]:
+    """Parse endpoints with commas between them."""
+    return tuple(parse_endpoint(part) for part in text.split(","))
+
+
 def read_limits(reader: Reader, platform) -> Limits:
     """Read the limits of a router."""
     section = reader.section("limits")
