--- a/marjoramspool/dispatch.py
+++ b/marjoramspool/dispatch.py
@@ -15,6 +15,7 @@
     "MayHaveRunError",
     "NotSentError",
     "Request",
+    "SilentConnectionError",
     "TargetRefusedError",
     "single",
 ]
@@ -32,6 +33,10 @@
     """Report that the request may have run, and that no byte of an answer was passed on."""
 
 
+class SilentConnectionError(MayHaveRunError):
+    """Report that a connection went silent although its target answers new ones."""
+
+
 class BrokenAnswerError(Exception):
     """Report that an answer broke off after a part of it was passed on."""
 
@@ -72,10 +77,12 @@
     """Send one attempt to a target."""
 
     def open(
-        self, request: Request, target: Target, attempt: str
+        self, request: Request, target: Target, attempt: str, reuse: bool
     ) -> AbstractAsyncContextManager[Answer]:
         """Send an attempt and yield its answer once the first bytes are there.
 
+        `reuse` False asks for a new connection.
+
         Raise NotSentError, TargetRefusedError or MayHaveRunError.
         """
 
--- a/marjoramspool/engines/client.py
+++ b/marjoramspool/engines/client.py
@@ -14,6 +14,7 @@
     MayHaveRunError,
     NotSentError,
     Request,
+    SilentConnectionError,
     TargetRefusedError,
     single,
 )
@@ -39,6 +40,8 @@
 RESUME_PAUSE_S = 0.05
 NOT_RUN_STATUSES = (429, 503)
 HTTP_OK = 200
+MISSING = "missing"
+DONE = "done"
 JSON = "application/json"
 SSE = "text/event-stream"
 
@@ -52,6 +55,12 @@
     leaving: bool = False
 
 
+class AttemptState(msgspec.Struct, frozen=True):
+    """Hold what an engine says of an attempt."""
+
+    state: str
+
+
 class Engines:
     """Send attempts to engines and read their reports."""
 
@@ -86,12 +95,10 @@
         return LoadReport(report.incarnation, report.in_flight, report.queued, report.leaving)
 
     @asynccontextmanager
-    async def open(self, request: Request, target: Target, attempt: str):
+    async def open(self, request: Request, target: Target, attempt: str, reuse: bool):
         """Send an attempt and yield its answer; raise as dispatch.Dispatcher says."""
-        # A reused connection may break just as the request is written, so that nobody knows
-        # whether it ran; requests that may not be repeated go over a new one.
-        session = self.fresh if request.is_unsafe or request.key else self.pooled
-        response = await self.send(session, request, target, attempt)
+        sending = asyncio.create_task(self.send(request, target, attempt, reuse))
+        response = await self.watched(sending, request, target, attempt)
         try:
             if response.status in NOT_RUN_STATUSES:
                 raise TargetRefusedError(f"engine {target.name} answered {response.status}")
@@ -99,42 +106,74 @@
                 async with self.stream(request, target, attempt, response) as answer:
                     yield answer
             else:
-                yield await self.read_whole(request, attempt, response)
+                yield await self.read_whole(request, target, attempt, response)
         finally:
             response.close()
 
     async def send(
-        self, session: aiohttp.ClientSession, request: Request, target: Target, attempt: str
+        self, request: Request, target: Target, attempt: str, reuse: bool
     ) -> aiohttp.ClientResponse:
         """Send an attempt and return the response once its head is there."""
+        session = self.pooled if reuse else self.fresh
         headers = {
             "Content-Type": JSON,
             "X-Request-Id": attempt,
             "Priority": f"u={request.urgency}",
         }
-        left_s = request.deadline - time.monotonic()
-        head_s = left_s if not request.is_stream else request.document.idle_timeout_s
+        url = f"http://{target.address}{request.path}"
         try:
-            async with asyncio.timeout(min(left_s, head_s)):
-                return await session.post(
-                    f"http://{target.address}{request.path}", data=request.body, headers=headers
-                )
+            return await session.post(url, data=request.body, headers=headers)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSentError(f"engine {target.name} takes no connection") from error
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError) as error:
             raise MayHaveRunError(f"engine {target.name} did not answer: {error!r}") from error
 
+    async def watched(self, work: asyncio.Task, request: Request, target: Target, attempt: str):
+        """Wait for a task on a connection; while it is silent, ask over a new one.
+
+        Raise SilentConnectionError if the engine lives and this connection does not.
+        """
+        was_done = False
+        try:
+            while True:
+                left_s = request.deadline - time.monotonic()
+                idle_s = request.document.idle_timeout_s
+                await asyncio.wait([work], timeout=max(0.0, min(left_s, idle_s)))
+                if work.done():
+                    return work.result()
+                if left_s <= idle_s:
+                    raise MayHaveRunError(f"engine {target.name} did not answer in time")
+                state = await self.ask(target, attempt)
+                if state is None:
+                    raise MayHaveRunError(f"engine {target.name} is silent on new connections too")
+                if state == MISSING or was_done:
+                    raise SilentConnectionError(f"a connection to {target.name} went silent")
+                was_done = state == DONE
+        finally:
+            work.cancel()
+
+    async def ask(self, target: Target, attempt: str) -> str | None:
+        """Ask over a new connection what became of an attempt; None if nobody answers."""
+        url = f"http://{target.address}/v1/attempts/{attempt}"
+        try:
+            async with asyncio.timeout(REPORT_S), self.fresh.get(url) as response:
+                if response.status != HTTP_OK:
+                    return MISSING
+                return msgspec.json.decode(await response.read(), type=AttemptState).state
+        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
+            return None
+
     async def read_whole(
-        self, request: Request, attempt: str, response: aiohttp.ClientResponse
+        self, request: Request, target: Target, attempt: str, response: aiohttp.ClientResponse
     ) -> Answer:
         """Read an answer that is not a stream; nothing of it is passed on before all is there."""
+        reading = asyncio.create_task(response.read())
         try:
-            async with asyncio.timeout(max(0.0, request.deadline - time.monotonic())):
-                body = await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            body = await self.watched(reading, request, target, attempt)
+        except (aiohttp.ClientError, OSError) as error:
             raise MayHaveRunError(f"the answer broke off: {error!r}") from error
         if response.status == HTTP_OK and chunk_id(Event(0, body, body)) != attempt:
-            log(LogEvent.ANSWER_REJECTED, attempt=attempt, engine=str(response.url.host))
+            log(LogEvent.ANSWER_REJECTED, attempt=attempt, engine=target.name)
             raise MayHaveRunError("the engine answered with another attempt's content")
         return Answer(response.status, {"Content-Type": JSON}, single(body), len(body))
 
--- a/marjoramspool/routing.py
+++ b/marjoramspool/routing.py
@@ -18,6 +18,7 @@
     MayHaveRunError,
     NotSentError,
     Request,
+    SilentConnectionError,
     TargetRefusedError,
     single,
 )
@@ -203,10 +204,16 @@
         # Two callers may choose one request id; attempts must differ all the same.
         attempt = f"{request.id}.{uuid.uuid4().hex[:12]}.{number}"
         try:
-            answer = await stack.enter_async_context(dispatcher.open(request, target, attempt))
+            # A reused connection may break just as the request is written, so that nobody knows
+            # whether it ran; requests that may not be repeated go over a new one.
+            reuse = number == 0 and not request.is_unsafe and request.key is None
+            opened = dispatcher.open(request, target, attempt, reuse)
+            answer = await stack.enter_async_context(opened)
         except (NotSentError, TargetRefusedError, MayHaveRunError) as error:
             if isinstance(error, NotSentError):
                 self.targets.note_failure(target.address)
+            if isinstance(error, SilentConnectionError):
+                exclude.remove(target.name)
             trace.note("attempt failed", target=target.name, why=str(error))
             log(Event.ATTEMPT_FAILED, request=request.id, target=target.name, why=str(error))
             raise
--- a/marjoramspool/services/client.py
+++ b/marjoramspool/services/client.py
@@ -11,6 +11,7 @@
     MayHaveRunError,
     NotSentError,
     Request,
+    SilentConnectionError,
     single,
 )
 from marjoramspool.document import Target
@@ -57,10 +58,9 @@
         await self.fresh.close()
 
     @asynccontextmanager
-    async def open(self, request: Request, target: Target, attempt: str):
+    async def open(self, request: Request, target: Target, attempt: str, reuse: bool):
         """Send an attempt and yield its answer; raise as dispatch.Dispatcher says."""
-        once = request.is_unsafe or request.key
-        response = await self.send(self.fresh if once else self.pooled, request, target, attempt)
+        response = await self.send(request, target, attempt, reuse)
         try:
             if response.headers.get("X-Request-Id", attempt) != attempt:
                 log(Event.ANSWER_REJECTED, attempt=attempt, target=target.name)
@@ -72,12 +72,16 @@
             response.close()
 
     async def send(
-        self, session: aiohttp.ClientSession, request: Request, target: Target, attempt: str
+        self, request: Request, target: Target, attempt: str, reuse: bool
     ) -> aiohttp.ClientResponse:
         """Send an attempt and return the response once its head is there."""
+        session = self.pooled if reuse else self.fresh
+        wait_s = max(0.0, request.deadline - time.monotonic())
+        if reuse:
+            wait_s = min(wait_s, request.document.idle_timeout_s)
         headers = pass_headers(request.headers) | {"X-Request-Id": attempt}
         try:
-            async with asyncio.timeout(max(0.0, request.deadline - time.monotonic())):
+            async with asyncio.timeout(wait_s):
                 return await session.request(
                     request.method,
                     f"http://{target.address}{request.path}",
@@ -87,7 +91,10 @@
                 )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSentError(f"target {target.name} takes no connection") from error
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except TimeoutError as error:
+            silent = SilentConnectionError if reuse else MayHaveRunError
+            raise silent(f"target {target.name} did not answer in time") from error
+        except (aiohttp.ClientError, OSError) as error:
             raise MayHaveRunError(f"target {target.name} did not answer: {error!r}") from error
 
     async def read(self, request: Request, response: aiohttp.ClientResponse) -> bytes:
--- /dev/null
+++ b/marjoramspool/tests/test_fleet_membership.py
@@ -0,0 +1,152 @@
+"""Membership: flapping, partitions and replacement of routers under traffic."""
+
+import asyncio
+import time
+
+from bench.chats import Chat, take_turn
+from bench.local import until
+from marjoramspool.membership import Member, Membership, State
+from marjoramspool.routers.links import Links
+
+
+def member(name, incarnation=1, state=State.ALIVE):
+    return Member(name, f"{name}:1", "domain", f"{name}:2", incarnation, state)
+
+
+def test_a_rumor_of_ones_own_death_is_refuted():
+    membership = Membership(member("me", 5))
+    membership.merge(member("me", 5, State.DEAD))
+    assert membership.me.incarnation == 6
+    assert membership.me in membership.updates()
+
+
+def test_an_older_incarnation_changes_nothing():
+    membership = Membership(member("me"))
+    membership.merge(member("other", 7))
+    assert not membership.merge(member("other", 6, State.DEAD))
+    assert membership.merge(member("other", 7, State.DEAD))
+    assert not membership.merge(member("other", 7))
+    assert membership.merge(member("other", 8))
+    assert [m.name for m in membership.others()] == ["other"]
+
+
+def test_updates_ride_a_bounded_number_of_times():
+    membership = Membership(member("me"))
+    for number in range(100):
+        membership.merge(member(f"router-{number}"))
+    messages = 0
+    while membership.updates():
+        messages += 1
+    assert messages < 400
+    assert max(len(membership.updates()) for _ in range(3)) <= 8
+
+
+async def start(fleet, routers, engines=3):
+    await fleet.add_engines(engines)
+    await fleet.add_routers(routers)
+    await fleet.apply_model()
+    await fleet.meet()
+
+
+async def test_a_router_that_dies_is_noticed_by_all(fleet):
+    await start(fleet, 5)
+    await fleet.remove_router(4)
+    await until(
+        lambda: all(len(r.membership.others()) == 3 for r in fleet.routers),
+        "every router knows of the death",
+    )
+
+
+async def test_a_partition_heals_and_requests_go_on_meanwhile(fleet, monkeypatch):
+    await start(fleet, 4)
+    sides = {r.membership.me.address: i // 2 for i, r in enumerate(fleet.routers)}
+    names = {r.settings.name: i // 2 for i, r in enumerate(fleet.routers)}
+    real = Links.call
+
+    async def cut(self, address, method, request, timeout_s):
+        if sides[address] != names[self.me]:
+            return None
+        return await real(self, address, method, request, timeout_s)
+
+    monkeypatch.setattr(Links, "call", cut)
+    await until(lambda: all(len(r.membership.others()) == 1 for r in fleet.routers), "two halves")
+    for index in range(4):
+        assert (await fleet.chat(f"question {index}", index))[0] == 200
+    monkeypatch.setattr(Links, "call", real)
+    await until(
+        lambda: all(len(r.membership.others()) == 3 for r in fleet.routers), "one fleet again"
+    )
+
+
+async def keep_asking(fleet, stop, turns):
+    """Hold chats one after another through whatever routers there are."""
+    number = 0
+    while not stop.is_set():
+        router = fleet.routers[number % len(fleet.routers)]
+        url = f"http://127.0.0.1:{router.settings.callers_port}"
+        turns.append(await take_turn(fleet.session, url, Chat(f"c{number}"), "grip-model", 4))
+        number += 1
+        await asyncio.sleep(0.005)
+
+
+async def test_all_routers_are_replaced_one_after_another_under_traffic(fleet):
+    await start(fleet, 3)
+    stop = asyncio.Event()
+    turns = []
+    asking = [asyncio.create_task(keep_asking(fleet, stop, turns)) for _ in range(3)]
+    for number in range(3):
+        await fleet.add_router(f"new-{number}", f"domain-{number}")
+        await until(lambda: fleet.routers[-1].configuration.is_complete, "the new one is ready")
+        old = fleet.routers.pop(0)
+        await old.shut_down()
+        await old.__aexit__(None, None, None)
+        fleet.hosts = [host for host in fleet.hosts if host["name"] != old.settings.name]
+        fleet.platform.hosts = list(fleet.hosts)
+    stop.set()
+    await asyncio.gather(*asking)
+    assert len(turns) > 20
+    assert all(turn.is_whole for turn in turns)
+
+
+async def test_most_routers_die_at_once(fleet):
+    await start(fleet, 6)
+    await asyncio.gather(*[fleet.remove_router(1) for _ in range(4)])
+    for number in range(6):
+        assert (await fleet.chat(f"question {number}", number % 2))[0] == 200
+    owners = [name for router in fleet.routers for name in router.admissions.owned()]
+    assert owners.count("grip-model/0") >= 1
+
+
+async def test_a_new_owner_learns_what_others_hold(fleet):
+    await start(fleet, 4, engines=2)
+    owner = next(i for i, r in enumerate(fleet.routers) if r.admissions.owned())
+    asker = (owner + 1) % 4
+    tasks = [asyncio.create_task(fleet.chat(f"long {n}", asker, max_tokens=1500)) for n in range(6)]
+    cell = fleet.routers[owner].admissions.cell("grip-model/0")
+    await until(lambda: sum(cell.loads.values()) == 6, "the owner counts six")
+    survivors = [r for i, r in enumerate(fleet.routers) if i != owner]
+    await fleet.remove_router(owner)
+
+    def counted():
+        owners = [r for r in survivors if r.admissions.owned()]
+        return (
+            len(owners) == 1 and sum(owners[0].admissions.cell("grip-model/0").loads.values()) == 6
+        )
+
+    await until(counted, "the new owner counts six")
+    assert all(status == 200 for status, _, _ in await asyncio.gather(*tasks))
+    await until(
+        lambda: all(sum(r.admissions.cell("grip-model/0").loads.values()) == 0 for r in survivors),
+        "everything is given back",
+    )
+
+
+async def test_probes_cost_the_same_whatever_the_size(fleet):
+    await start(fleet, 6, engines=1)
+    started = time.monotonic()
+    before = [r.links.total_bytes() + r.servicer.bytes for r in fleet.routers]
+    await asyncio.sleep(1.0)
+    spent = [r.links.total_bytes() + r.servicer.bytes for r in fleet.routers]
+    rounds = (time.monotonic() - started) / 0.1
+    each = [(after - first) / rounds for first, after in zip(before, spent, strict=True)]
+    assert max(each) < 1500, "bytes a probe period"
--- /dev/null
+++ b/marjoramspool/tests/test_leaving.py
@@ -0,0 +1,140 @@
+"""Leaving targets get nothing new, and a graceful shutdown cuts nothing."""
+
+import asyncio
+
+import pytest
+
+from bench.chats import Chat, take_turn
+from bench.documents import model_document
+from bench.local import until
+from standins.engine import Pace
+
+SLOW = Pace(decode_s=0.01)
+
+
+async def start(fleet, engines=3, routers=3, pace=None):
+    await fleet.add_engines(engines, pace)
+    await fleet.add_routers(routers)
+    await fleet.apply_model()
+    await fleet.meet()
+
+
+def ran(fleet, index):
+    return sum(fleet.engines[index].executions.values())
+
+
+async def spread(fleet, count=24):
+    for number in range(count):
+        index = number % len(fleet.routers)
+        status, _, _ = await fleet.chat(f"question {number}", index, max_tokens=1)
+        assert status == 200
+
+
+def all_know(fleet, index):
+    address = f"127.0.0.1:{fleet.engine_ports[index]}"
+    return lambda: all(router.targets.is_leaving(address) for router in fleet.routers)
+
+
+async def leave(fleet, evidence):
+    """Give one piece of evidence that engine 0 leaves."""
+    match evidence:
+        case "report":
+            fleet.engines[0].leaving = True
+        case "host-list":
+            address = f"127.0.0.1:{fleet.engine_ports[0]}"
+            entry = {"name": "e0", "role": "target", "address": address, "leaving": True}
+            fleet.platform.hosts = [*fleet.hosts, entry]
+        case "document":
+            text = model_document("grip-model", fleet.engine_ports)
+            drained = text.replace("[engine engine-0]", "[engine engine-0]\ndrain = yes")
+            await fleet.apply(drained)
+            return
+    await until(all_know(fleet, 0), "every router knows that engine 0 leaves", 3.0)
+
+
+@pytest.mark.parametrize("evidence", ["report", "host-list", "document"])
+async def test_any_one_evidence_is_enough(fleet, evidence):
+    await start(fleet)
+    await spread(fleet)
+    assert ran(fleet, 0) > 0
+    await leave(fleet, evidence)
+    before = ran(fleet, 0)
+    await spread(fleet)
+    assert ran(fleet, 0) == before
+
+
+async def test_a_chat_leaves_its_holder_when_that_leaves(fleet):
+    await start(fleet)
+    chat = Chat("chat")
+    await take_turn(fleet.session, fleet.url(), chat, "grip-model")
+    holder = next(i for i in range(3) if ran(fleet, i))
+    fleet.engines[holder].leaving = True
+    await until(all_know(fleet, holder), "the holder leaves")
+    turn = await take_turn(fleet.session, fleet.url(), chat, "grip-model")
+    assert turn.is_whole
+    assert ran(fleet, holder) == 1
+
+
+async def test_work_in_flight_on_a_leaving_engine_is_finished(fleet):
+    await start(fleet, engines=1, pace=SLOW)
+    begun = asyncio.Event()
+    chat = Chat("chat")
+    task = asyncio.create_task(
+        take_turn(fleet.session, fleet.url(), chat, "grip-model", 100, on_first=begun.set)
+    )
+    await begun.wait()
+    fleet.engines[0].leaving = True
+    await until(all_know(fleet, 0), "the engine leaves")
+    assert (await task).is_whole
+    status, headers, _ = await fleet.chat("late")
+    assert (status, headers["Marjoramspool-Outcome"]) == (503, "not-run")
+
+
+async def test_an_engine_that_returns_gets_work_again(fleet):
+    await start(fleet, engines=1)
+    fleet.engines[0].leaving = True
+    await until(all_know(fleet, 0), "the engine leaves")
+    fleet.engines[0].leaving = False
+    address = f"127.0.0.1:{fleet.engine_ports[0]}"
+    await until(
+        lambda: not any(router.targets.is_leaving(address) for router in fleet.routers),
+        "the engine is back",
+    )
+    assert (await fleet.chat("hello"))[0] == 200
+
+
+async def test_shutdown_during_a_change_and_a_peers_death_cuts_nothing(fleet):
+    await start(fleet, routers=4, pace=SLOW)
+    count = 6
+    begun = [asyncio.Event() for _ in range(count)]
+    tasks = [
+        asyncio.create_task(
+            take_turn(
+                fleet.session, fleet.url(0), Chat(f"c{n}"), "grip-model", 120, on_first=begun[n].set
+            )
+        )
+        for n in range(count)
+    ]
+    await asyncio.gather(*[event.wait() for event in begun])
+    stopping = asyncio.create_task(fleet.routers[0].shut_down())
+    await until(lambda: fleet.routers[0].callers.is_draining, "the router drains")
+    await fleet.remove_router(3)
+    await fleet.apply_model(load_bound=2.0)
+    late = await fleet.chat("late", index=0, max_tokens=1)
+    assert late[0] == 200, "what still comes while the balancer notices is served"
+    assert await stopping
+    assert all(turn.is_whole for turn in await asyncio.gather(*tasks))
+
+
+async def test_claimed_outcomes_are_recorded_before_a_router_stops(fleet):
+    await fleet.add_services(1, work_s=0.2)
+    await fleet.add_routers(2)
+    await fleet.apply_plain()
+    await fleet.meet()
+    task = asyncio.create_task(fleet.close_order("order", 0, "one-key"))
+    await until(lambda: fleet.services[0].in_flight, "the order runs")
+    assert await fleet.routers[0].shut_down()
+    assert (await task)[0] == 200
+    await fleet.remove_router(0)
+    status, headers, _ = await fleet.close_order("order", 0, "one-key")
+    assert (status, headers["Marjoramspool-Replayed"]) == (200, "true")
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -87,6 +87,7 @@
         app.router.add_post("/v1/chat/completions", self.complete)
         app.router.add_get("/v1/streams/{attempt}", self.resume)
         app.router.add_delete("/v1/streams/{attempt}", self.cancel)
+        app.router.add_get("/v1/attempts/{attempt}", self.attempt_state)
         app.router.add_get("/load", self.load)
         app.router.add_get("/model", self.read_model)
         app.router.add_post("/orders", self.order)
@@ -292,6 +293,13 @@
         start = int(request.headers.get("Last-Event-ID", "-1")) + 1
         return await self.stream(request, request.match_info["attempt"], generation, start)
 
+    async def attempt_state(self, request: web.Request) -> web.Response:
+        """Tell what became of an attempt."""
+        generation = self.generations.get(request.match_info["attempt"])
+        if generation is None:
+            return web.Response(status=404)
+        return reply({"state": "done" if generation.task.done() else "running"})
+
     async def cancel(self, request: web.Request) -> web.Response:
         """Cancel an attempt."""
         generation = self.generations.get(request.match_info["attempt"])
