--- /dev/null
+++ b/marjoramspool/engines/tests/test_orders.py
@@ -0,0 +1,135 @@
+"""Leases and engine orders: pauses, fencing, and engines that ignore it."""
+
+import asyncio
+
+import pytest
+
+from bench.local import until
+from marjoramspool.engines.orders import Order
+from marjoramspool.lease import Lease
+from marjoramspool.platform.client import Platform
+
+
+@pytest.fixture(autouse=True)
+def short_lives(monkeypatch):
+    monkeypatch.setattr("marjoramspool.engines.orders.LEASE_LIFE_S", 1.2)
+    monkeypatch.setattr("marjoramspool.engines.orders.PERIOD_S", 0.1)
+    monkeypatch.setattr("marjoramspool.engines.orders.ORDER_S", 0.3)
+
+
+async def start(fleet, routers=3, engines=2, **options):
+    await fleet.add_engines(engines, **options)
+    await fleet.add_routers(routers)
+    await fleet.apply_model(model="llm-1")
+    await fleet.meet()
+
+
+def all_have(fleet, model):
+    return lambda: all(engine.model == model for engine in fleet.engines)
+
+
+def holders(fleet):
+    return [router for router in fleet.routers if router.orders.held()]
+
+
+async def test_one_router_orders_what_the_document_says(fleet):
+    await start(fleet)
+    await until(all_have(fleet, "llm-1"), "engines have the model")
+    assert len(holders(fleet)) == 1
+    await fleet.apply_model(model="llm-2")
+    await until(all_have(fleet, "llm-2"), "engines have the new model")
+    assert all(len(engine.orders) <= 3 for engine in fleet.engines)
+
+
+async def test_another_router_takes_over_from_one_that_died(fleet):
+    await start(fleet)
+    await until(lambda: len(holders(fleet)) == 1, "one holder")
+    holder = holders(fleet)[0]
+    fencing = holder.orders.held()["grip-model"]
+    await fleet.remove_router(fleet.routers.index(holder))
+    await fleet.apply_model(model="llm-3")
+    await until(all_have(fleet, "llm-3"), "the next holder ordered it")
+    assert holders(fleet)[0].orders.held()["grip-model"] > fencing
+
+
+async def test_a_late_order_of_a_paused_holder_is_refused_by_its_number(fleet):
+    await start(fleet)
+    await until(all_have(fleet, "llm-1"), "engines have the model")
+    target = fleet.routers[0].configuration.document("grip-model").targets["engine-0"]
+    await fleet.routers[0].orders.send(Order("stale", 1), target)
+    assert fleet.engines[0].model == "llm-1"
+
+
+async def test_a_late_order_to_an_engine_that_ignores_numbers_is_put_right(fleet):
+    await start(fleet, checks_fencing=False)
+    await until(all_have(fleet, "llm-1"), "engines have the model")
+    target = fleet.routers[0].configuration.document("grip-model").targets["engine-0"]
+    await fleet.routers[0].orders.send(Order("stale", 1), target)
+    await until(all_have(fleet, "llm-1"), "the late order was put right")
+    assert "stale" in [order["model"] for order in fleet.engines[0].orders]
+
+
+async def test_a_holder_paused_past_its_lease_orders_nothing(fleet):
+    await start(fleet, routers=1)
+    await until(all_have(fleet, "llm-1"), "engines have the model")
+    router = fleet.routers[0]
+    lease = router.orders.lease("grip-model")
+    lease.until = lease.clock() - 1.0
+    count = len(fleet.engines[0].orders)
+    document = router.configuration.document("grip-model")
+    fleet.engines[0].model = "other"
+    await router.orders.reconcile_target(lease, document.targets["engine-0"])
+    assert len(fleet.engines[0].orders) == count
+
+
+async def test_loads_from_the_weight_store_keep_its_rate(fleet):
+    fleet.platform.weight_loads_per_s = 1
+    await start(fleet, routers=2, engines=3)
+    await until(all_have(fleet, "llm-1"), "all engines have the model in the end")
+    assert sum(len(engine.orders) for engine in fleet.engines) == 3
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+async def lease_pair(fleet, stack_platform):
+    clocks = Clock(), Clock()
+    leases = [
+        Lease("orders-x", name, 10.0, stack_platform, clock)
+        for name, clock in zip(("one", "two"), clocks, strict=True)
+    ]
+    return leases, clocks
+
+
+async def test_a_lease_is_taken_only_after_it_stood_unchanged_for_its_life(fleet):
+    async with Platform(f"127.0.0.1:{fleet.platform_port}", 1.0, 1000) as platform:
+        (one, two), (_, clock) = await lease_pair(fleet, platform)
+        assert await one.keep()
+        assert not await two.keep()
+        clock.now += 9.0
+        assert not await two.keep()
+        assert await one.keep()
+        clock.now += 9.0
+        assert not await two.keep(), "it changed meanwhile"
+        clock.now += 10.1
+        assert await two.keep()
+        assert two.version > one.version
+        assert not await one.keep()
+
+
+@pytest.mark.parametrize("fault", ["lose-write", "lose-reply", "outage", "slow", "stale-read"])
+async def test_two_routers_never_hold_a_lease_at_once(fleet, fault):
+    async with Platform(f"127.0.0.1:{fleet.platform_port}", 0.3, 1000) as platform:
+        (one, two), clocks = await lease_pair(fleet, platform)
+        for step in range(40):
+            if step % 7 == 3:
+                fleet.arm(fleet.platform, fault, seconds=0.5)
+            await asyncio.gather(one.keep(), two.keep())
+            assert not (one.is_held() and two.is_held())
+            for clock in clocks:
+                clock.now += 3.0
--- /dev/null
+++ b/marjoramspool/platform/tests/test_outage.py
@@ -0,0 +1,64 @@
+"""Outages of the platform: traffic goes on, budgets hold, and nobody stampedes."""
+
+import asyncio
+
+from bench.chats import Chat, take_turn
+from bench.local import until
+
+
+async def start(fleet, routers=4):
+    await fleet.add_engines(2)
+    await fleet.add_services(1)
+    await fleet.add_routers(routers)
+    await fleet.apply_model()
+    await fleet.apply_plain()
+    await fleet.meet()
+
+
+async def test_traffic_goes_on_through_an_outage(fleet):
+    await start(fleet)
+    fleet.arm(fleet.platform, "outage", times=-1)
+    await until(lambda: any(r.platform.out_s() > 0.5 for r in fleet.routers), "the outage shows")
+    for number in range(12):
+        chat = Chat(f"chat-{number}")
+        turn = await take_turn(fleet.session, fleet.url(number % 4), chat, "grip-model")
+        assert turn.is_whole
+        assert (await fleet.close_order(f"order-{number}", number % 4))[0] == 200
+    fleet.engines[0].leaving = True
+    await until(
+        lambda: all(
+            r.targets.is_leaving(f"127.0.0.1:{fleet.engine_ports[0]}") for r in fleet.routers
+        ),
+        "a leaving engine is known although the platform is out",
+    )
+    await fleet.remove_router(0)
+    assert (await fleet.chat("after a death", 0))[0] == 200
+
+
+async def test_calls_stay_within_each_routers_budget(fleet):
+    await start(fleet, routers=2)
+    budget = fleet.routers[0].platform.budget
+    budget.rate_per_s, budget.burst, budget.level = 5.0, 5.0, 5.0
+    before = fleet.routers[0].platform.calls
+    fleet.arm(fleet.platform, "outage", times=-1)
+    tasks = [fleet.close_order(f"order-{n}", 0, f"key-{n}") for n in range(50)]
+    results = await asyncio.gather(*tasks)
+    assert all(status == 503 for status, _, _ in results)
+    spent_s = 4.0
+    assert fleet.routers[0].platform.calls - before <= 5 + 5 * spent_s
+
+
+async def test_the_return_of_the_platform_brings_no_stampede(fleet):
+    await start(fleet, routers=8)
+    fleet.arm(fleet.platform, "outage", times=-1)
+    await until(lambda: any(r.platform.out_s() > 2.0 for r in fleet.routers), "a long outage")
+    before = sum(fleet.platform.calls.values())
+    fleet.arm(fleet.platform, "clear")
+    await until(
+        lambda: all(r.platform.out_s() == 0 for r in fleet.routers if r.watcher.is_watcher()),
+        "all are back",
+    )
+    await asyncio.sleep(0.2)
+    calls = sum(fleet.platform.calls.values()) - before
+    assert calls <= 8 * 20, "a few calls a router, no storm"
+    await fleet.apply_model(deadline="33s")
