--- /dev/null
+++ b/bench/catalogue.py
@@ -0,0 +1,36 @@
+"""Write docs/EVENTS.md from the numbered events: python -m bench.catalogue."""
+
+from pathlib import Path
+
+from marjoramspool.events import Event
+
+__all__ = ["PAGE", "build_page", "main"]
+
+PAGE = Path(__file__).parent.parent / "docs" / "EVENTS.md"
+HEAD = """# Log events
+
+Each line of the log holds a number, a name, its meaning and fields as key=value. This page is
+written by `python -m bench.catalogue`; a test compares it with the code.
+
+| number | name | level | meaning |
+|---|---|---|---|
+"""
+
+
+def build_page() -> str:
+    """Return the page."""
+    rows = [
+        f"| E{number} | {event.name} | {level} | {meaning} |"
+        for event in Event
+        for number, level, meaning in [event.value]
+    ]
+    return HEAD + "\n".join(rows) + "\n"
+
+
+def main() -> None:
+    """Write the page."""
+    PAGE.write_text(build_page())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/marjoramspool/operators/tests/test_commands.py
@@ -0,0 +1,107 @@
+"""The command line against a fleet, and its errors."""
+
+import asyncio
+import sys
+
+import msgspec
+import pytest
+
+from bench.documents import EXAMPLES, model_document
+
+EXAMPLE_NAMES = ["grip-model", "field-desk", "marjoram-llm", "rental-desk"]
+
+
+async def run(*arguments, module="marjoramspool.operators.commands"):
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *("-m", module, *arguments),
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    async with asyncio.timeout(30):
+        out, err = await process.communicate()
+    return process.returncode, out.decode(), err.decode()
+
+
+async def start(fleet):
+    await fleet.add_engines(1)
+    await fleet.add_routers(2)
+    return f"127.0.0.1:{fleet.platform_port}"
+
+
+@pytest.mark.parametrize("name", EXAMPLE_NAMES)
+async def test_shipped_examples_are_valid(name):
+    code, out, _ = await run("check", str(EXAMPLES / f"{name}.ini"), "--json")
+    assert (code, msgspec.json.decode(out)) == (0, {"service": name, "valid": True})
+
+
+async def test_a_document_from_check_to_audit(fleet, tmp_path):
+    platform = await start(fleet)
+    file = tmp_path / "grip-model.ini"
+    file.write_text(model_document("grip-model", fleet.engine_ports))
+    code, out, _ = await run("apply", str(file), "--platform", platform, "--who", "anna")
+    assert code == 0 and "everywhere" in out
+    code, out, _ = await run("get", "grip-model", "--platform", platform)
+    assert out.strip() == file.read_text().strip()
+    file.write_text(model_document("grip-model", fleet.engine_ports, deadline="9s"))
+    code, out, _ = await run("diff", str(file), "--platform", platform)
+    assert "+deadline = 9s" in out
+    code, out, _ = await run("status", "--platform", platform)
+    assert code == 0 and out.count("ready") == 2
+    code, out, _ = await run("audit", "grip-model", "--platform", platform, "--json")
+    assert [change["who"] for change in msgspec.json.decode(out)] == ["anna"]
+
+
+async def test_explain_asks_the_router_that_served(fleet):
+    platform = await start(fleet)
+    await fleet.apply_model()
+    await fleet.meet()
+    await fleet.chat("hello", 1, headers={"X-Request-Id": "request-1"})
+    code, out, _ = await run("explain", "request-1", "--platform", platform)
+    assert code == 0
+    assert "admitted target=engine-0" in out and "completed" in out
+    code, _, err = await run("explain", "request-2", "--platform", platform)
+    assert code == 5 and "no router remembers it" in err
+
+
+async def test_apply_against_an_old_version_is_a_conflict(fleet, tmp_path):
+    platform = await start(fleet)
+    await fleet.apply_model()
+    file = tmp_path / "grip-model.ini"
+    file.write_text(model_document("grip-model", fleet.engine_ports))
+    code, _, err = await run("apply", str(file), "--platform", platform, "--expect", "0")
+    assert code == 3 and "tester changed it first" in err
+
+
+async def test_every_fault_of_a_document_is_told_with_its_remedy(tmp_path):
+    file = tmp_path / "bad.ini"
+    file.write_text(
+        "[service]\nname = x\nkind = model\nload-bound = 0.5\ntypo = 1\n"
+        "[engine e]\naddress = example.com:80\n[account a]\nkey-sha256 = short\n[other]\n"
+    )
+    code, _, err = await run("check", str(file))
+    assert code == 2
+    for place in ("load-bound", "typo", "address", "key-sha256", "[other]"):
+        assert place in err
+    assert len(err.strip().splitlines()) == 5
+
+
+async def test_a_platform_that_is_out_is_told(fleet, tmp_path):
+    code, _, err = await run("get", "x", "--platform", "127.0.0.1:1")
+    assert code == 4 and "platform" in err
+
+
+async def test_the_daemon_tells_every_fault_of_its_settings(tmp_path):
+    file = tmp_path / "router.ini"
+    file.write_text("[router]\nname = r\ncallers-port = 0\n[limits]\nbody-bytes = many\n")
+    code, _, err = await run("--settings", str(file), module="marjoramspool.daemon")
+    assert code == 2
+    for place in ("address", "failure-domain", "callers-port", "peers-port", "body-bytes"):
+        assert place in err
+    assert str(file) in err
+
+
+async def test_the_example_settings_are_valid():
+    file = str(EXAMPLES / "router.ini")
+    code, _, err = await run("--settings", file, "--check", module="marjoramspool.daemon")
+    assert (code, err) == (0, "")
--- a/marjoramspool/routing.py
+++ b/marjoramspool/routing.py
@@ -147,14 +147,17 @@
         budget.earn()
         may_have_run = False
         exclude: list[str] = []
-        problem = Problem(503, "no target answered", "send it again", RETRY_SOON_S)
+        problem = Problem(503, "no target of the service is usable", "send it again", RETRY_SOON_S)
         for number in range(ATTEMPTS):
             if time.monotonic() >= request.deadline:
                 problem = Problem(504, "the deadline passed", "send it again", RETRY_SOON_S)
                 break
             async with AsyncExitStack() as attempt_stack:
                 try:
-                    result = await self.attempt(request, trace, attempt_stack, number, exclude)
+                    ask = self.ask(request, tuple(exclude))
+                    if ask is None:
+                        break
+                    result = await self.attempt(request, ask, trace, attempt_stack, number, exclude)
                 except NotSentError as error:
                     problem = Problem(503, str(error), "send it again", RETRY_SOON_S)
                     continue
@@ -179,6 +182,7 @@
     async def attempt(
         self,
         request: Request,
+        ask: Ask,
         trace: Trace,
         stack: AsyncExitStack,
         number: int,
@@ -186,10 +190,6 @@
     ) -> Answer | Problem:
         """Admit and send one attempt; return the problem if it is refused."""
         document = request.document
-        ask = self.ask(request, tuple(exclude))
-        if ask is None:
-            title = "no target of the service is usable"
-            return Problem(503, title, "send it again", RETRY_SOON_S)
         decision = await stack.enter_async_context(self.admissions.admitted(ask))
         if isinstance(decision, Refused):
             trace.note("refused", reason=decision.reason, retry_after_s=decision.retry_after_s)
