Wait a moment for the engine that holds a chat's prefix; drop the slow average of the mean

Change: cap from the mean of now; a first turn goes to the least loaded engine; a returning chat whose holders are full waits up to 100 ms, and no longer than computing its prefix again would take, then goes to the least loaded engine. gRPC's bandwidth probes are off; one host list reader a domain.

--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,112 @@
+"""Open-loop load: arrival times are fixed beforehand, so a stalled router hides nothing."""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass, field
+
+import aiohttp
+from hdrh.histogram import HdrHistogram
+
+from bench.chats import Chat, Turn, take_turn
+
+__all__ = ["Load", "Result"]
+
+LONGEST_US = 60_000_000
+DIGITS = 3
+
+
+def histogram() -> HdrHistogram:
+    """Return a histogram of microseconds."""
+    return HdrHistogram(1, LONGEST_US, DIGITS)
+
+
+@dataclass(slots=True)
+class Result:
+    """Hold what a load met; times count from the planned arrival, in microseconds."""
+
+    turns: int = 0
+    whole: int = 0
+    returning: int = 0
+    found: int = 0
+    returning_tokens: int = 0
+    found_tokens: int = 0
+    outcomes: dict[str, int] = field(default_factory=dict)
+    first_token: HdrHistogram = field(default_factory=histogram)
+    total: HdrHistogram = field(default_factory=histogram)
+
+    def count(self, turn: Turn, was_returning: bool) -> None:
+        """Count one turn."""
+        self.turns += 1
+        self.whole += turn.is_whole
+        name = f"{turn.status} {turn.outcome}"
+        self.outcomes[name] = self.outcomes.get(name, 0) + 1
+        if was_returning and turn.is_whole:
+            self.returning += 1
+            self.found += turn.cached_tokens > 0
+            self.returning_tokens += turn.prompt_tokens
+            self.found_tokens += turn.cached_tokens
+
+    @property
+    def reuse(self) -> float:
+        """Return the share of returning chats that found their prefix."""
+        return self.found / max(1, self.returning)
+
+
+class Load:
+    """Let chats return through all routers at a fixed rate."""
+
+    def __init__(self, urls: list[str], rate_per_s: float, seed: int, chats: int = 300, **options):
+        self.urls = urls
+        self.rate_per_s = rate_per_s
+        self.random = random.Random(seed)
+        self.options = options
+        self.service = options.pop("service", "grip-model")
+        self.turns_a_chat = options.pop("turns_a_chat", 10)
+        self.numbers = 0
+        self.idle = [self.new_chat() for _ in range(chats)]
+        self.result = Result()
+
+    def new_chat(self) -> Chat:
+        """Start a chat."""
+        self.numbers += 1
+        return Chat(f"chat-{self.numbers}")
+
+    def arrivals(self, seconds: float) -> list[float]:
+        """Return the arrival times of a Poisson process."""
+        times, now = [], 0.0
+        while now < seconds:
+            now += self.random.expovariate(self.rate_per_s)
+            times.append(now)
+        return times
+
+    async def run(self, seconds: float) -> Result:
+        """Send the load for a time and wait for the answers."""
+        tasks = []
+        connector = aiohttp.TCPConnector(limit=0)
+        timeout = aiohttp.ClientTimeout(total=60)
+        async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+            start = time.monotonic()
+            for at in self.arrivals(seconds):
+                await asyncio.sleep(max(0.0, start + at - time.monotonic()))
+                tasks.append(asyncio.create_task(self.send(session, start + at)))
+            await asyncio.gather(*tasks)
+        return self.result
+
+    async def send(self, session: aiohttp.ClientSession, planned: float) -> None:
+        """Take one turn of an idle chat; latency counts from the planned arrival."""
+        place = self.random.randrange(len(self.idle)) if self.idle else -1
+        chat = self.idle.pop(place) if self.idle else self.new_chat()
+        was_returning = bool(chat.messages)
+        result = self.result
+
+        def on_first() -> None:
+            result.first_token.record_value(int((time.monotonic() - planned) * 1e6))
+
+        url = self.random.choice(self.urls)
+        turn = await take_turn(session, url, chat, self.service, on_first=on_first, **self.options)
+        if turn.is_whole:
+            result.total.record_value(int((time.monotonic() - planned) * 1e6))
+        result.count(turn, was_returning)
+        ended = len(chat.messages) >= 2 * self.turns_a_chat
+        self.idle.append(self.new_chat() if ended else chat)
--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,250 @@
+"""Compare ways of placement: reuse, skew and control bytes through churn."""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass
+
+import msgspec
+
+from bench.documents import model_document
+from bench.fleet import Fleet
+from bench.load import Load, Result
+from bench.readings import SocketBytes, cpu_seconds, memory_bytes
+from marjoramspool.operators.client import Operator
+
+__all__ = ["Placement", "measure_placement"]
+
+ROUTERS = 8
+ENGINES = 5
+DOMAINS = 4
+RATE_PER_S = 42.0
+TOKENS = 50
+DECODE_MS = 20
+CACHE_TOKENS = 80_000
+SLOTS = 32
+SAMPLE_S = 0.05
+LEAVE_EVERY_S = 15.0
+LEAVE_FOR_S = 4.0
+SMALLEST_MEAN = 8.0
+STEADY_AFTER_S = 4.0
+BOUND = 1.25
+REST_S = 8.0
+
+
+@dataclass(slots=True)
+class Placement:
+    """Hold the measures of one way."""
+
+    way: str
+    seed: int
+    turns: int
+    whole: int
+    reuse: float
+    token_reuse: float
+    skew_median: float
+    skew_p99: float
+    skew_less_one_p99: float
+    steady_less_one_p99: float
+    samples: int
+    control_rest: float
+    control_load: float
+    control_worst: float
+    cpu_rest: float
+    cpu_load: float
+    memory_mb: float
+    first_token_p50_ms: float
+    first_token_p99_ms: float
+    outcomes: dict[str, int]
+
+
+async def sample_loads(
+    fleet: Fleet, engines: list[int], gone: set[int], changed: list[float], samples: list
+) -> None:
+    """Sample the load of every engine that is not leaving."""
+    while True:
+        ports = [port for port in engines if port not in gone]
+        pages = [fleet.read_json(f"http://127.0.0.1:{port}/_stats") for port in ports]
+        loads = [page["running"] + page["queued"] for page in await asyncio.gather(*pages)]
+        samples.append((time.monotonic() - changed[-1] > STEADY_AFTER_S, loads))
+        await asyncio.sleep(SAMPLE_S)
+
+
+async def churn(
+    fleet: Fleet, engines: list[int], gone: set[int], changed: list[float], seed: int
+) -> None:
+    """Let one engine after another leave for a while; every other time it loses its cache."""
+    chance = random.Random(seed)
+    number = 0
+    while True:
+        await asyncio.sleep(LEAVE_EVERY_S - LEAVE_FOR_S)
+        port = chance.choice(engines)
+        gone.add(port)
+        changed.append(time.monotonic())
+        await fleet.session.post(f"http://127.0.0.1:{port}/_leave")
+        await asyncio.sleep(LEAVE_FOR_S)
+        query = "?restart=yes" if number % 2 else ""
+        await fleet.session.post(f"http://127.0.0.1:{port}/_leave{query}")
+        number += 1
+        gone.discard(port)
+        changed.append(time.monotonic())
+
+
+async def watch_sockets(counter: SocketBytes) -> None:
+    """Sample the sockets twice a second."""
+    while True:
+        await asyncio.to_thread(counter.sample)
+        await asyncio.sleep(0.5)
+
+
+def control_bytes(fleet: Fleet, counter: SocketBytes, engines: set[int]) -> list[int]:
+    """Return the control bytes of each router: peers, platform and load reports."""
+    peers = {router.ports[1] for router in fleet.routers}
+    platform = counter.totals
+    each = []
+    for router in fleet.routers:
+        total = counter.with_port({router.ports[1]})
+        each.append(total)
+    outgoing = sum(
+        total
+        for (_, remote), total in platform.items()
+        if int(remote.rpartition(":")[2]) in peers | {fleet.platform}
+    )
+    share = outgoing / len(fleet.routers)
+    return [int(total + share) for total in each]
+
+
+async def measure_placement(way: str, seed: int, seconds: float) -> Placement:
+    """Measure one way of placement with real processes."""
+    async with Fleet() as fleet:
+        await fleet.standin("platform", "platform")
+        engines = [
+            await fleet.standin(
+                "engine",
+                f"engine-{i}",
+                decode_ms=DECODE_MS,
+                slots=SLOTS,
+                cache_tokens=CACHE_TOKENS,
+                seed=seed * 100 + i,
+            )
+            for i in range(ENGINES)
+        ]
+        for number in range(ROUTERS):
+            await fleet.router(
+                f"router-{number}", f"domain-{number % DOMAINS}", extra=f"placement = {way}"
+            )
+        async with Operator(f"127.0.0.1:{fleet.platform}") as operator:
+            text = model_document("grip-model", engines, slots=SLOTS, load_bound=BOUND)
+            await operator.apply(text, "bench", None)
+        await fleet.wait_ready()
+        await asyncio.sleep(3.0)
+        return await measure_on(fleet, way, seed, seconds, engines)
+
+
+async def measure_on(
+    fleet: Fleet, way: str, seed: int, seconds: float, engines: list[int]
+) -> Placement:
+    """Measure a running fleet, at rest and under load."""
+    counter = SocketBytes()
+    watcher = asyncio.create_task(watch_sockets(counter))
+    await asyncio.sleep(1.0)
+    pids = [router.popen.pid for router in fleet.routers]
+    rest = await measure_interval(fleet, counter, pids, set(engines), asyncio.sleep(REST_S))
+    samples: list[tuple[bool, list[int]]] = []
+    gone: set[int] = set()
+    changed = [time.monotonic()]
+    load = Load([router.callers for router in fleet.routers], RATE_PER_S, seed, max_tokens=TOKENS)
+    sampler = asyncio.create_task(sample_loads(fleet, engines, gone, changed, samples))
+    churner = asyncio.create_task(churn(fleet, engines, gone, changed, seed))
+    busy = await measure_interval(fleet, counter, pids, set(engines), load.run(seconds))
+    for task in (sampler, churner, watcher):
+        task.cancel()
+    memory = max(memory_bytes(pid) for pid in pids) / 1e6
+    return summarize(way, seed, load.result, samples, rest, busy, memory)
+
+
+@dataclass(slots=True)
+class Interval:
+    """Hold what routers spent over an interval, a second."""
+
+    control: list[float]
+    cpu: list[float]
+
+
+async def measure_interval(
+    fleet: Fleet, counter: SocketBytes, pids: list[int], engines: set[int], work
+) -> Interval:
+    """Measure what routers spend while some work runs."""
+    counter.sample()
+    started, before = time.monotonic(), control_bytes(fleet, counter, engines)
+    cpu = [cpu_seconds(pid) for pid in pids]
+    await work
+    counter.sample()
+    seconds, after = time.monotonic() - started, control_bytes(fleet, counter, engines)
+    spent = [(b - a) / seconds for a, b in zip(before, after, strict=True)]
+    used = [(cpu_seconds(pid) - first) / seconds for pid, first in zip(pids, cpu, strict=True)]
+    return Interval(spent, used)
+
+
+def summarize(
+    way: str,
+    seed: int,
+    result: Result,
+    samples: list[tuple[bool, list[int]]],
+    rest: Interval,
+    busy: Interval,
+    memory: float,
+) -> Placement:
+    """Return the measures of one run."""
+    skews, less_one, steady = [], [], []
+    for is_steady, loads in samples:
+        mean = sum(loads) / len(loads)
+        if mean >= SMALLEST_MEAN:
+            skews.append(max(loads) / mean)
+            less_one.append((max(loads) - 1) / mean)
+            if is_steady:
+                steady.append((max(loads) - 1) / mean)
+    skews.sort()
+    steady.sort()
+    less_one.sort()
+    return Placement(
+        way=way,
+        seed=seed,
+        turns=result.turns,
+        whole=result.whole,
+        reuse=result.reuse,
+        token_reuse=result.found_tokens / max(1, result.returning_tokens),
+        skew_median=percentile(skews, 0.5),
+        skew_p99=percentile(skews, 0.99),
+        skew_less_one_p99=percentile(less_one, 0.99),
+        steady_less_one_p99=percentile(steady, 0.99),
+        samples=len(skews),
+        control_rest=sum(rest.control) / len(rest.control),
+        control_load=sum(busy.control) / len(busy.control),
+        control_worst=max(busy.control),
+        cpu_rest=sum(rest.cpu) / len(rest.cpu),
+        cpu_load=sum(busy.cpu) / len(busy.cpu),
+        memory_mb=memory,
+        first_token_p50_ms=result.first_token.get_value_at_percentile(50) / 1e3,
+        first_token_p99_ms=result.first_token.get_value_at_percentile(99) / 1e3,
+        outcomes=result.outcomes,
+    )
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return a percentile of sorted values."""
+    return values[min(len(values) - 1, int(len(values) * share))] if values else 0.0
+
+
+def main() -> None:
+    """Measure the ways named on the command line, for a seed and some seconds."""
+    import sys
+
+    seed, seconds, *ways = sys.argv[1:]
+    for way in ways:
+        placement = asyncio.run(measure_placement(way, int(seed), float(seconds)))
+        print(msgspec.json.encode(placement).decode(), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/marjoramspool/admission.py
+++ b/marjoramspool/admission.py
@@ -8,12 +8,11 @@
 from dataclasses import dataclass, field
 
 from marjoramspool import hashing
-from marjoramspool.placement import Candidate, Holder, Policy, choose
+from marjoramspool.placement import Bounded, Candidate, Holder, Policy, choose, valid_holders
 
 __all__ = ["Admission", "Ask", "Cell", "EngineView", "Granted", "Refused"]
 
 URGENT_AT_MOST = 1
-TYPICAL_MEAN_LIFE_S = 5.0
 SHORTEST_RETRY_S = 1.0
 LONGEST_RETRY_S = 30.0
 FIRST_SERVICE_TIME_S = 0.5
@@ -21,7 +20,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Ask:
-    """Ask for an engine for one attempt; `wait_s` bounds the time in the queue."""
+    """Ask for an engine for one attempt.
+
+    `wait_s` bounds the time in the queue, `patience_s` the time to wait for an engine that holds
+    the chat's prefix before another one has to compute it again.
+    """
 
     cell: str
     chat: int
@@ -31,6 +34,7 @@
     urgency: int
     exclude: tuple[str, ...]
     wait_s: float
+    patience_s: float = 0.0
     first_turn: bool = False
 
     @property
@@ -75,6 +79,7 @@
     ask: Ask
     session: str
     number: int
+    is_patient: bool
     answer: asyncio.Future = field(repr=False)
 
 
@@ -90,13 +95,11 @@
         "busy",
         "clock",
         "loads",
-        "mean_updated",
         "numbers",
         "policy",
         "reserve",
         "service_time_s",
         "sessions",
-        "typical_mean",
         "view",
         "waiting",
     )
@@ -117,56 +120,56 @@
         self.accounts: Counter = Counter()
         self.waiting: list[Waiting] = []
         self.numbers = 0
-        self.typical_mean = 0.0
-        self.mean_updated = clock()
         self.service_time_s = FIRST_SERVICE_TIME_S
         self.busy: dict[tuple[str, str, str], list[float]] = {}
 
-    def place(self, ask: Ask, session: str) -> Granted | None:
-        """Grant an engine at once, or return None if every engine is at its limit."""
-        engines = self.view()
-        self.update_mean(len(engines))
-        candidates = [
-            Candidate(e.name, e.incarnation, self.loads[e.name], self.limit(e, ask))
-            for e in engines
-            if e.name not in ask.exclude
-        ]
+    def place(self, ask: Ask, session: str, is_patient: bool = False) -> Granted | None:
+        """Grant an engine at once, or return None if there is none now."""
         self.numbers += 1
         choice = choose(
             self.policy,
-            ask.chat,
+            None if ask.first_turn else ask.chat,
             ask.holders,
-            candidates,
+            self.candidates(ask),
             hashing.digest(f"{session}{self.numbers}"),
-            self.typical_mean,
-            ask.first_turn,
+            is_patient,
         )
         if choice is None:
             return None
         self.hold(session, choice.engine.name, ask.account)
         return Granted(choice.engine.name, choice.engine.incarnation, choice.why)
 
+    def candidates(self, ask: Ask) -> list[Candidate]:
+        """Return the usable engines with their loads and limits."""
+        return [
+            Candidate(e.name, e.incarnation, self.loads[e.name], self.limit(e, ask))
+            for e in self.view()
+            if e.name not in ask.exclude
+        ]
+
     def limit(self, engine: EngineView, ask: Ask) -> int:
         """Return how many requests an engine may carry when an ask of this class is admitted."""
         if ask.is_urgent:
             return engine.slots
         return max(1, math.floor(engine.slots * (1.0 - self.reserve)))
 
-    def update_mean(self, engines: int) -> None:
-        """Move the slow average of the load an engine towards the load of now."""
-        now = self.clock()
-        mean = sum(self.loads.values()) / max(1, engines)
-        share = 1.0 - math.exp(-(now - self.mean_updated) / TYPICAL_MEAN_LIFE_S)
-        self.typical_mean += (mean - self.typical_mean) * share
-        self.mean_updated = now
-
     def admit_now(self, ask: Ask, session: str) -> Admission | None:
         """Grant or refuse at once; return None if the ask has to wait."""
+        is_patient = self.waits_for_holder(ask)
         if not self.overtaken(ask):
-            granted = self.place(ask, session)
+            granted = self.place(ask, session, is_patient)
             if granted:
                 return granted
-        return self.refusal(ask)
+        return None if is_patient else self.refusal(ask)
+
+    def waits_for_holder(self, ask: Ask) -> bool:
+        """Tell whether an ask would rather wait for an engine that holds its prefix."""
+        if ask.patience_s <= 0 or not isinstance(self.policy, Bounded):
+            return False
+        patient = sum(waiting.is_patient for waiting in self.waiting)
+        if patient >= self.queue_places(self.view()):
+            return False
+        return any(valid_holders(ask.holders, self.candidates(ask)))
 
     async def admit(self, ask: Ask, session: str) -> Admission:
         """Grant an engine, wait for one within the ask's bound, or refuse at once."""
@@ -174,7 +177,11 @@
 
     def overtaken(self, ask: Ask) -> bool:
         """Tell whether asks of at least the same class wait already."""
-        return any(waiting.ask.urgency <= ask.urgency for waiting in self.waiting)
+        return any(waiting.ask.urgency <= ask.urgency for waiting in self.queue())
+
+    def queue(self) -> list[Waiting]:
+        """Return the asks that wait for any engine, not just for a holder."""
+        return [waiting for waiting in self.waiting if not waiting.is_patient]
 
     def refusal(self, ask: Ask) -> Refused | None:
         """Return a refusal if an ask cannot be admitted within its wait."""
@@ -187,14 +194,14 @@
         places = self.queue_places(engines)
         if self.account_waiting(ask.account) >= self.account_places(ask, places):
             return Refused("the account has its share of the queue", bounded_retry(estimate_s))
-        if len(self.waiting) >= places and not self.evict_for(ask):
+        if len(self.queue()) >= places and not self.evict_for(ask):
             return Refused("the queue is full", bounded_retry(estimate_s))
         return None
 
     def estimate_wait(self, ask: Ask, engines: list[EngineView]) -> float:
         """Estimate the seconds until an ask would be admitted."""
         mine = self.fair_place(ask)
-        before = sum(self.fair_place(waiting.ask) <= mine for waiting in self.waiting)
+        before = sum(self.fair_place(waiting.ask) <= mine for waiting in self.queue())
         slots = sum(self.limit(engine, ask) for engine in engines)
         return (before + 1) * self.service_time_s / max(1, slots)
 
@@ -204,11 +211,11 @@
 
     def account_waiting(self, account: str) -> int:
         """Return how many asks of an account wait."""
-        return sum(waiting.ask.account == account for waiting in self.waiting)
+        return sum(waiting.ask.account == account for waiting in self.queue())
 
     def account_places(self, ask: Ask, places: int) -> int:
         """Return the places that an account may take: all if alone, else its weighted share."""
-        others = {w.ask.account: w.ask.weight for w in self.waiting if w.ask.account != ask.account}
+        others = {w.ask.account: w.ask.weight for w in self.queue() if w.ask.account != ask.account}
         if not others:
             return max(1, places // 2)
         share = ask.weight / (ask.weight + sum(others.values()))
@@ -216,7 +223,7 @@
 
     def evict_for(self, ask: Ask) -> bool:
         """Refuse a waiting ask to make room: a less urgent one, or one of a greedier account."""
-        last = max(self.waiting, key=self.eviction_order)
+        last = max(self.queue(), key=self.eviction_order)
         is_less_urgent = last.ask.urgency > ask.urgency
         is_greedier = self.queue_use(last.ask) > self.queue_use(ask, 1)
         if not is_less_urgent and not (last.ask.urgency == ask.urgency and is_greedier):
@@ -235,13 +242,14 @@
         return (self.account_waiting(ask.account) + more) / ask.weight
 
     async def wait(self, ask: Ask, session: str) -> Admission:
-        """Wait in the queue until a slot is free or the ask's wait is over."""
+        """Wait for a holder of the prefix, then for any engine, within the ask's bounds."""
         self.numbers += 1
         answer = asyncio.get_running_loop().create_future()
-        waiting = Waiting(ask, session, self.numbers, answer)
+        is_patient = self.waits_for_holder(ask)
+        waiting = Waiting(ask, session, self.numbers, is_patient, answer)
         self.waiting.append(waiting)
         try:
-            await asyncio.wait([answer], timeout=ask.wait_s)
+            return await self.wait_for_answer(waiting)
         except asyncio.CancelledError:
             if answer.done() and isinstance(answer.result(), Granted):
                 self.release(session, answer.result().engine, ask.account)
@@ -249,6 +257,24 @@
         finally:
             if waiting in self.waiting:
                 self.waiting.remove(waiting)
+
+    async def wait_for_answer(self, waiting: Waiting) -> Admission:
+        """Wait until an ask in the queue is answered or its time is over."""
+        ask, answer = waiting.ask, waiting.answer
+        if waiting.is_patient:
+            await asyncio.wait([answer], timeout=min(ask.patience_s, ask.wait_s))
+            if answer.done():
+                return answer.result()
+            waiting.is_patient = False
+            self.serve_waiting()
+            if not answer.done():
+                # Its own place must not count against it.
+                self.waiting.remove(waiting)
+                refused = self.refusal(ask)
+                if refused:
+                    return refused
+                self.waiting.append(waiting)
+        await asyncio.wait([answer], timeout=ask.wait_s)
         if answer.done():
             return answer.result()
         estimate_s = self.estimate_wait(ask, self.view())
@@ -263,14 +289,14 @@
         """Admit the first waiting ask that an engine has room for."""
         blocked: set[int] = set()
         for waiting in self.fair_order():
-            if waiting.ask.urgency in blocked:
+            if waiting.ask.urgency in blocked and not waiting.is_patient:
                 continue
-            granted = self.place(waiting.ask, waiting.session)
+            granted = self.place(waiting.ask, waiting.session, waiting.is_patient)
             if granted:
                 self.waiting.remove(waiting)
                 settle(waiting.answer, granted)
                 return True
-            if not waiting.ask.exclude:
+            if not waiting.ask.exclude and not waiting.is_patient:
                 blocked.add(waiting.ask.urgency)
         return False
 
--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -12,6 +12,7 @@
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
         auto_decompress=False,
+        skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
     )
     # aiohttp resends PUT, DELETE and other idempotent methods when a reused connection breaks,
     # which would run a request twice; it offers no public switch.
--- a/marjoramspool/placement.py
+++ b/marjoramspool/placement.py
@@ -6,7 +6,18 @@
 
 from marjoramspool import hashing
 
-__all__ = ["Bounded", "Candidate", "HashOnly", "Holder", "Policy", "TwoChoices", "choose"]
+__all__ = [
+    "Bounded",
+    "Candidate",
+    "HashOnly",
+    "Holder",
+    "Policy",
+    "TwoChoices",
+    "choose",
+    "valid_holders",
+]
+
+UNKNOWN_INCARNATION = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,13 +72,12 @@
     holders: tuple[Holder, ...],
     candidates: list[Candidate],
     draw: int,
-    typical_mean: float,
-    first_turn: bool = False,
+    is_patient: bool = False,
 ) -> Choice | None:
-    """Choose an engine below its limit; return None if every engine is at its limit.
+    """Choose an engine below its limit; return None if there is none now.
 
-    `draw` is a random number for the choices that need one; `typical_mean` is a slow average of
-    the load an engine, in requests.
+    `chat` is None where no engine can hold the prefix yet; `draw` is a random number for the
+    choices that need one; a patient request takes nothing but a holder.
     """
     match policy:
         case HashOnly():
@@ -75,8 +85,7 @@
         case TwoChoices():
             return choose_of_two(draw, candidates)
         case Bounded(bound):
-            key = chat if chat is not None and not first_turn else None
-            return choose_bounded(bound, key, holders, candidates, draw, typical_mean)
+            return choose_bounded(bound, chat, holders, candidates, draw, is_patient)
 
 
 def choose_by_hash(chat: int, candidates: list[Candidate]) -> Choice | None:
@@ -99,35 +108,34 @@
     holders: tuple[Holder, ...],
     candidates: list[Candidate],
     draw: int,
-    typical_mean: float,
+    is_patient: bool,
 ) -> Choice | None:
     """Take the first preferred engine below the bound, else the least loaded one."""
     if not candidates:
         return None
     total = sum(candidate.load for candidate in candidates)
-    mean = (total + 1) / len(candidates)
-    # The mean may fall after admission, so a burst above the typical load earns no extra room.
-    cap = max(1, math.floor(bound * min(mean, max(typical_mean, 1.0))))
-    open_to = [c for c in candidates if c.load < c.limit]
-    for why, candidate in preferences(chat, holders, open_to):
-        if candidate.load < cap:
-            return Choice(candidate, why)
-    return least_loaded(open_to, draw)
+    cap = max(1, math.floor(bound * (total + 1) / len(candidates)))
+    for candidate in valid_holders(holders, candidates):
+        if candidate.load < min(cap, candidate.limit):
+            return Choice(candidate, "holder")
+    if is_patient:
+        return None
+    # The hash order guides chats whose callers carry no hint; others gain nothing from it.
+    if chat is not None and not holders:
+        by_name = {candidate.name: candidate for candidate in candidates}
+        for name in hashing.rank(chat, by_name):
+            if by_name[name].load < min(cap, by_name[name].limit):
+                return Choice(by_name[name], "hash")
+    return least_loaded(candidates, draw)
 
 
-def preferences(
-    chat: int | None, holders: tuple[Holder, ...], candidates: list[Candidate]
-) -> Iterator[tuple[str, Candidate]]:
-    """Yield the engines that may hold a chat's prefix, then those of its hash order."""
+def valid_holders(holders: tuple[Holder, ...], candidates: list[Candidate]) -> Iterator[Candidate]:
+    """Yield the engines that still hold a chat's prefix; a restarted engine lost its cache."""
     by_name = {candidate.name: candidate for candidate in candidates}
     for holder in holders:
         candidate = by_name.get(holder.engine)
-        if candidate and holder.incarnation in (candidate.incarnation, 0):
-            yield "holder", candidate
-    if chat is None:
-        return
-    for name in hashing.rank(chat, by_name):
-        yield "hash", by_name[name]
+        if candidate and holder.incarnation in (candidate.incarnation, UNKNOWN_INCARNATION):
+            yield candidate
 
 
 def least_loaded(candidates: list[Candidate], draw: int) -> Choice | None:
--- a/marjoramspool/platform/watcher.py
+++ b/marjoramspool/platform/watcher.py
@@ -14,6 +14,7 @@
 __all__ = ["Watcher"]
 
 WATCHERS_IN_A_DOMAIN = 2
+HOST_READERS_IN_A_DOMAIN = 1
 FIRST_PAUSE_S = 0.2
 LONGEST_PAUSE_S = 5.0
 NOTHING_READ = -1
@@ -57,12 +58,12 @@
         self.on_hosts = on_hosts
         self.after = NOTHING_READ
 
-    def is_watcher(self) -> bool:
-        """Tell whether this router watches for its failure domain."""
+    def is_watcher(self, count: int = WATCHERS_IN_A_DOMAIN) -> bool:
+        """Tell whether this router is among the first live ones of its failure domain."""
         me = self.membership.me
         names = {m.name for m in self.membership.alive() if m.domain == me.domain}
         order = hashing.rank(hashing.digest(me.domain), names | {me.name})
-        return me.name in order[:WATCHERS_IN_A_DOMAIN]
+        return me.name in order[:count]
 
     async def follow_documents(self) -> None:
         """Adopt documents as they change, for ever."""
@@ -95,7 +96,7 @@
     async def follow_hosts(self) -> None:
         """Poll the host list, for ever."""
         while True:
-            if self.is_watcher() or not self.membership.others():
+            if self.is_watcher(HOST_READERS_IN_A_DOMAIN) or not self.membership.others():
                 with suppress(PlatformError):
                     self.note_hosts(await self.platform.hosts())
             await asyncio.sleep(self.host_period_s * random.uniform(0.8, 1.2))
--- a/marjoramspool/routers/convert.py
+++ b/marjoramspool/routers/convert.py
@@ -33,6 +33,7 @@
         exclude=ask.exclude,
         wait=ask.wait_s,
         first=ask.first_turn,
+        patience=ask.patience_s,
     )
 
 
@@ -48,6 +49,7 @@
         exclude=tuple(message.exclude),
         wait_s=message.wait,
         first_turn=message.first,
+        patience_s=message.patience,
     )
 
 
--- a/marjoramspool/routers/links.py
+++ b/marjoramspool/routers/links.py
@@ -33,6 +33,8 @@
     """Return the options of all channels: no retries behind our back, bounded messages."""
     return [
         ("grpc.enable_retries", 0),
+        # Bandwidth probes would cost more bytes than the messages themselves.
+        ("grpc.http2.bdp_probe", 0),
         ("grpc.max_receive_message_length", MESSAGE_BYTES),
         ("grpc.initial_reconnect_backoff_ms", 100),
         ("grpc.max_reconnect_backoff_ms", 1000),
--- a/marjoramspool/routers/server.py
+++ b/marjoramspool/routers/server.py
@@ -205,6 +205,7 @@
         options=[
             ("grpc.max_receive_message_length", MESSAGE_BYTES),
             ("grpc.so_reuseport", 0),
+            ("grpc.http2.bdp_probe", 0),
         ]
     )
     rpc.add_RoutersServicer_to_server(servicer, server)
--- a/marjoramspool/routing.py
+++ b/marjoramspool/routing.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, replace
 
 from marjoramspool import cells, hashing, ledger
-from marjoramspool.admission import Ask, Refused
+from marjoramspool.admission import URGENT_AT_MOST, Ask, Refused
 from marjoramspool.admissions import Admissions, Grant
 from marjoramspool.claims import Claims
 from marjoramspool.dispatch import (
@@ -33,6 +33,7 @@
 
 ATTEMPTS = 4
 HOLDERS_KEPT = 3
+BYTES_A_TOKEN = 4
 RETRY_SOON_S = 1.0
 FINISH_WAIT_S = 5.0
 
@@ -239,6 +240,7 @@
             urgency=request.urgency,
             exclude=exclude,
             wait_s=max(0.0, min(document.queue_wait_s, left_s)),
+            patience_s=patience(request),
             first_turn=request.first_turn or request.chat is None,
         )
 
@@ -290,6 +292,15 @@
     return Unknown(Problem(409, title, "read the result at the service; do not send it again"))
 
 
+def patience(request: Request) -> float:
+    """Return how long to wait for a holder: no longer than computing the prefix again takes."""
+    if request.urgency <= URGENT_AT_MOST:
+        return 0.0
+    document = request.document
+    tokens = len(request.body) / BYTES_A_TOKEN
+    return min(document.patience_s, tokens / document.prefill_tokens_per_s)
+
+
 def remedy_unknown(request: Request) -> str:
     """Return what a caller can do about a request that may have run."""
     if request.key:
--- a/marjoramspool/tests/test_admission.py
+++ b/marjoramspool/tests/test_admission.py
@@ -86,8 +86,32 @@
     holder = (Holder("engine-2", 1),)
     assert cell.place(make_ask(holders=holder), "r1").engine == "engine-2"
     restarted = (Holder("engine-2", 9),)
-    by_hash = cell.place(make_ask(chat=5), "r1").why
-    assert cell.place(make_ask(chat=5, holders=restarted), "r1").why in ("hash", by_hash)
+    assert cell.place(make_ask(chat=5, holders=restarted), "r1").why == "least-loaded"
+    assert cell.place(make_ask(chat=5), "r1").why == "hash"
+
+
+async def test_a_returning_chat_waits_a_moment_for_its_holder():
+    cell, _, _ = make_cell(engines=4, slots=10)
+    holder = (Holder("engine-2", 1),)
+    first = [cell.place(make_ask(n, holders=holder), "r1") for n in range(2)]
+    assert [granted.why for granted in first] == ["holder", "least-loaded"]
+    patient = make_ask(3, holders=holder, patience_s=5.0, wait_s=5.0)
+    task = asyncio.create_task(cell.admit(patient, "r1"))
+    await settle()
+    assert not task.done()
+    assert isinstance(cell.admit_now(make_ask(4), "r1"), Granted), "it holds up nobody"
+    cell.release("r1", "engine-2", "crews")
+    await settle()
+    assert (task.result().engine, task.result().why) == ("engine-2", "holder")
+
+
+async def test_patience_ends_with_another_engine():
+    cell, _, _ = make_cell(engines=4, slots=10)
+    holder = (Holder("engine-2", 1),)
+    cell.place(make_ask(1, holders=holder), "r1")
+    patient = make_ask(3, holders=holder, patience_s=0.02, wait_s=5.0)
+    granted = await cell.admit(patient, "r1")
+    assert granted.why == "least-loaded"
 
 
 async def fill(cell, account="long", count=100):
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -336,8 +336,11 @@
         return web.Response()
 
     async def leave(self, request: web.Request) -> web.Response:
-        """Start or stop leaving."""
+        """Start or stop leaving; with restart=yes the cache is lost."""
         self.leaving = not self.leaving
+        if "restart" in request.query:
+            self.cache.clear()
+            self.incarnation += 1
         return web.Response()
 
     async def stats(self, request: web.Request) -> web.Response:
