--- /dev/null
+++ b/bench/agreed.py
@@ -0,0 +1,136 @@
+"""What is agreed through the platform: claims a second, and the time until a change is in force."""
+
+import asyncio
+import time
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+
+from bench.documents import model_document
+from bench.fleet import Fleet
+from marjoramspool.claims import Claims
+from marjoramspool.ledger import Finish, Granted, Take
+from marjoramspool.operators.client import Operator
+from marjoramspool.platform.client import Platform
+
+__all__ = ["ClaimRate", "InForce", "measure_claims", "measure_in_force"]
+
+WRITES_PER_S = 300
+CLAIMANTS = 4
+SHARDS = 16
+CLAIM_S = 8.0
+OFFERED_PER_S = 3000
+CHANGES = 20
+ROUTERS = 8
+
+
+@dataclass(slots=True)
+class ClaimRate:
+    """Hold what one platform carried; a claim counts with the record of its outcome."""
+
+    offered_per_s: float
+    claims_per_s: float
+    writes_per_s: float
+    p50_ms: float
+    p99_ms: float
+    unsettled: int
+
+
+@dataclass(slots=True)
+class InForce:
+    """Hold the seconds from acceptance until a change was in force on every router."""
+
+    median_s: float
+    worst_s: float
+    worst_with_faults_s: float
+
+
+async def claim_for_a_while(claims: list[Claims], rate: float, seconds: float) -> list[float]:
+    """Claim and finish keys at a fixed rate; return the times of the claims."""
+    times: list[float] = []
+
+    async def one(number: int) -> None:
+        here = claims[number % len(claims)]
+        key = f"{number * 2654435761 % 2**32:08x}{number:024x}"
+        started = time.monotonic()
+        result = await here.commit(Take(key, "body", f"attempt-{number}"))
+        times.append(time.monotonic() - started if isinstance(result, Granted) else -1.0)
+        await here.commit(Finish(key, f"attempt-{number}", 200, "{}", "application/json"))
+
+    start, tasks = time.monotonic(), []
+    for number in range(int(rate * seconds)):
+        due = start + number / rate
+        if due > time.monotonic():
+            await asyncio.sleep(due - time.monotonic())
+        tasks.append(asyncio.create_task(one(number)))
+    await asyncio.gather(*tasks)
+    return times
+
+
+async def measure_claims() -> ClaimRate:
+    """Measure claims against one platform that takes a fixed number of writes a second."""
+    async with Fleet() as fleet, AsyncExitStack() as stack:
+        port = await fleet.standin("platform", "platform", writes=WRITES_PER_S)
+        claims: list[Claims] = []
+
+        def preferred(shard: str) -> str | None:
+            return str(int(shard.rpartition("-")[2]) % CLAIMANTS)
+
+        async def forward(router: str, operation, wait_s: float):
+            return await claims[int(router)].commit_here(operation, wait_s)
+
+        for _ in range(CLAIMANTS):
+            platform = Platform(f"127.0.0.1:{port}", 1.0, 1000)
+            await stack.enter_async_context(platform)
+            claims.append(Claims(platform, SHARDS, preferred, forward, lambda: 86400.0))
+        url = f"http://127.0.0.1:{port}/_calls"
+        before, started = (await fleet.read_json(url))["write"], time.monotonic()
+        times = await claim_for_a_while(claims, OFFERED_PER_S, CLAIM_S)
+        seconds = time.monotonic() - started
+        writes = (await fleet.read_json(url))["write"] - before
+        for each in claims:
+            await each.close()
+    good = sorted(t for t in times if t >= 0)
+    return ClaimRate(
+        OFFERED_PER_S,
+        len(good) / seconds,
+        writes / seconds,
+        good[len(good) // 2] * 1e3,
+        good[int(len(good) * 0.99)] * 1e3,
+        len(times) - len(good),
+    )
+
+
+async def measure_in_force() -> InForce:
+    """Measure changes at rest, then with lost watches and a router restarting."""
+    async with Fleet() as fleet:
+        await fleet.standin("platform", "platform")
+        for number in range(ROUTERS):
+            await fleet.router(f"router-{number}", f"domain-{number % 4}")
+        async with Operator(f"127.0.0.1:{fleet.platform}") as operator:
+            await operator.apply(model_document("grip-model", [1]), "bench", None)
+            await fleet.wait_ready()
+            quiet = [await change(operator, number) for number in range(CHANGES)]
+            faulty = []
+            for number in range(6):
+                kind = ("silent", "outage", "stale-read")[number % 3]
+                await fleet.fault(fleet.platform, kind, times=8, path="/v1/watch")
+                if number == 3:
+                    fleet.processes["router-7"].end()
+                    await fleet.router("router-7b", "domain-3")
+                faulty.append(await change(operator, 100 + number))
+    quiet.sort()
+    return InForce(quiet[len(quiet) // 2], quiet[-1], max(faulty))
+
+
+async def change(operator: Operator, number: int) -> float:
+    """Accept one change; return the seconds until it is in force on every live router."""
+    text = model_document("grip-model", [1], deadline=f"{number + 1}s")
+    version = await operator.apply(text, "bench", None)
+    started = time.monotonic()
+    while True:
+        applied = await operator.wait_in_force("grip-model", version, 0.5)
+        missing = [name for name in applied.missing if name != "router-7"]
+        if not missing:
+            return time.monotonic() - started
+        if time.monotonic() - started > 30:
+            raise TimeoutError(f"not in force at {missing}")
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,161 @@
+"""Slopes of state, messages and processor time against what grows."""
+
+import asyncio
+import time
+import tracemalloc
+from dataclasses import dataclass
+
+import msgspec
+
+from bench.documents import model_document
+from bench.fleet import Fleet
+from bench.placement import measure_interval
+from bench.readings import SocketBytes, memory_bytes
+from marjoramspool import hashing
+from marjoramspool.admission import Ask, Cell, EngineView
+from marjoramspool.configuration import Configuration, encode_body
+from marjoramspool.ledger import Finish, Shard, Take, apply
+from marjoramspool.membership import Member, Membership
+from marjoramspool.operators.client import Operator
+from marjoramspool.placement import Bounded, Holder
+from marjoramspool.targets import Targets
+
+__all__ = ["measure_fleet_sizes", "measure_local_slopes"]
+
+REPEATS = 2000
+REST_S = 10.0
+
+
+@dataclass(slots=True)
+class FleetSize:
+    """Hold what a router spends at rest in a fleet of some size, a second."""
+
+    routers: int
+    control_bytes: float
+    cores: float
+    memory_mb: float
+
+
+async def measure_fleet_sizes(sizes: tuple[int, ...]) -> list[FleetSize]:
+    """Measure fleets of several sizes at rest."""
+    return [await measure_fleet(size) for size in sizes]
+
+
+async def measure_fleet(size: int) -> FleetSize:
+    """Measure one fleet at rest, with one service of five engines that do not exist."""
+    async with Fleet() as fleet:
+        await fleet.standin("platform", "platform")
+        for number in range(size):
+            await fleet.router(f"router-{number}", f"domain-{number % 4}")
+        async with Operator(f"127.0.0.1:{fleet.platform}") as operator:
+            await operator.apply(model_document("grip-model", [1]), "bench", None)
+        await fleet.wait_ready()
+        await asyncio.sleep(6.0)
+        counter = SocketBytes()
+        pids = [router.popen.pid for router in fleet.routers]
+        interval = await measure_interval(fleet, counter, pids, set(), asyncio.sleep(REST_S))
+        memory = sum(memory_bytes(pid) for pid in pids) / len(pids) / 1e6
+    return FleetSize(size, sum(interval.control) / size, sum(interval.cpu) / size, memory)
+
+
+def microseconds(work, repeats: int = REPEATS) -> float:
+    """Return the mean processor time of one call, in microseconds."""
+    started = time.process_time()
+    for number in range(repeats):
+        work(number)
+    return (time.process_time() - started) / repeats * 1e6
+
+
+def kept_bytes(build) -> int:
+    """Return the bytes that a built object keeps."""
+    tracemalloc.start()
+    kept = build()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def placement_us(engines: int) -> float:
+    """Return the time of one placement and its release in a cell of some engines."""
+    views = [EngineView(f"engine-{n}", 1, 64) for n in range(engines)]
+    cell = Cell(Bounded(1.25), 0.2, lambda: views)
+
+    def place(number: int) -> None:
+        holder = (Holder(f"engine-{number % engines}", 1),)
+        ask = Ask("s/0", hashing.digest(str(number)), holder, "crews", 1, 3, (), 1.0)
+        granted = cell.place(ask, "r1")
+        if number >= 8 * engines:
+            cell.release("r1", granted.engine, "crews")
+
+    return microseconds(place)
+
+
+def document_of(engines: int, accounts: int) -> str:
+    """Return a document of some size."""
+    names = {f"account-{n}": 1 for n in range(accounts)}
+    return model_document("big", list(range(1, engines + 1)), names)
+
+
+def adopted(engines: int, accounts: int) -> Configuration:
+    """Return a configuration that holds one document of some size."""
+    configuration = Configuration()
+    body = encode_body(document_of(engines, accounts), []).encode()
+    configuration.offer("big", 1, body, "bench")
+    return configuration
+
+
+def known_members(count: int) -> Membership:
+    """Return a membership of some size."""
+    membership = Membership(Member("me", "127.0.0.1:1", "domain", "127.0.0.1:2", 1))
+    for number in range(count):
+        name = f"router-{number:04}"
+        membership.merge(Member(name, f"10.0.0.1:{number}", "domain-1", f"10.0.0.1:{number}", 1))
+    return membership
+
+
+def ledger_slopes() -> dict[str, float]:
+    """Return the time and bytes of one claim with its record in a shard."""
+    shard = Shard()
+
+    def claim(number: int) -> None:
+        key = f"{number:032x}"
+        apply(shard, {}, Take(key, "b" * 32, f"{number:032x}"), 1e9)
+        apply(shard, {}, Finish(key, f"{number:032x}", 200, "x" * 100, "application/json"), 1e9)
+
+    spent = microseconds(claim, 400)
+    encoded = msgspec.json.encode(shard)
+    started = time.process_time()
+    for _ in range(100):
+        msgspec.json.encode(shard)
+    encode_us = (time.process_time() - started) / 100 * 1e6
+    return {
+        "claim_us": spent,
+        "entry_bytes": len(encoded) / len(shard.entries),
+        "encode_us_of_400_entries": encode_us,
+    }
+
+
+def measure_local_slopes() -> dict[str, float]:
+    """Measure what needs no processes."""
+    small, large = adopted(10, 10), adopted(300, 100)
+    document = large.document("big")
+    targets = Targets()
+    members = known_members(1300)
+    slopes = {
+        "place_us_5_engines": placement_us(5),
+        "place_us_8_engines": placement_us(8),
+        "place_us_16_engines": placement_us(16),
+        "usable_us_300_engines": microseconds(
+            lambda _: targets.usable(document, document.targets), 200
+        ),
+        "check_document_ms_300_engines_100_accounts": microseconds(lambda n: adopted(300, 100), 10)
+        / 1e3,
+        "document_kb_300_engines_100_accounts": kept_bytes(lambda: adopted(300, 100)) / 1e3,
+        "document_kb_10_engines_10_accounts": kept_bytes(lambda: adopted(10, 10)) / 1e3,
+        "members_digest_us_1300": microseconds(lambda _: members.digest(), 50),
+        "rank_us_1300": microseconds(lambda n: hashing.rank(n, members.members), 50),
+        "member_bytes": kept_bytes(lambda: known_members(1300)) / 1300,
+        "versions_digest_us_23": microseconds(lambda _: small.versions_digest(), 200),
+    }
+    return slopes | ledger_slopes()
--- a/marjoramspool/admissions.py
+++ b/marjoramspool/admissions.py
@@ -56,6 +56,8 @@
         "clock",
         "configuration",
         "membership",
+        "order_version",
+        "orders",
         "owned_by",
         "owners",
         "placement",
@@ -78,6 +80,8 @@
         self.owners = owners
         self.clock = clock
         self.cells: dict[str, Cell] = {}
+        self.orders: dict[str, list[str]] = {}
+        self.order_version = -1
         self.owned_by: dict[str, str] = {}
         membership.changes.subscribe(lambda _: self.follow_members())
         configuration.changes.subscribe(self.follow_document)
@@ -110,14 +114,15 @@
         document = self.configuration.document(cells.service_of(name))
         if document is None:
             return []
-        usable = self.targets.usable(document)
+        engines = cells.engines_of(document, name)
+        usable = self.targets.usable(document, engines)
         return [
             EngineView(
                 engine,
                 self.targets.incarnation(document.targets[engine].address),
                 document.targets[engine].slots,
             )
-            for engine in cells.engines_of(document, name)
+            for engine in engines
             if engine in usable
         ]
 
@@ -125,8 +130,14 @@
         """Return the routers to ask, the present owner first."""
         if self.placement == "quota":
             return [self.me]
-        routers = self.membership.responsive()
-        return cells.owner_order(cell, routers or {self.me})
+        version = self.membership.version()
+        if version != self.order_version:
+            self.order_version = version
+            self.orders.clear()
+        if cell not in self.orders:
+            routers = self.membership.responsive()
+            self.orders[cell] = cells.owner_order(cell, routers or {self.me})
+        return self.orders[cell]
 
     @asynccontextmanager
     async def admitted(self, ask: Ask):
--- a/marjoramspool/callers/server.py
+++ b/marjoramspool/callers/server.py
@@ -30,6 +30,7 @@
 
 BODY_WAIT_S = 15.0
 WRITE_WAIT_S = 15.0
+WRITE_AT_ONCE_BYTES = 16_384
 COMPLETED = "completed"
 
 
@@ -191,6 +192,11 @@
 
 async def write_bounded(request: web.Request, response: web.StreamResponse, part: bytes) -> None:
     """Write to a caller; drop a caller that does not read."""
+    transport = request.transport
+    if transport and transport.get_write_buffer_size() < WRITE_AT_ONCE_BYTES:
+        # The transport takes this much without waiting, so no timeout has to be set.
+        await response.write(part)
+        return
     try:
         async with asyncio.timeout(WRITE_WAIT_S):
             await response.write(part)
--- a/marjoramspool/cells.py
+++ b/marjoramspool/cells.py
@@ -1,6 +1,8 @@
 """Cells: groups of engines of one service that one admission owner decides for."""
 
 import math
+from collections.abc import Callable
+from functools import lru_cache
 
 from marjoramspool import hashing
 from marjoramspool.document import Document
@@ -9,6 +11,9 @@
 __all__ = ["cell_key", "cell_names", "cell_of", "engines_of", "owner_order", "service_of"]
 
 
+DOCUMENTS_CACHED = 64
+
+
 def cell_names(document: Document) -> list[str]:
     """Return the cells of a service."""
     count = max(1, math.ceil(len(document.targets) / document.cell_engines))
@@ -25,26 +30,47 @@
     return cell.rpartition("/")[0]
 
 
-def home_cell(document: Document, engine: str) -> str:
-    """Return the cell of an engine."""
-    return hashing.rank(hashing.digest(engine), cell_names(document))[0]
+@lru_cache(maxsize=DOCUMENTS_CACHED)
+def engines_by_cell(document: Document) -> dict[str, tuple[str, ...]]:
+    """Return the engines of each cell of a service."""
+    names = cell_names(document)
+    members: dict[str, list[str]] = {name: [] for name in names}
+    for engine in document.targets:
+        members[hashing.rank(hashing.digest(engine), names)[0]].append(engine)
+    return {name: tuple(engines) for name, engines in members.items()}
+
 
+@lru_cache(maxsize=DOCUMENTS_CACHED)
+def cell_by_engine(document: Document) -> dict[str, str]:
+    """Return the cell of each engine of a service."""
+    return {
+        engine: cell for cell, engines in engines_by_cell(document).items() for engine in engines
+    }
 
-def engines_of(document: Document, cell: str) -> list[str]:
+
+def engines_of(document: Document, cell: str) -> tuple[str, ...]:
     """Return the engines of a cell."""
-    return [name for name in document.targets if home_cell(document, name) == cell]
+    return engines_by_cell(document).get(cell, ())
 
 
 def cell_of(
-    document: Document, chat: int, holders: tuple[Holder, ...], usable: set[str]
+    document: Document,
+    chat: int,
+    holders: tuple[Holder, ...],
+    usable: Callable[[tuple[str, ...]], set[str]],
 ) -> str | None:
-    """Return the cell that serves a chat; None if no engine of the service is usable."""
+    """Return the cell that serves a chat; None if no engine of the service is usable.
+
+    `usable` returns those of some engines that may get new work.
+    """
+    homes = cell_by_engine(document)
     for holder in holders:
-        if holder.engine in usable and holder.engine in document.targets:
-            return home_cell(document, holder.engine)
-    populated = {home_cell(document, name) for name in usable}
-    order = hashing.rank(chat, populated)
-    return order[0] if order else None
+        if holder.engine in homes and usable((holder.engine,)):
+            return homes[holder.engine]
+    for cell in hashing.rank(chat, cell_names(document)):
+        if usable(engines_of(document, cell)):
+            return cell
+    return None
 
 
 def owner_order(cell: str, routers: set[str]) -> list[str]:
--- a/marjoramspool/document.py
+++ b/marjoramspool/document.py
@@ -58,9 +58,9 @@
         return method in self.methods and fnmatch.fnmatchcase(path, self.path)
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, frozen=True, eq=False)
 class Document:
-    """Hold one checked service document."""
+    """Hold one checked service document; two documents are equal only if they are one."""
 
     name: str
     kind: str
--- a/marjoramspool/engines/stream.py
+++ b/marjoramspool/engines/stream.py
@@ -53,29 +53,71 @@
         return self.data == DONE
 
 
+class IdleTimer:
+    """Fail the reads of a stream that stay idle; one timer serves all reads.
+
+    A timeout set anew for each read would cost more than the rest of the relay.
+    """
+
+    __slots__ = ("content", "handle", "idle_s", "loop", "waiting_since")
+
+    def __init__(self, content: aiohttp.StreamReader, idle_s: float):
+        self.content = content
+        self.idle_s = idle_s
+        self.loop = asyncio.get_running_loop()
+        self.waiting_since: float | None = None
+        self.handle: asyncio.TimerHandle | None = None
+
+    def __enter__(self):
+        self.handle = self.loop.call_later(self.idle_s, self.check)
+        return self
+
+    def __exit__(self, *details):
+        self.handle.cancel()
+
+    def start_wait(self) -> None:
+        """Note that a read begins."""
+        self.waiting_since = self.loop.time()
+
+    def end_wait(self) -> None:
+        """Note that a read has ended."""
+        self.waiting_since = None
+
+    def check(self) -> None:
+        """Fail the read if it has waited too long, else look again when it may have."""
+        now = self.loop.time()
+        since = self.waiting_since if self.waiting_since is not None else now
+        left_s = since + self.idle_s - now
+        if left_s <= 0:
+            self.content.set_exception(SilentError(f"nothing came for {self.idle_s:g} s"))
+        else:
+            self.handle = self.loop.call_later(left_s, self.check)
+
+
 decoder = msgspec.json.Decoder(ChunkId)
 
 
 async def read_events(content: aiohttp.StreamReader, idle_s: float) -> AsyncIterator[Event]:
     """Yield the events of a stream; raise CutError or SilentError where it stops short."""
     rest = b""
-    while True:
-        try:
-            async with asyncio.timeout(idle_s):
+    with IdleTimer(content, idle_s) as timer:
+        while True:
+            try:
+                timer.start_wait()
                 chunk = await content.readany()
-        except TimeoutError as error:
-            raise SilentError(f"nothing came for {idle_s:g} s") from error
-        except (aiohttp.ClientError, OSError) as error:
-            raise CutError(f"the connection broke: {error!r}") from error
-        if not chunk:
-            raise CutError("the stream ended without its terminal marker")
-        *whole, rest = (rest + chunk).split(BREAK)
-        if len(rest) > EVENT_BYTES:
-            raise CutError(f"an event is longer than {EVENT_BYTES} bytes")
-        for raw in whole:
-            event = parse_event(raw)
-            if event:
-                yield event
+            except (aiohttp.ClientError, OSError) as error:
+                raise CutError(f"the connection broke: {error!r}") from error
+            finally:
+                timer.end_wait()
+            if not chunk:
+                raise CutError("the stream ended without its terminal marker")
+            *whole, rest = (rest + chunk).split(BREAK)
+            if len(rest) > EVENT_BYTES:
+                raise CutError(f"an event is longer than {EVENT_BYTES} bytes")
+            for raw in whole:
+                event = parse_event(raw)
+                if event:
+                    yield event
 
 
 def parse_event(raw: bytes) -> Event | None:
--- a/marjoramspool/membership.py
+++ b/marjoramspool/membership.py
@@ -59,7 +59,18 @@
     through the platform.
     """
 
-    __slots__ = ("changed", "changes", "clock", "me", "members", "order", "rumors", "silent")
+    __slots__ = (
+        "changed",
+        "changes",
+        "clock",
+        "digest_cached",
+        "me",
+        "members",
+        "number",
+        "order",
+        "rumors",
+        "silent",
+    )
 
     def __init__(self, me: Member, clock: Callable[[], float] = time.monotonic):
         self.me = me
@@ -70,6 +81,8 @@
         self.order: list[str] = []
         self.silent: dict[str, float] = {}
         self.changes: Subject = Subject()
+        self.number = 0
+        self.digest_cached: tuple[int, int] = (-1, 0)
         self.spread(me)
 
     def others(self) -> list[Member]:
@@ -83,12 +96,21 @@
 
     def responsive(self) -> set[str]:
         """Return the names of the live routers that were not silent of late."""
+        self.version()
+        return {m.name for m in self.alive() if m.name not in self.silent}
+
+    def version(self) -> int:
+        """Return a number that changes whenever the responsive routers may have changed."""
         now = self.clock()
-        return {m.name for m in self.alive() if self.silent.get(m.name, 0.0) <= now}
+        for name in [name for name, until in self.silent.items() if until <= now]:
+            del self.silent[name]
+            self.number += 1
+        return self.number
 
     def note_silent(self, name: str) -> None:
         """Pass over a router for a moment because it did not answer."""
         self.silent[name] = self.clock() + SILENT_OWNER_S
+        self.number += 1
         self.changes.on_next(name)
 
     def introduce(self, name: str, address: str, domain: str, operators: str) -> None:
@@ -123,6 +145,7 @@
 
     def spread(self, member: Member) -> None:
         """Pass an update on with the next messages."""
+        self.number += 1
         times = SPREAD_FACTOR * math.ceil(math.log2(len(self.members) + 2))
         self.rumors[member.name] = Rumor(member, times)
 
@@ -138,8 +161,10 @@
 
     def digest(self) -> int:
         """Return a hash over all members that are not gone."""
-        parts = sorted(f"{m.name}/{m.incarnation}/{m.state}" for m in self.alive())
-        return hashing.digest(",".join(parts))
+        if self.digest_cached[0] != self.number:
+            parts = sorted(f"{m.name}/{m.incarnation}/{m.state}" for m in self.alive())
+            self.digest_cached = (self.number, hashing.digest(",".join(parts)))
+        return self.digest_cached[1]
 
     def leave(self) -> None:
         """Tell the others that this router leaves on purpose."""
--- a/marjoramspool/placement.py
+++ b/marjoramspool/placement.py
@@ -17,6 +17,7 @@
     "valid_holders",
 ]
 
+LEAST_CAP = 4
 UNKNOWN_INCARNATION = 0
 
 
@@ -114,7 +115,8 @@
     if not candidates:
         return None
     total = sum(candidate.load for candidate in candidates)
-    cap = max(1, math.floor(bound * (total + 1) / len(candidates)))
+    # A few requests overload no engine, and a bound on a small mean would only scatter chats.
+    cap = max(LEAST_CAP, math.floor(bound * (total + 1) / len(candidates)))
     for candidate in valid_holders(holders, candidates):
         if candidate.load < min(cap, candidate.limit):
             return Choice(candidate, "holder")
--- a/marjoramspool/routing.py
+++ b/marjoramspool/routing.py
@@ -226,7 +226,10 @@
         """Return what to ask the owner; None if no target is usable."""
         document = request.document
         chat = request.chat if request.chat is not None else hashing.digest(request.id)
-        usable = self.targets.usable(document) - set(exclude)
+
+        def usable(names: tuple[str, ...]) -> set[str]:
+            return self.targets.usable(document, names) - set(exclude)
+
         cell = cells.cell_of(document, chat, request.holders, usable)
         if cell is None:
             return None
--- a/marjoramspool/targets.py
+++ b/marjoramspool/targets.py
@@ -1,14 +1,14 @@
 """What is known of each target: leaving, incarnation, load and failures."""
 
 import time
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 
-from marjoramspool.document import Document
+from marjoramspool.document import Document, Target
 from marjoramspool.events import Event, log
 
 __all__ = ["LoadReport", "TargetState", "Targets"]
 
-from dataclasses import dataclass, field
-
 EVIDENCE_LIFE_S = 6.0
 EJECT_AFTER_FAILURES = 3
 EJECT_FIRST_S = 1.0
@@ -48,6 +48,10 @@
         self.clock = clock
         self.states: dict[str, TargetState] = {}
 
+    def stays(self, target: Target) -> bool:
+        """Tell whether a target does not leave."""
+        return not target.drain and not self.is_leaving(target.address)
+
     def state(self, address: str) -> TargetState:
         """Return the state of an address."""
         return self.states.setdefault(address, TargetState())
@@ -121,13 +125,9 @@
         state = self.states.get(address)
         return state.report.incarnation if state and state.report else 0
 
-    def usable(self, document: Document) -> set[str]:
-        """Return the names of the targets of a service that may get new work."""
-        staying = {
-            target.name
-            for target in document.targets.values()
-            if not target.drain and not self.is_leaving(target.address)
-        }
+    def usable(self, document: Document, names: Iterable[str]) -> set[str]:
+        """Return those of some targets of a service that may get new work."""
+        staying = {name for name in names if self.stays(document.targets[name])}
         now = self.clock()
         ejected = {
             name
