Keep the ranks of cells while routers come and go; bound what grows with the fleet

Cause: ranking 1,300 routers takes 1.97 ms; 760 cells would be ranked anew at each change of membership, 1.5 s of processor time. Every router would read every lease each 3 s. A differing digest would send all members with each probe. Change: the first four names of each cell are kept, a change costs one score a cell; two routers try for a lease; all members are sent at most once in 20 ms a member.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -1,15 +1,19 @@
 """Slopes of state, messages and processor time against what grows."""
 
 import asyncio
+import contextlib
+import os
 import time
 import tracemalloc
 from dataclasses import dataclass
 
+import grpc
 import msgspec
 
 from bench.documents import model_document
 from bench.fleet import Fleet
 from bench.placement import measure_interval
+from bench.ports import free_ports
 from bench.readings import SocketBytes, memory_bytes
 from marjoramspool import hashing
 from marjoramspool.admission import Ask, Cell, EngineView
@@ -18,9 +22,14 @@
 from marjoramspool.membership import Member, Membership
 from marjoramspool.operators.client import Operator
 from marjoramspool.placement import Bounded, Holder
+from marjoramspool.ranking import Rankings
+from marjoramspool.routers import peers_pb2 as pb
+from marjoramspool.routers import peers_pb2_grpc as rpc
+from marjoramspool.routers.links import Link, channel_options
+from marjoramspool.routers.server import start_server
 from marjoramspool.targets import Targets
 
-__all__ = ["measure_fleet_sizes", "measure_local_slopes"]
+__all__ = ["link_kilobytes", "measure_fleet_sizes", "measure_local_slopes"]
 
 REPEATS = 2000
 REST_S = 10.0
@@ -114,6 +123,25 @@
     return membership
 
 
+async def link_kilobytes(count: int = 100) -> float:
+    """Return the memory of one open link to a peer, both ends in this process, in kilobytes."""
+    (port,) = free_ports(1)
+    server = await start_server(rpc.RoutersServicer(), f"127.0.0.1:{port}", None)
+    before = memory_bytes(os.getpid())
+    links = [
+        Link("me", grpc.aio.insecure_channel(f"127.0.0.1:{port}", channel_options()))
+        for _ in range(count)
+    ]
+    for link in links:
+        with contextlib.suppress(grpc.RpcError):
+            await link.stub.Fetch(pb.FetchRequest(), timeout=5)
+    spent = memory_bytes(os.getpid()) - before
+    for link in links:
+        await link.close()
+    await server.stop(0)
+    return spent / count / 1e3
+
+
 def ledger_slopes() -> dict[str, float]:
     """Return the time and bytes of one claim with its record in a shard."""
     shard = Shard()
@@ -142,7 +170,15 @@
     document = large.document("big")
     targets = Targets()
     members = known_members(1300)
+    rankings = Rankings()
+    rankings.update(set(members.members))
+    for key in range(760):
+        rankings.first(key)
     slopes = {
+        "member_change_ms_760_cells": microseconds(
+            lambda n: rankings.update(set(members.members) - {f"router-{n:04}"}), 20
+        )
+        / 1e3,
         "place_us_5_engines": placement_us(5),
         "place_us_8_engines": placement_us(8),
         "place_us_16_engines": placement_us(16),
--- a/marjoramspool/admissions.py
+++ b/marjoramspool/admissions.py
@@ -13,6 +13,7 @@
 from marjoramspool.events import Event, log
 from marjoramspool.membership import Membership
 from marjoramspool.placement import Bounded, HashOnly, Policy, TwoChoices
+from marjoramspool.ranking import Rankings
 from marjoramspool.targets import Targets
 
 __all__ = ["Admissions", "Grant", "OwnerSilentError", "Owners"]
@@ -57,10 +58,10 @@
         "configuration",
         "membership",
         "order_version",
-        "orders",
         "owned_by",
         "owners",
         "placement",
+        "rankings",
         "targets",
     )
 
@@ -80,7 +81,7 @@
         self.owners = owners
         self.clock = clock
         self.cells: dict[str, Cell] = {}
-        self.orders: dict[str, list[str]] = {}
+        self.rankings = Rankings()
         self.order_version = -1
         self.owned_by: dict[str, str] = {}
         membership.changes.subscribe(lambda _: self.follow_members())
@@ -133,11 +134,8 @@
         version = self.membership.version()
         if version != self.order_version:
             self.order_version = version
-            self.orders.clear()
-        if cell not in self.orders:
-            routers = self.membership.responsive()
-            self.orders[cell] = cells.owner_order(cell, routers or {self.me})
-        return self.orders[cell]
+            self.rankings.update(self.membership.responsive() or {self.me})
+        return self.rankings.first(cells.cell_key(cell))
 
     @asynccontextmanager
     async def admitted(self, ask: Ask):
--- a/marjoramspool/cells.py
+++ b/marjoramspool/cells.py
@@ -8,10 +8,11 @@
 from marjoramspool.document import Document
 from marjoramspool.placement import Holder
 
-__all__ = ["cell_key", "cell_names", "cell_of", "engines_of", "owner_order", "service_of"]
+__all__ = ["cell_key", "cell_names", "cell_of", "engines_of", "service_of"]
 
 
 DOCUMENTS_CACHED = 64
+CELLS_CACHED = 4096
 
 
 def cell_names(document: Document) -> list[str]:
@@ -20,6 +21,7 @@
     return [f"{document.name}/{index}" for index in range(count)]
 
 
+@lru_cache(maxsize=CELLS_CACHED)
 def cell_key(cell: str) -> int:
     """Return the hash key of a cell."""
     return hashing.digest(cell)
@@ -71,8 +73,3 @@
         if usable(engines_of(document, cell)):
             return cell
     return None
-
-
-def owner_order(cell: str, routers: set[str]) -> list[str]:
-    """Return the routers in the order in which they may own a cell."""
-    return hashing.rank(cell_key(cell), routers)
--- a/marjoramspool/engines/orders.py
+++ b/marjoramspool/engines/orders.py
@@ -1,10 +1,12 @@
 """Engine orders: a reconciler for each service, under a lease."""
 
 import asyncio
+from collections.abc import Callable
 
 import aiohttp
 import msgspec
 
+from marjoramspool import hashing
 from marjoramspool.audit import Audit
 from marjoramspool.configuration import Configuration
 from marjoramspool.document import Document, Target
@@ -18,6 +20,7 @@
 LEASE_LIFE_S = 10.0
 PERIOD_S = 3.0
 ORDER_S = 1.0
+CANDIDATES = 2
 HTTP_OK = 200
 
 
@@ -46,17 +49,20 @@
         "period_s",
         "platform",
         "router",
+        "routers",
     )
 
     def __init__(
         self,
         router: str,
+        routers: Callable[[], set[str]],
         platform: Platform,
         configuration: Configuration,
         engines: Engines,
         audit: Audit,
     ):
         self.router = router
+        self.routers = routers
         self.platform = platform
         self.configuration = configuration
         self.engines = engines
@@ -74,9 +80,16 @@
         while True:
             await asyncio.sleep(self.period_s)
             for document in self.configuration.documents():
-                if any(target.model for target in document.targets.values()):
+                if self.is_candidate(document):
                     await self.reconcile(document)
 
+    def is_candidate(self, document: Document) -> bool:
+        """Tell whether this router should try for a service's lease: the first two do."""
+        if not any(target.model for target in document.targets.values()):
+            return False
+        order = hashing.rank(hashing.digest(f"orders-{document.name}"), self.routers())
+        return self.router in order[:CANDIDATES] or self.lease(document.name).is_held()
+
     async def reconcile(self, document: Document) -> None:
         """Order what a service's engines lack, while the lease is held."""
         lease = self.lease(document.name)
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -114,7 +114,12 @@
         )
         self.audit = Audit(settings.name, self.platform)
         self.orders = Orders(
-            settings.name, self.platform, self.configuration, self.engines, self.audit
+            settings.name,
+            self.membership.responsive,
+            self.platform,
+            self.configuration,
+            self.engines,
+            self.audit,
         )
         self.traces = Traces(settings.name, settings.limits.traces)
         self.routing = Routing(
--- a/marjoramspool/routers/gossip.py
+++ b/marjoramspool/routers/gossip.py
@@ -13,6 +13,7 @@
 __all__ = ["Gossip"]
 
 PUSHED_TO = 3
+SYNC_PAUSE_A_MEMBER_S = 0.02
 PROBED_THROUGH_MARGIN_S = 0.5
 FETCH_S = 2.0
 LEAVING_SOURCE = "peers"
@@ -22,7 +23,15 @@
 class Gossip:
     """Exchange soft state with other routers; newer documents are fetched from their teller."""
 
-    __slots__ = ("configuration", "links", "membership", "targets", "tasks", "timeout_s")
+    __slots__ = (
+        "configuration",
+        "links",
+        "membership",
+        "synced",
+        "targets",
+        "tasks",
+        "timeout_s",
+    )
 
     def __init__(
         self,
@@ -37,6 +46,7 @@
         self.targets = targets
         self.links = links
         self.timeout_s = timeout_s
+        self.synced = 0.0
         self.tasks: set[asyncio.Task] = set()
         configuration.changes.subscribe(lambda _: self.push_to_some())
 
@@ -103,7 +113,7 @@
         self.take_leaving(request.leaving)
         self.fetch_soon(sender.address, decode_versions(request.versions))
         members = self.membership.updates()
-        if request.members_digest != self.membership.digest():
+        if request.members_digest != self.membership.digest() and self.may_sync():
             members = list(self.membership.members.values()) + [self.membership.me]
         elif known and known.state != State.ALIVE:
             members.append(self.membership.members[sender.name])
@@ -118,6 +128,15 @@
             members_digest=self.membership.digest(),
         )
 
+    def may_sync(self) -> bool:
+        """Tell whether all members may be sent now: the more there are, the more rarely."""
+        now = self.membership.clock()
+        pause_s = SYNC_PAUSE_A_MEMBER_S * len(self.membership.members)
+        if now - self.synced < pause_s:
+            return False
+        self.synced = now
+        return True
+
     def take_members(self, messages) -> None:
         """Take in updates about routers."""
         for message in messages:
--- /dev/null
+++ b/marjoramspool/tests/test_ranking.py
@@ -0,0 +1,29 @@
+"""Kept ranks agree with ranks made anew."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marjoramspool import hashing
+from marjoramspool.ranking import Rankings
+
+names = st.sets(st.sampled_from([f"router-{n}" for n in range(12)]), min_size=1)
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.lists(names, min_size=1, max_size=12))
+def test_the_best_name_is_that_of_a_full_rank(changes):
+    rankings = Rankings()
+    for present in changes:
+        rankings.update(present)
+        for key in range(5):
+            first = rankings.first(key)
+            assert first[0] == hashing.rank(key, present)[0]
+            assert set(first) <= present
+
+
+def test_one_name_less_moves_only_its_own_keys():
+    everyone = {f"router-{n}" for n in range(10)}
+    before = {key: hashing.rank(key, everyone)[0] for key in range(500)}
+    after = {key: hashing.rank(key, everyone - {"router-3"})[0] for key in range(500)}
+    moved = [key for key in before if before[key] != after[key]]
+    assert {before[key] for key in moved} == {"router-3"}
