--- a/marjoramspool/document.py
+++ b/marjoramspool/document.py
@@ -111,7 +111,7 @@
         idle_timeout_s=service.seconds("idle-timeout", 0.05, 600, 5.0),
         cell_engines=service.whole("cell-engines", 1, 1000, 8),
         claim_retention_s=service.seconds("claim-retention", 60, 604800, 86400.0),
-        patience_s=service.seconds("patience", 0, 10, 0.1),
+        patience_s=service.seconds("patience", 0, 10, 0.2),
         prefill_tokens_per_s=service.number("prefill-rate", 1, 1e9, 10_000.0),
         targets=read_targets(reader, "engine" if kind == "model" else "target"),
         accounts=read_accounts(reader),
--- a/marjoramspool/placement.py
+++ b/marjoramspool/placement.py
@@ -18,6 +18,7 @@
 ]
 
 LEAST_CAP = 4
+HEADROOM = 0.92
 UNKNOWN_INCARNATION = 0
 
 
@@ -116,7 +117,8 @@
         return None
     total = sum(candidate.load for candidate in candidates)
     # A few requests overload no engine, and a bound on a small mean would only scatter chats.
-    cap = max(LEAST_CAP, math.floor(bound * (total + 1) / len(candidates)))
+    # Headroom below the bound, since the mean may fall after admission.
+    cap = max(LEAST_CAP, math.floor(HEADROOM * bound * (total + 1) / len(candidates)))
     for candidate in valid_holders(holders, candidates):
         if candidate.load < min(cap, candidate.limit):
             return Choice(candidate, "holder")
