Split large modules, name the attempts of a request, and share what stood twice

Cause: read as a newcomer: one function held the whole life of a request's attempts with nested exceptions; admission.py, links.py and router.py held several jobs; engines and services opened their sessions with the same lines; cell.py beside cells.py would confuse. Change: Tries and AttemptError carry the attempts; admission (types), cell, partition, link, credentials, Sessions and the stand-ins' reply are modules of one job. Ruled out: a shorter margin after a watch, since a slow platform would then never answer one.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -12,7 +12,7 @@
 from bench.agreed import measure_claims, measure_in_force
 from bench.latency import measure_added, measure_relay, measure_urgent
 from bench.placement import Placement, measure_placement
-from bench.slopes import link_kilobytes, measure_fleet_sizes, measure_local_slopes
+from bench.slopes import ask_slopes, link_kilobytes, measure_fleet_sizes, measure_local_slopes
 
 __all__ = ["Measure", "main"]
 
@@ -55,6 +55,7 @@
         return {
             "local": measure_local_slopes,
             "link_kilobytes": lambda: asyncio.run(link_kilobytes()),
+            "ask": lambda: asyncio.run(ask_slopes()),
             "added": lambda: asyncio.run(measure_added()),
             "relay": lambda: asyncio.run(measure_relay()),
             "urgent": lambda: asyncio.run(measure_urgent()),
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -16,7 +16,8 @@
 from bench.ports import free_ports
 from bench.readings import SocketBytes, memory_bytes
 from marjoramspool import hashing
-from marjoramspool.admission import Ask, Cell, EngineView
+from marjoramspool.admission import Ask, EngineView
+from marjoramspool.cell import Cell
 from marjoramspool.configuration import Configuration, encode_body
 from marjoramspool.ledger import Finish, Shard, Take, apply
 from marjoramspool.membership import Member, Membership
@@ -25,14 +26,15 @@
 from marjoramspool.ranking import Rankings
 from marjoramspool.routers import peers_pb2 as pb
 from marjoramspool.routers import peers_pb2_grpc as rpc
-from marjoramspool.routers.links import Link, channel_options
-from marjoramspool.routers.server import start_server
+from marjoramspool.routers.link import Link, channel_options
+from marjoramspool.routers.server import RoutersServer, start_server
 from marjoramspool.targets import Targets
 
-__all__ = ["link_kilobytes", "measure_fleet_sizes", "measure_local_slopes"]
+__all__ = ["ask_slopes", "link_kilobytes", "measure_fleet_sizes", "measure_local_slopes"]
 
 REPEATS = 2000
 REST_S = 10.0
+JOIN_S_A_ROUTER = 1.2
 
 
 @dataclass(slots=True)
@@ -59,7 +61,8 @@
         async with Operator(f"127.0.0.1:{fleet.platform}") as operator:
             await operator.apply(model_document("grip-model", [1]), "bench", None)
         await fleet.wait_ready()
-        await asyncio.sleep(6.0)
+        # News of each router that joined rides on probes for a while.
+        await asyncio.sleep(6.0 + JOIN_S_A_ROUTER * size)
         counter = SocketBytes()
         pids = [router.popen.pid for router in fleet.routers]
         interval = await measure_interval(fleet, counter, pids, set(), asyncio.sleep(REST_S))
@@ -142,6 +145,45 @@
     return spent / count / 1e3
 
 
+class OneCell:
+    """Stand for the admissions of an owner that has one cell."""
+
+    def __init__(self):
+        views = [EngineView(f"engine-{n}", 1, 64) for n in range(8)]
+        self.only = Cell(Bounded(1.25), 0.2, lambda: views)
+        self.configuration = adopted(8, 10)
+
+    def cell(self, name: str) -> Cell:
+        """Return the cell."""
+        return self.only
+
+    def drop_session(self, router: str) -> None:
+        """Forget what a router held."""
+        self.only.drop(router)
+
+
+async def ask_slopes(count: int = 2000) -> dict[str, float]:
+    """Return what one ask, its grant and its release cost both ends together."""
+    (port,) = free_ports(1)
+    servicer = RoutersServer(OneCell(), None, None, None, None)
+    server = await start_server(servicer, f"127.0.0.1:{port}", None)
+    link = Link("me", grpc.aio.insecure_channel(f"127.0.0.1:{port}", channel_options()))
+    ask = Ask("big/0", 1, (Holder("engine-1", 1),), "crews", 1, 3, (), 1.0)
+    await link.place(ask, 5.0)
+    started, wall = time.process_time(), time.monotonic()
+    for _ in range(count):
+        granted = await link.place(ask, 5.0)
+        link.release(ask.cell, granted.engine, ask.account, False)
+    spent, waited = time.process_time() - started, time.monotonic() - wall
+    await link.close()
+    await server.stop(0)
+    return {
+        "ask_both_ends_us": spent / count * 1e6,
+        "ask_round_trip_us": waited / count * 1e6,
+        "ask_payload_bytes": link.bytes / count,
+    }
+
+
 def ledger_slopes() -> dict[str, float]:
     """Return the time and bytes of one claim with its record in a shard."""
     shard = Shard()
--- a/marjoramspool/admissions.py
+++ b/marjoramspool/admissions.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from marjoramspool import cells
-from marjoramspool.admission import Admission, Ask, Cell, EngineView, Refused
+from marjoramspool import partition
+from marjoramspool.admission import Admission, Ask, EngineView, Refused
+from marjoramspool.cell import Cell
 from marjoramspool.configuration import Configuration
 from marjoramspool.document import Document
 from marjoramspool.events import Event, log
@@ -99,7 +100,7 @@
     def cell(self, name: str) -> Cell:
         """Return the state of a cell, made at first use."""
         if name not in self.cells:
-            document = self.configuration.document(cells.service_of(name))
+            document = self.configuration.document(partition.service_of(name))
             policy = self.policy(document)
             reserve = document.urgent_reserve if document else 0.0
             self.cells[name] = Cell(policy, reserve, lambda: self.view(name), self.clock)
@@ -116,10 +117,10 @@
 
     def view(self, name: str) -> list[EngineView]:
         """Return the usable engines of a cell."""
-        document = self.configuration.document(cells.service_of(name))
+        document = self.configuration.document(partition.service_of(name))
         if document is None:
             return []
-        engines = cells.engines_of(document, name)
+        engines = partition.engines_of(document, name)
         usable = self.targets.usable(document, engines)
         return [
             EngineView(
@@ -139,7 +140,7 @@
         if version != self.order_version:
             self.order_version = version
             self.rankings.update(self.membership.responsive() or {self.me})
-        return self.rankings.first(cells.cell_key(cell))
+        return self.rankings.first(partition.cell_key(cell))
 
     def follow_owners(self) -> None:
         """Move this router's holdings if owners have changed since the last look."""
@@ -239,7 +240,7 @@
         """Take the policy of a new document; wake asks that it may have made room for."""
         document = self.configuration.document(service)
         for name, cell in self.cells.items():
-            if cells.service_of(name) == service and document:
+            if partition.service_of(name) == service and document:
                 cell.policy = self.policy(document)
                 cell.reserve = document.urgent_reserve
                 cell.serve_waiting()
@@ -254,6 +255,6 @@
         return [
             name
             for document in self.configuration.documents()
-            for name in cells.cell_names(document)
+            for name in partition.cell_names(document)
             if self.owner_order(name)[0] == self.me
         ]
--- a/marjoramspool/dispatch.py
+++ b/marjoramspool/dispatch.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "Answer",
+    "AttemptError",
     "BrokenAnswerError",
     "Dispatcher",
     "MayHaveRunError",
@@ -21,16 +22,20 @@
 ]
 
 
-class NotSentError(Exception):
+class AttemptError(Exception):
+    """Report that an attempt failed before any byte of an answer was passed on."""
+
+
+class NotSentError(AttemptError):
     """Report that no byte of the request reached the target."""
 
 
-class TargetRefusedError(Exception):
+class TargetRefusedError(AttemptError):
     """Report that the target's protocol says that it did not run the request."""
 
 
-class MayHaveRunError(Exception):
-    """Report that the request may have run, and that no byte of an answer was passed on."""
+class MayHaveRunError(AttemptError):
+    """Report that the request may have run."""
 
 
 class SilentConnectionError(MayHaveRunError):
@@ -61,6 +66,11 @@
     is_stream: bool = False
     first_turn: bool = False
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether the request may be sent again after it may have run."""
+        return not self.is_unsafe and self.key is None
+
 
 @dataclass(slots=True)
 class Answer:
--- a/marjoramspool/engines/client.py
+++ b/marjoramspool/engines/client.py
@@ -30,7 +30,7 @@
 )
 from marjoramspool.events import Event as LogEvent
 from marjoramspool.events import log
-from marjoramspool.http import new_session
+from marjoramspool.http import Sessions
 from marjoramspool.targets import LoadReport
 
 __all__ = ["Engines"]
@@ -64,28 +64,19 @@
 class Engines:
     """Send attempts to engines and read their reports."""
 
-    __slots__ = ("bytes", "connect_s", "fresh", "pooled")
+    __slots__ = ("bytes", "sessions")
 
-    def __init__(self, connect_s: float):
-        self.connect_s = connect_s
+    def __init__(self, sessions: Sessions):
+        self.sessions = sessions
         self.bytes = 0
-        self.pooled: aiohttp.ClientSession | None = None
-        self.fresh: aiohttp.ClientSession | None = None
-
-    async def __aenter__(self):
-        self.pooled = new_session(self.connect_s)
-        self.fresh = new_session(self.connect_s, reuse=False)
-        return self
-
-    async def __aexit__(self, *details):
-        await self.pooled.close()
-        await self.fresh.close()
 
     async def report(self, address: str) -> LoadReport | None:
         """Read an engine's load report; None if it does not answer."""
         try:
             timeout = aiohttp.ClientTimeout(total=REPORT_S)
-            async with self.pooled.get(f"http://{address}/load", timeout=timeout) as response:
+            async with self.sessions.pooled.get(
+                f"http://{address}/load", timeout=timeout
+            ) as response:
                 body = await response.read()
             report = msgspec.json.decode(body, type=Report)
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
@@ -114,7 +105,7 @@
         self, request: Request, target: Target, attempt: str, reuse: bool
     ) -> aiohttp.ClientResponse:
         """Send an attempt and return the response once its head is there."""
-        session = self.pooled if reuse else self.fresh
+        session = self.sessions.pick(reuse)
         headers = {
             "Content-Type": JSON,
             "X-Request-Id": attempt,
@@ -156,7 +147,7 @@
         """Ask over a new connection what became of an attempt; None if nobody answers."""
         url = f"http://{target.address}/v1/attempts/{attempt}"
         try:
-            async with asyncio.timeout(REPORT_S), self.fresh.get(url) as response:
+            async with asyncio.timeout(REPORT_S), self.sessions.fresh.get(url) as response:
                 if response.status != HTTP_OK:
                     return MISSING
                 return msgspec.json.decode(await response.read(), type=AttemptState).state
@@ -251,7 +242,7 @@
         headers = {"Last-Event-ID": str(after)}
         try:
             async with asyncio.timeout(REPORT_S):
-                response = await self.fresh.get(url, headers=headers)
+                response = await self.sessions.fresh.get(url, headers=headers)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise CutError(f"{cause}; the engine takes no new connection") from error
         if response.status != HTTP_OK:
@@ -265,7 +256,7 @@
         try:
             async with asyncio.timeout(REPORT_S):
                 url = f"http://{target.address}/v1/streams/{attempt}"
-                async with self.fresh.delete(url) as response:
+                async with self.sessions.fresh.delete(url) as response:
                     await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError):
             pass
--- a/marjoramspool/engines/orders.py
+++ b/marjoramspool/engines/orders.py
@@ -133,7 +133,7 @@
         url = f"http://{target.address}/model"
         timeout = aiohttp.ClientTimeout(total=ORDER_S)
         try:
-            async with self.engines.pooled.get(url, timeout=timeout) as response:
+            async with self.engines.sessions.pooled.get(url, timeout=timeout) as response:
                 return msgspec.json.decode(await response.read(), type=EngineModel).model
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
             return None
@@ -144,7 +144,9 @@
         timeout = aiohttp.ClientTimeout(total=ORDER_S)
         body = msgspec.json.encode(order)
         try:
-            async with self.engines.fresh.post(url, data=body, timeout=timeout) as response:
+            async with self.engines.sessions.fresh.post(
+                url, data=body, timeout=timeout
+            ) as response:
                 accepted = response.status == HTTP_OK
         except (aiohttp.ClientError, TimeoutError):
             accepted = False
--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -2,7 +2,7 @@
 
 import aiohttp
 
-__all__ = ["new_session"]
+__all__ = ["Sessions", "new_session"]
 
 
 def new_session(connect_s: float, reuse: bool = True) -> aiohttp.ClientSession:
@@ -18,3 +18,27 @@
     # which would run a request twice; it offers no public switch.
     session._retry_connection = False
     return session
+
+
+class Sessions:
+    """Hold a session that reuses connections and one that opens a new one each time."""
+
+    __slots__ = ("connect_s", "fresh", "pooled")
+
+    def __init__(self, connect_s: float):
+        self.connect_s = connect_s
+        self.pooled: aiohttp.ClientSession | None = None
+        self.fresh: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self):
+        self.pooled = new_session(self.connect_s)
+        self.fresh = new_session(self.connect_s, reuse=False)
+        return self
+
+    async def __aexit__(self, *details):
+        await self.pooled.close()
+        await self.fresh.close()
+
+    def pick(self, reuse: bool) -> aiohttp.ClientSession:
+        """Return the session for a request."""
+        return self.pooled if reuse else self.fresh
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -5,10 +5,9 @@
 import time
 from contextlib import AsyncExitStack
 
-import grpc
 import msgspec
 
-from marjoramspool import cells
+from marjoramspool import partition
 from marjoramspool.admissions import Admissions
 from marjoramspool.audit import Audit
 from marjoramspool.callers.server import CallersServer
@@ -18,18 +17,20 @@
 from marjoramspool.engines.orders import Orders
 from marjoramspool.events import Event, log
 from marjoramspool.explain import Traces
+from marjoramspool.http import Sessions
 from marjoramspool.membership import Member, Membership
 from marjoramspool.metrics import Metrics
 from marjoramspool.operators.server import OperatorsServer
 from marjoramspool.platform.client import Platform
 from marjoramspool.platform.watcher import Watcher
+from marjoramspool.routers.credentials import client_credentials, server_credentials
 from marjoramspool.routers.gossip import LEAVING_SOURCE as PEERS_SOURCE
 from marjoramspool.routers.gossip import Gossip
 from marjoramspool.routers.links import Links
 from marjoramspool.routers.server import RoutersServer, start_server
 from marjoramspool.routing import Routing
 from marjoramspool.services.client import Services
-from marjoramspool.settings import Settings, TlsFiles
+from marjoramspool.settings import Settings
 from marjoramspool.targets import Decision, Targets
 
 __all__ = ["Router"]
@@ -59,6 +60,7 @@
         "routing",
         "services",
         "servicer",
+        "sessions",
         "settings",
         "stack",
         "targets",
@@ -87,10 +89,14 @@
         self.platform = Platform(
             settings.platform, timings.platform_timeout_s, settings.limits.platform_calls_per_s
         )
-        self.engines = Engines(timings.connect_s)
-        self.services = Services(timings.connect_s)
+        self.sessions = Sessions(timings.connect_s)
+        self.engines = Engines(self.sessions)
+        self.services = Services(self.sessions)
         self.links = Links(
-            settings.name, timings.owner_answer_s, self.address_of, client_credentials(settings)
+            settings.name,
+            timings.owner_answer_s,
+            self.address_of,
+            client_credentials(settings.peers_tls),
         )
         self.admissions = Admissions(
             self.configuration, self.membership, self.targets, settings.placement, self.links
@@ -175,8 +181,7 @@
         """Open every part; the stack closes them in reverse order."""
         settings = self.settings
         await stack.enter_async_context(self.platform)
-        await stack.enter_async_context(self.engines)
-        await stack.enter_async_context(self.services)
+        await stack.enter_async_context(self.sessions)
         await stack.enter_async_context(self.links)
         stack.push_async_callback(self.claims.close)
         stack.push_async_callback(self.gossip.close)
@@ -233,8 +238,8 @@
     def owned_addresses(self):
         """Yield the addresses of the engines of owned cells."""
         for name in self.admissions.owned():
-            document = self.configuration.document(cells.service_of(name))
-            for engine in cells.engines_of(document, name):
+            document = self.configuration.document(partition.service_of(name))
+            for engine in partition.engines_of(document, name):
                 yield document.targets[engine].address
 
     async def read_report(self, address: str) -> None:
@@ -282,30 +287,3 @@
         except Exception as error:
             log(Event.TASK_FAILED, task=name, error=repr(error))
         await asyncio.sleep(RESTART_PAUSE_S)
-
-
-def client_credentials(settings: Settings) -> grpc.ChannelCredentials | None:
-    """Return the credentials towards other routers."""
-    files = settings.peers_tls
-    if files is None:
-        return None
-    return grpc.ssl_channel_credentials(*read_pem(files))
-
-
-def server_credentials(files: TlsFiles | None) -> grpc.ServerCredentials | None:
-    """Return the credentials of the listener for other routers, which must show a certificate."""
-    if files is None:
-        return None
-    authority, key, certificate = read_pem(files)
-    return grpc.ssl_server_credentials(
-        [(key, certificate)], root_certificates=authority, require_client_auth=True
-    )
-
-
-def read_pem(files: TlsFiles) -> tuple[bytes, bytes, bytes]:
-    """Read the authority, the key and the certificate."""
-    parts = []
-    for path in (files.authority, files.key, files.certificate):
-        with open(path, "rb") as file:
-            parts.append(file.read())
-    return tuple(parts)
--- a/marjoramspool/routers/server.py
+++ b/marjoramspool/routers/server.py
@@ -8,7 +8,7 @@
 import grpc
 import msgspec
 
-from marjoramspool import cells
+from marjoramspool import partition
 from marjoramspool.admission import Ask, Granted
 from marjoramspool.admissions import Admissions
 from marjoramspool.claims import Claims
@@ -22,7 +22,7 @@
     operation_from,
     result_to,
 )
-from marjoramspool.routers.links import FRAME_BYTES, MESSAGE_BYTES
+from marjoramspool.routers.link import FRAME_BYTES, MESSAGE_BYTES
 
 __all__ = ["Gossip", "PlaceSession", "RoutersServer", "start_server"]
 
@@ -84,7 +84,7 @@
 
     def ask(self, number: int, ask: Ask) -> None:
         """Decide an ask at once, or let it wait in a task of its own."""
-        if self.admissions.configuration.document(cells.service_of(ask.cell)) is None:
+        if self.admissions.configuration.document(partition.service_of(ask.cell)) is None:
             self.outbox.put_nowait(pb.PlaceReply(number=number, not_ready=pb.NotReady()))
             return
         decision = self.admissions.cell(ask.cell).admit_now(ask, self.router)
--- a/marjoramspool/routing.py
+++ b/marjoramspool/routing.py
@@ -4,24 +4,25 @@
 import time
 import uuid
 from collections.abc import AsyncIterator, Coroutine
-from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass, replace
+from contextlib import AbstractAsyncContextManager, AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field, replace
 
-from marjoramspool import cells, hashing, ledger
+from marjoramspool import hashing, ledger, partition
 from marjoramspool.admission import URGENT_AT_MOST, Ask, Refused
 from marjoramspool.admissions import Admissions, Grant
 from marjoramspool.claims import Claims
 from marjoramspool.dispatch import (
     Answer,
+    AttemptError,
     BrokenAnswerError,
     Dispatcher,
-    MayHaveRunError,
     NotSentError,
     Request,
     SilentConnectionError,
     TargetRefusedError,
     single,
 )
+from marjoramspool.document import Target
 from marjoramspool.events import Event, log
 from marjoramspool.explain import Trace, Traces
 from marjoramspool.metrics import Metrics
@@ -37,6 +38,7 @@
 BYTES_A_TOKEN = 4
 RETRY_SOON_S = 1.0
 FINISH_WAIT_S = 5.0
+NO_TARGET = Problem(503, "no target of the service is usable", "send it again", RETRY_SOON_S)
 
 
 @dataclass(slots=True, frozen=True)
@@ -47,6 +49,16 @@
     attempt: str
 
 
+@dataclass(slots=True)
+class Tries:
+    """Track the attempts of one request: the targets to pass over and the last problem."""
+
+    number: int = 0
+    exclude: list[str] = field(default_factory=list)
+    may_have_run: bool = False
+    problem: Problem = NO_TARGET
+
+
 class Routing:
     """Serve requests; every answer is whole, and every failure says whether it ran."""
 
@@ -149,100 +161,105 @@
         self, request: Request, trace: Trace, stack: AsyncExitStack
     ) -> Answer | NotRun | Unknown:
         """Try targets until one answers; say honestly whether the request may have run."""
-        budget = self.retry_budget(request)
-        budget.earn()
-        may_have_run = False
-        exclude: list[str] = []
-        problem = Problem(503, "no target of the service is usable", "send it again", RETRY_SOON_S)
-        for number in range(ATTEMPTS):
-            if time.monotonic() >= request.deadline:
-                problem = Problem(504, "the deadline passed", "send it again", RETRY_SOON_S)
+        self.retry_budget(request).earn()
+        tries = Tries()
+        while tries.number < ATTEMPTS:
+            ask = self.ask(request, tries)
+            if ask is None:
                 break
             async with AsyncExitStack() as attempt_stack:
-                try:
-                    ask = self.ask(request, tuple(exclude))
-                    if ask is None:
-                        break
-                    result = await self.attempt(request, ask, trace, attempt_stack, number, exclude)
-                except NotSentError as error:
-                    problem = Problem(503, str(error), "send it again", RETRY_SOON_S)
-                    continue
-                except TargetRefusedError as error:
-                    problem = Problem(503, str(error), "send it again", RETRY_SOON_S)
-                    if not budget.spend():
-                        break
-                    continue
-                except MayHaveRunError as error:
-                    may_have_run = True
-                    problem = Problem(502, str(error), remedy_unknown(request), RETRY_SOON_S)
-                    if request.is_unsafe or request.key or not budget.spend():
-                        break
-                    continue
+                result = await self.attempt(request, ask, tries, trace, attempt_stack)
                 if isinstance(result, Answer):
                     stack.push_async_exit(attempt_stack.pop_all())
                     return result
-                problem = result
+            if isinstance(result, Problem):
+                tries.problem = result
                 break
-        return Unknown(problem) if may_have_run else NotRun(problem)
+            if not self.may_try_again(request, tries, result):
+                break
+            tries.number += 1
+        return Unknown(tries.problem) if tries.may_have_run else NotRun(tries.problem)
+
+    def may_try_again(self, request: Request, tries: Tries, error: AttemptError) -> bool:
+        """Take in a failed attempt; tell whether the request may be sent again."""
+        budget = self.retry_budget(request)
+        match error:
+            case NotSentError():
+                tries.problem = Problem(503, str(error), "send it again", RETRY_SOON_S)
+                return True
+            case TargetRefusedError():
+                tries.problem = Problem(503, str(error), "send it again", RETRY_SOON_S)
+                return budget.spend()
+            case _:
+                tries.may_have_run = True
+                remedy = remedy_unknown(request)
+                tries.problem = Problem(502, str(error), remedy, RETRY_SOON_S)
+                return request.is_repeatable and budget.spend()
 
     async def attempt(
-        self,
-        request: Request,
-        ask: Ask,
-        trace: Trace,
-        stack: AsyncExitStack,
-        number: int,
-        exclude: list[str],
-    ) -> Answer | Problem:
-        """Admit and send one attempt; return the problem if it is refused."""
-        document = request.document
+        self, request: Request, ask: Ask, tries: Tries, trace: Trace, stack: AsyncExitStack
+    ) -> Answer | Problem | AttemptError:
+        """Admit and send one attempt; the stack owns its slot and its connection."""
         decision = await stack.enter_async_context(self.admissions.admitted(ask))
         if isinstance(decision, Refused):
             self.metrics.count("refused")
             trace.note("refused", reason=decision.reason, retry_after_s=decision.retry_after_s)
             remedy = "send it again after the given time"
             return Problem(503, decision.reason, remedy, decision.retry_after_s)
-        exclude.append(decision.engine)
-        target = document.targets.get(decision.engine)
+        tries.exclude.append(decision.engine)
+        target = request.document.targets.get(decision.engine)
         if target is None:
-            raise NotSentError(f"{decision.engine} is not in this router's document")
+            return NotSentError(f"{decision.engine} is not in this router's document")
         trace.note("admitted", target=decision.engine, why=decision.why, owner=decision.owner)
         self.metrics.count(f"placed.{decision.why}")
-        if number:
-            self.metrics.count("retry")
-        dispatcher = self.dispatchers[document.kind]
-        # Two callers may choose one request id; attempts must differ all the same.
-        attempt = f"{request.id}.{uuid.uuid4().hex[:12]}.{number}"
         try:
-            # A reused connection may break just as the request is written, so that nobody knows
-            # whether it ran; requests that may not be repeated go over a new one.
-            reuse = number == 0 and not request.is_unsafe and request.key is None
-            opened = dispatcher.open(request, target, attempt, reuse)
-            answer = await stack.enter_async_context(opened)
-        except (NotSentError, TargetRefusedError, MayHaveRunError) as error:
-            if isinstance(error, NotSentError):
-                self.targets.note_failure(target.address)
-            if isinstance(error, SilentConnectionError):
-                exclude.remove(target.name)
-            trace.note("attempt failed", target=target.name, why=str(error))
-            log(Event.ATTEMPT_FAILED, request=request.id, target=target.name, why=str(error))
-            raise
+            answer = await stack.enter_async_context(self.open(request, target, tries))
+        except AttemptError as error:
+            self.note_failure(request, target, tries, trace, error)
+            return error
         trace.note("answer begun", target=target.name, status=answer.status)
         answer.holders = next_holders(decision, request.holders)
         return answer
 
-    def ask(self, request: Request, exclude: tuple[str, ...]) -> Ask | None:
-        """Return what to ask the owner; None if no target is usable."""
+    def open(
+        self, request: Request, target: Target, tries: Tries
+    ) -> AbstractAsyncContextManager[Answer]:
+        """Send one attempt under an id of its own."""
+        if tries.number:
+            self.metrics.count("retry")
+        # Two callers may choose one request id; attempts must differ all the same.
+        attempt = f"{request.id}.{uuid.uuid4().hex[:12]}.{tries.number}"
+        # A reused connection may break just as the request is written, so that nobody knows
+        # whether it ran; requests that may not be repeated go over a new one.
+        reuse = tries.number == 0 and request.is_repeatable
+        return self.dispatchers[request.document.kind].open(request, target, attempt, reuse)
+
+    def note_failure(
+        self, request: Request, target: Target, tries: Tries, trace: Trace, error: AttemptError
+    ) -> None:
+        """Record a failed attempt, and what it says of its target."""
+        if isinstance(error, NotSentError):
+            self.targets.note_failure(target.address)
+        if isinstance(error, SilentConnectionError):
+            tries.exclude.remove(target.name)
+        trace.note("attempt failed", target=target.name, why=str(error))
+        log(Event.ATTEMPT_FAILED, request=request.id, target=target.name, why=str(error))
+
+    def ask(self, request: Request, tries: Tries) -> Ask | None:
+        """Return what to ask the owner; None if no target is usable or the deadline passed."""
+        left_s = request.deadline - time.monotonic()
+        if left_s <= 0:
+            tries.problem = Problem(504, "the deadline passed", "send it again", RETRY_SOON_S)
+            return None
         document = request.document
         chat = request.chat if request.chat is not None else hashing.digest(request.id)
 
         def usable(names: tuple[str, ...]) -> set[str]:
-            return self.targets.usable(document, names) - set(exclude)
+            return self.targets.usable(document, names) - set(tries.exclude)
 
-        cell = cells.cell_of(document, chat, request.holders, usable)
+        cell = partition.cell_of(document, chat, request.holders, usable)
         if cell is None:
             return None
-        left_s = request.deadline - time.monotonic()
         return Ask(
             cell=cell,
             chat=chat,
@@ -250,8 +267,8 @@
             account=request.account.name,
             weight=request.account.weight,
             urgency=request.urgency,
-            exclude=exclude,
-            wait_s=max(0.0, min(document.queue_wait_s, left_s)),
+            exclude=tuple(tries.exclude),
+            wait_s=min(document.queue_wait_s, left_s),
             patience_s=patience(request),
             first_turn=request.first_turn or request.chat is None,
         )
--- a/marjoramspool/services/client.py
+++ b/marjoramspool/services/client.py
@@ -17,7 +17,7 @@
 )
 from marjoramspool.document import Target
 from marjoramspool.events import Event, log
-from marjoramspool.http import new_session
+from marjoramspool.http import Sessions
 
 __all__ = ["Services"]
 
@@ -42,21 +42,10 @@
 class Services:
     """Send attempts to the targets of plain services."""
 
-    __slots__ = ("connect_s", "fresh", "pooled")
+    __slots__ = ("sessions",)
 
-    def __init__(self, connect_s: float):
-        self.connect_s = connect_s
-        self.pooled: aiohttp.ClientSession | None = None
-        self.fresh: aiohttp.ClientSession | None = None
-
-    async def __aenter__(self):
-        self.pooled = new_session(self.connect_s)
-        self.fresh = new_session(self.connect_s, reuse=False)
-        return self
-
-    async def __aexit__(self, *details):
-        await self.pooled.close()
-        await self.fresh.close()
+    def __init__(self, sessions: Sessions):
+        self.sessions = sessions
 
     @asynccontextmanager
     async def open(self, request: Request, target: Target, attempt: str, reuse: bool):
@@ -76,7 +65,7 @@
         self, request: Request, target: Target, attempt: str, reuse: bool
     ) -> aiohttp.ClientResponse:
         """Send an attempt and return the response once its head is there."""
-        session = self.pooled if reuse else self.fresh
+        session = self.sessions.pick(reuse)
         wait_s = max(0.0, request.deadline - time.monotonic())
         if reuse:
             wait_s = min(wait_s, request.document.idle_timeout_s)
--- a/marjoramspool/settings.py
+++ b/marjoramspool/settings.py
@@ -136,7 +136,7 @@
         owner_answer_s=section.seconds("owner-answer", 0.01, 5, 0.25),
         poll_period_s=section.seconds("poll-period", 0.05, 60, 2.0),
         host_period_s=section.seconds("host-period", 0.05, 60, 2.0),
-        watch_s=section.seconds("watch", 0.2, 60, 2.0),
+        watch_s=section.seconds("watch", 0.2, 60, 1.0),
         platform_timeout_s=section.seconds("platform-timeout", 0.05, 30, 1.0),
         connect_s=section.seconds("connect", 0.05, 30, 1.0),
         drain_delay_s=section.seconds("drain-delay", 0, 60, 2.0),
--- a/marjoramspool/tests/test_admission.py
+++ b/marjoramspool/tests/test_admission.py
@@ -7,7 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from marjoramspool.admission import Ask, Cell, EngineView, Granted, Refused
+from marjoramspool.admission import Ask, EngineView, Granted, Refused
+from marjoramspool.cell import Cell
 from marjoramspool.placement import LEAST_CAP, Bounded, HashOnly, Holder
 
 BOUND = 1.25
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from standins.faults import Faults, hang, sever
+from standins.replies import reply
 
 __all__ = ["EngineStandin", "Pace"]
 
@@ -385,8 +386,3 @@
     return msgspec.json.encode(
         {"id": attempt, "object": "chat.completion.chunk", "choices": [choice], "usage": usage}
     )
-
-
-def reply(body) -> web.Response:
-    """Return a JSON response."""
-    return web.Response(body=msgspec.json.encode(body), content_type="application/json")
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from standins.faults import Faults, hang, sever
+from standins.replies import reply
 
 __all__ = ["PlatformStandin"]
 
@@ -168,10 +169,3 @@
         return False
     times.append(now)
     return True
-
-
-def reply(body, status: int = 200) -> web.Response:
-    """Return a JSON response."""
-    return web.Response(
-        body=msgspec.json.encode(body), status=status, content_type="application/json"
-    )
--- a/standins/service.py
+++ b/standins/service.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from standins.faults import Faults, hang, sever
+from standins.replies import reply
 
 __all__ = ["ServiceStandin"]
 
@@ -82,10 +83,8 @@
             "queued": 0,
             "leaving": self.leaving,
         }
-        return web.Response(body=msgspec.json.encode(report), content_type="application/json")
+        return reply(report)
 
     async def read_executions(self, request: web.Request) -> web.Response:
         """Return how often each request ran."""
-        return web.Response(
-            body=msgspec.json.encode(dict(self.executions)), content_type="application/json"
-        )
+        return reply(dict(self.executions))
