Shorten the heads of claim shards at low rates; take test ports from outside the outgoing range

Cause: every commit writes the whole head of a shard; at 400 entries a lone claim moved 240 KB, far over a few KB/s. A fleet of 32 routers failed to start since a port that was free when chosen went to an outgoing connection (seen once, in a measurement). Ruled out: more shards (they cost writes at high rates). Change: a head keeps 8 times its last batch, from 48 to 400 entries. Ports are taken below the kernel's range for outgoing connections.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -136,7 +136,7 @@
             except aiohttp.ClientError:
                 pass
             await asyncio.sleep(POLL_S)
-        raise TimeoutError(f"{url} did not answer within {START_S:g} s\n{self.logs()}")
+        raise TimeoutError(f"{url} did not answer within {START_S:g} s\n{self.logs()[-4000:]}")
 
     async def wait_ready(self) -> None:
         """Wait until every router is ready."""
--- a/bench/ports.py
+++ b/bench/ports.py
@@ -1,18 +1,36 @@
 """Free ports on loopback."""
 
+import itertools
+import os
 import socket
 
 __all__ = ["free_ports"]
 
+FIRST_PORT = 10_000
+PORTS = 20_000
+STEP = 97
+
+# Below the range from which the kernel takes the ports of outgoing connections, which could take a
+# port between its choice and its use.
+numbers = itertools.count(os.getpid() * STEP)
+
 
 def free_ports(count: int) -> list[int]:
     """Return ports that nothing listens on now, all different."""
-    sockets = []
-    for _ in range(count):
-        listener = socket.socket()
-        listener.bind(("127.0.0.1", 0))
-        sockets.append(listener)
-    ports = [listener.getsockname()[1] for listener in sockets]
-    for listener in sockets:
-        listener.close()
+    ports: list[int] = []
+    while len(ports) < count:
+        port = FIRST_PORT + next(numbers) % PORTS
+        if is_free(port):
+            ports.append(port)
     return ports
+
+
+def is_free(port: int) -> bool:
+    """Tell whether nothing listens on a port."""
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
--- a/marjoramspool/claims.py
+++ b/marjoramspool/claims.py
@@ -134,7 +134,7 @@
         releases = any(isinstance(entry.operation, Release) for entry in batch)
         if releases or shard.entries != before:
             shard.commit = uuid.uuid4().hex
-            await self.roll(shard, now)
+            await self.roll(shard, now, len(batch))
             if not await self.write_head(shard, version):
                 return False
         elif not is_fresh:
@@ -178,11 +178,11 @@
             del self.segments[name]
         return older
 
-    async def roll(self, shard: Shard, now: float) -> None:
+    async def roll(self, shard: Shard, now: float, batch: int) -> None:
         """Move the oldest settled entries of a long head to a segment; drop expired ones."""
         oldest = now - self.retention_s()
         shard.segments = [s for s in shard.segments if s.newest >= oldest]
-        keys = ledger.removable(shard, now)
+        keys = ledger.removable(shard, now, batch)
         if not keys:
             return
         moved = {key: shard.entries[key] for key in keys}
--- a/marjoramspool/ledger.py
+++ b/marjoramspool/ledger.py
@@ -26,6 +26,8 @@
 ANSWER_KEPT_BYTES = 2048
 STALE_CLAIM_S = 3600.0
 HEAD_ENTRIES = 400
+LEAST_HEAD_ENTRIES = 48
+HEAD_BATCHES = 8
 
 
 class Entry(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -159,9 +161,13 @@
     return Claimed(held.attempt)
 
 
-def removable(shard: Shard, now: float) -> list[str]:
-    """Return the oldest settled keys of a head that has grown too long."""
-    if len(shard.entries) <= HEAD_ENTRIES:
+def removable(shard: Shard, now: float, batch: int) -> list[str]:
+    """Return the oldest settled keys of a head that has grown too long.
+
+    Every commit writes the whole head, so a head that gets few operations at a time stays short.
+    """
+    limit = min(HEAD_ENTRIES, max(LEAST_HEAD_ENTRIES, HEAD_BATCHES * batch))
+    if len(shard.entries) <= limit:
         return []
     settled = [
         key
@@ -169,4 +175,4 @@
         if entry.status or now - entry.at > STALE_CLAIM_S
     ]
     settled.sort(key=lambda key: shard.entries[key].at)
-    return settled[: HEAD_ENTRIES // 2]
+    return settled[: limit // 2]
