--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -173,7 +173,7 @@
     started, wall = time.process_time(), time.monotonic()
     for _ in range(count):
         granted = await link.place(ask, 5.0)
-        link.release(ask.cell, granted.engine, ask.account, False)
+        link.release(ask.cell, granted.engine, ask.account)
     spent, waited = time.process_time() - started, time.monotonic() - wall
     await link.close()
     await server.stop(0)
--- a/marjoramspool/admissions.py
+++ b/marjoramspool/admissions.py
@@ -36,7 +36,7 @@
     async def place(self, owner: str, ask: Ask) -> Admission:
         """Ask an owner; raise OwnerSilentError if it does not answer in time."""
 
-    def release(self, owner: str, cell: str, engine: str, account: str, failed: bool) -> None:
+    def release(self, owner: str, cell: str, engine: str, account: str) -> None:
         """Give back one attempt."""
 
     def hold(self, owner: str, cell: str, holds: dict[tuple[str, str], int]) -> None:
@@ -182,7 +182,7 @@
         now = self.owned_by.get(ask.cell, owner)
         if now == owner:
             return
-        self.owners.release(owner, ask.cell, engine, ask.account, False)
+        self.owners.release(owner, ask.cell, engine, ask.account)
         if now != self.me:
             self.owners.hold(now, ask.cell, self.holds(ask.cell))
 
@@ -192,7 +192,7 @@
         self.cell(ask.cell).release(self.me, grant.engine, ask.account)
         owner = self.owned_by.get(ask.cell, self.me)
         if owner != self.me:
-            self.owners.release(owner, ask.cell, grant.engine, ask.account, False)
+            self.owners.release(owner, ask.cell, grant.engine, ask.account)
 
     def repeat_holdings(self) -> None:
         """Tell owners again what this router holds, so that lost messages do no lasting harm."""
--- a/marjoramspool/callers/tests/test_path.py
+++ b/marjoramspool/callers/tests/test_path.py
@@ -1,7 +1,11 @@
 """The whole path: chats, plain services, accounts and problem details."""
 
+import ssl
+
+import aiohttp
 import msgspec
 import pytest
+import trustme
 from yarl import URL
 
 from bench.chats import Chat, take_turn
@@ -91,3 +95,19 @@
     async with fleet.session.get(URL(url, encoded=True), headers=headers) as response:
         body = msgspec.json.decode(await response.read())
     assert body["ran"] == "/look/a%2Fb?q=x%20y"
+
+
+async def test_callers_may_use_tls(fleet, tmp_path):
+    authority = trustme.CA()
+    issued = authority.issue_cert("127.0.0.1")
+    issued.private_key_pem.write_to_path(tmp_path / "key.pem")
+    (tmp_path / "cert.pem").write_bytes(issued.cert_chain_pems[0].bytes())
+    extra = f"[callers-tls]\ncertificate = {tmp_path}/cert.pem\nkey = {tmp_path}/key.pem\n"
+    router = await fleet.add_router("router-0", "domain-0", extra)
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    port = router.settings.callers_port
+    async with fleet.session.get(f"https://127.0.0.1:{port}/livez", ssl=context) as response:
+        assert response.status == 200
+    with pytest.raises(aiohttp.ClientError):
+        await fleet.session.get(f"http://127.0.0.1:{port}/livez")
--- a/marjoramspool/document.py
+++ b/marjoramspool/document.py
@@ -4,7 +4,7 @@
 import hashlib
 from dataclasses import dataclass
 
-from marjoramspool.inifile import Reader
+from marjoramspool.inifile import InvalidFileError, Reader
 
 __all__ = [
     "Account",
@@ -16,8 +16,6 @@
     "read_document",
 ]
 
-from marjoramspool.inifile import InvalidFileError
-
 LOWEST_URGENCY = 7
 SHA256_HEX_DIGITS = 64
 
--- a/marjoramspool/engines/client.py
+++ b/marjoramspool/engines/client.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import aclosing, asynccontextmanager, suppress
 
 import aiohttp
 import msgspec
@@ -22,8 +22,7 @@
 from marjoramspool.engines.stream import (
     CutError,
     Event,
-    ForeignAnswerError,
-    SilentError,
+    StreamError,
     check_events,
     chunk_id,
     read_events,
@@ -38,6 +37,7 @@
 REPORT_S = 1.0
 RESUMES = 5
 RESUME_PAUSE_S = 0.05
+SHORTEST_IDLE_S = 0.001
 NOT_RUN_STATUSES = (429, 503)
 HTTP_OK = 200
 MISSING = "missing"
@@ -181,7 +181,7 @@
         try:
             try:
                 first = await anext(events)
-            except (CutError, ForeignAnswerError, StopAsyncIteration) as error:
+            except (StreamError, StopAsyncIteration) as error:
                 raise MayHaveRunError(
                     f"the stream broke before its first event: {error}"
                 ) from error
@@ -202,30 +202,17 @@
         finished = False
         try:
             while not finished:
-                idle_s = min(
-                    request.document.idle_timeout_s,
-                    max(0.001, request.deadline - time.monotonic()),
-                )
                 try:
-                    events = read_events(response.content, idle_s)
-                    async for event in check_events(events, attempt, after):
-                        after = max(after, event.number)
-                        resumes = 0
-                        finished = event.is_last
-                        yield event
-                        if finished:
-                            break
-                except (CutError, SilentError) as error:
+                    async with self.events(request, attempt, response, after) as events:
+                        async for event in events:
+                            after = max(after, event.number)
+                            resumes = 0
+                            finished = event.is_last
+                            yield event
+                except StreamError as error:
                     resumes += 1
                     response.close()
                     if resumes > RESUMES or time.monotonic() >= request.deadline:
-                        raise CutError(str(error)) from error
-                    response = await self.resume(target, attempt, after, resumes, error)
-                except ForeignAnswerError as error:
-                    log(LogEvent.ANSWER_REJECTED, attempt=attempt, engine=target.name)
-                    resumes += 1
-                    response.close()
-                    if resumes > RESUMES:
                         raise
                     response = await self.resume(target, attempt, after, resumes, error)
         finally:
@@ -233,6 +220,19 @@
             if not finished:
                 await self.cancel(target, attempt)
 
+    @asynccontextmanager
+    async def events(
+        self, request: Request, attempt: str, response: aiohttp.ClientResponse, after: int
+    ):
+        """Yield the checked events of one connection."""
+        left_s = max(SHORTEST_IDLE_S, request.deadline - time.monotonic())
+        idle_s = min(request.document.idle_timeout_s, left_s)
+        async with (
+            aclosing(read_events(response.content, idle_s)) as raw,
+            aclosing(check_events(raw, attempt, after)) as events,
+        ):
+            yield events
+
     async def resume(
         self, target: Target, attempt: str, after: int, tries: int, cause: Exception
     ) -> aiohttp.ClientResponse:
@@ -253,13 +253,13 @@
 
     async def cancel(self, target: Target, attempt: str) -> None:
         """Tell an engine that nobody waits for an attempt any more."""
-        try:
-            async with asyncio.timeout(REPORT_S):
-                url = f"http://{target.address}/v1/streams/{attempt}"
-                async with self.sessions.fresh.delete(url) as response:
-                    await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            pass
+        url = f"http://{target.address}/v1/streams/{attempt}"
+        with suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with (
+                asyncio.timeout(REPORT_S),
+                self.sessions.fresh.delete(url) as response,
+            ):
+                await response.read()
 
 
 async def pass_on(first: Event, events: AsyncIterator[Event]) -> AsyncIterator[bytes]:
@@ -270,5 +270,5 @@
     try:
         async for event in events:
             yield event.raw
-    except (CutError, ForeignAnswerError) as error:
+    except StreamError as error:
         raise BrokenAnswerError(str(error)) from error
--- a/marjoramspool/engines/stream.py
+++ b/marjoramspool/engines/stream.py
@@ -7,11 +7,15 @@
 import aiohttp
 import msgspec
 
+from marjoramspool.events import Event as LogEvent
+from marjoramspool.events import log
+
 __all__ = [
     "CutError",
     "Event",
     "ForeignAnswerError",
     "SilentError",
+    "StreamError",
     "check_events",
     "read_events",
 ]
@@ -21,15 +25,19 @@
 BREAK = b"\n\n"
 
 
-class CutError(Exception):
+class StreamError(Exception):
+    """Report that a connection gives no more events of an attempt."""
+
+
+class CutError(StreamError):
     """Report that a stream ended before its terminal marker."""
 
 
-class SilentError(Exception):
+class SilentError(StreamError):
     """Report that nothing came over a connection for too long."""
 
 
-class ForeignAnswerError(Exception):
+class ForeignAnswerError(StreamError):
     """Report content of another attempt."""
 
 
@@ -141,6 +149,7 @@
     """
     async for event in events:
         if not event.is_last and chunk_id(event) != attempt:
+            log(LogEvent.ANSWER_REJECTED, attempt=attempt)
             raise ForeignAnswerError(f"an event is not of attempt {attempt}")
         if event.number >= 0:
             if event.number <= after:
--- a/marjoramspool/platform/tests/test_configuration.py
+++ b/marjoramspool/platform/tests/test_configuration.py
@@ -157,10 +157,13 @@
     assert body.changes[1].from_version > body.changes[0].from_version
 
 
-def test_an_older_version_is_never_taken(fleet_text="[service]\nname = s\nkind = plain\n"):
+def test_an_older_version_is_never_taken():
+    text = (
+        "[service]\nname = s\nkind = plain\n[target t]\naddress = 127.0.0.1:1\n"
+        "[account a]\nkey-sha256 = " + "0" * 64
+    )
+    body = encode_body(text, []).encode()
     configuration = Configuration()
-    good = fleet_text + "[target t]\naddress = 127.0.0.1:1\n[account a]\nkey-sha256 = " + "0" * 64
-    body = encode_body(good, []).encode()
     assert configuration.offer("s", 5, body, "test")
     assert not configuration.offer("s", 4, None, "test")
     assert not configuration.offer("s", 6, msgspec.json.encode("x"), "test")
--- a/marjoramspool/routers/link.py
+++ b/marjoramspool/routers/link.py
@@ -162,14 +162,14 @@
         if answer.done() and not answer.cancelled() and answer.exception() is None:
             decision = answer.result()
             if isinstance(decision, Granted):
-                self.release(ask.cell, decision.engine, ask.account, False)
+                self.release(ask.cell, decision.engine, ask.account)
             return
         self.send(pb.PlaceRequest(number=number, cancel=pb.Cancel()))
 
-    def release(self, cell: str, engine: str, account: str, failed: bool) -> None:
+    def release(self, cell: str, engine: str, account: str) -> None:
         """Give back one attempt."""
         if self.task and not self.task.done():
-            release = pb.Release(cell=cell, engine=engine, account=account, failed=failed)
+            release = pb.Release(cell=cell, engine=engine, account=account)
             self.send(pb.PlaceRequest(release=release))
 
     def hold(self, cell: str, holds: dict[tuple[str, str], int]) -> None:
--- a/marjoramspool/routers/links.py
+++ b/marjoramspool/routers/links.py
@@ -117,11 +117,11 @@
             self.reset(address)
             raise
 
-    def release(self, owner: str, cell: str, engine: str, account: str, failed: bool) -> None:
+    def release(self, owner: str, cell: str, engine: str, account: str) -> None:
         """Give back one attempt."""
         link = self.links.get(self.address_of(owner))
         if link:
-            link.release(cell, engine, account, failed)
+            link.release(cell, engine, account)
 
     def hold(self, owner: str, cell: str, holds: dict[tuple[str, str], int]) -> None:
         """Tell an owner all that this router holds in a cell."""
