Copy prompts between engines' caches; close idle connections at a stop without a race

Change: a request names the engine to copy from when one holds 1,000 tokens more. Cause 2: LOST at SIGTERM, requests that were read but not yet begun when idle connections were closed (aiohttp's own close leaves the connection open and deaf). Change: a connection knows whether bytes of a request have come. Cause 3: a peer's state was read only up to its first chunk, so that a router could not catch up.

--- a/marjoramspool/engine_choice.py
+++ b/marjoramspool/engine_choice.py
@@ -16,15 +16,24 @@
 
 # The rest of an engine's memory is taken by the requests that it runs.
 CACHE_SHARE = 0.8
+FETCH_ABOVE_TOKENS = 1000
 
 
 class Placement:
     """Hold one request's place at an engine until the attempt ends."""
 
-    __slots__ = ("choice", "engine", "is_read", "loads", "unread_tokens")
+    __slots__ = ("choice", "engine", "is_read", "loads", "source", "unread_tokens")
 
-    def __init__(self, engine: Engine, loads: EngineLoads, unread_tokens: int, choice: Choice):
+    def __init__(
+        self,
+        engine: Engine,
+        loads: EngineLoads,
+        unread_tokens: int,
+        choice: Choice,
+        source: Engine | None = None,
+    ):
         self.engine = engine
+        self.source = source
         self.loads = loads
         self.unread_tokens = unread_tokens
         self.choice = choice
@@ -78,12 +87,24 @@
         if choice is None:
             return None
         engine = by_id[choice.engine.name]
+        source = self.source(engine, parts, choice.engine.held_tokens) if parts else None
         if parts:
             self.note_read(engine, parts)
             for call in self.on_placed:
                 call(engine, parts)
         unread = max(0, tokens - choice.engine.held_tokens)
-        return Placement(engine, self.loads, unread, choice)
+        return Placement(engine, self.loads, unread, choice, source)
+
+    def source(self, engine: Engine, parts: tuple[Part, ...], held_tokens: int) -> Engine | None:
+        """Return an engine from which another can copy much of a prompt, also a leaving one."""
+        best, most = None, held_tokens + FETCH_ABOVE_TOKENS
+        for other in self.engines.engines.values():
+            if other.service != engine.service or other.id == engine.id:
+                continue
+            held = self.caches.held((other.id, other.started_ms), parts)
+            if held > most and not self.trust.is_suspect(other.id):
+                best, most = other, held
+        return best
 
     def candidate(self, engine: Engine, parts: tuple[Part, ...]) -> Candidate:
         """Return what the choice needs to know of an engine."""
--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -39,7 +39,6 @@
     ENGINE_LISTED = (505, "info", "an engine registered or changed its state")
     ENGINE_UNLISTED = (506, "info", "an engine's registration is gone")
     ENGINE_SUSPECTED = (507, "warning", "an engine failed requests and is passed over for a while")
-    ENGINE_TRUSTED = (508, "info", "an engine that was passed over gets requests again")
     REGISTRATION_UNREADABLE = (509, "warning", "a registration could not be read and is ignored")
     ATTEMPT_FAILED = (601, "info", "an attempt failed")
     STREAM_RESUMED = (602, "info", "a stream went on over a new connection")
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -61,9 +61,13 @@
     """Send one attempt to an engine."""
 
     def open(
-        self, request: RoutedRequest, engine: Engine, after_event: int | None
+        self,
+        request: RoutedRequest,
+        engine: Engine,
+        after_event: int | None,
+        source: Engine | None,
     ) -> AbstractAsyncContextManager[WholeAnswer | StreamAnswer]:
-        """Send an attempt and yield its answer.
+        """Send an attempt and yield its answer; the engine may copy the prompt from a source.
 
         Raise NotSentError, TargetRefusedError or MayHaveRunError.
         """
@@ -164,7 +168,7 @@
         self.note_sending(request, placement, tries)
         try:
             async with asyncio.timeout(self.patience_s(request, tries)):
-                opening = self.client.open(request, engine, after)
+                opening = self.client.open(request, engine, after, placement.source)
                 answer = await stack.enter_async_context(opening)
                 if isinstance(answer, StreamAnswer):
                     answer.events = await first_event(answer.events, stack)
@@ -197,6 +201,7 @@
             held=candidate.held_tokens,
             load=candidate.load.requests,
             unread=candidate.load.unread_tokens,
+            source=placement.source.id if placement.source else None,
             left_s=round(request.left_s(), 3),
         )
 
--- a/marjoramspool/peers/state.py
+++ b/marjoramspool/peers/state.py
@@ -20,7 +20,6 @@
 # The store usually brings a change to all routers within this time.
 PATIENCE_S = 0.25
 CHECK_PERIOD_S = 0.1
-LARGEST_STATE_BYTES = 16 << 20
 
 
 class StateCalls:
@@ -83,7 +82,7 @@
             async with asyncio.timeout(CALL_S):
                 async with self.session.get(f"http://{peer.address}:{port}{PATH}") as response:
                     response.raise_for_status()
-                    body = await response.content.read(LARGEST_STATE_BYTES)
+                    body = await response.read()
             state = msgspec.msgpack.decode(body, type=RouterState)
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as error:
             log(Event.PEER_STATE_MISSED, router=peer.name, why=repr(error))
--- a/marjoramspool/platform/daemon.py
+++ b/marjoramspool/platform/daemon.py
@@ -191,14 +191,15 @@
 
     async def shut_down(self) -> None:
         """Leave gracefully: fail readiness, serve what still comes, finish all, then stop."""
-        log(Event.ROUTER_DRAINING, in_flight=self.ingress.in_flight)
+        log(Event.ROUTER_DRAINING, in_flight=len(self.ingress.busy))
         self.ingress.is_stopping = True
         try:
             async with asyncio.timeout(self.settings.bounds.stop_s - STOP_MARGIN_S):
                 await asyncio.sleep(LEAVE_ROTATION_S)
-                await self.ingress.idle.wait()
+                self.ingress.refuse_connections()
+                await self.ingress.finish_all()
         except TimeoutError:
-            log(Event.ROUTER_DRAINING, in_flight=self.ingress.in_flight)
+            log(Event.ROUTER_DRAINING, in_flight=len(self.ingress.busy))
 
 
 async def keep_running(work) -> None:
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -50,10 +50,17 @@
         await self.fresh.close()
 
     @asynccontextmanager
-    async def open(self, request: RoutedRequest, engine: Engine, after_event: int | None):
+    async def open(
+        self,
+        request: RoutedRequest,
+        engine: Engine,
+        after_event: int | None,
+        source: Engine | None,
+    ):
         """Send an attempt and yield its answer; raise as forwarding.EngineClient says."""
         context = SimpleNamespace(is_reused=False)
-        response = await self.send(request, engine, after_event, context)
+        headers = request_headers(request, engine, after_event, source)
+        response = await self.send(request, engine, headers, context)
         try:
             check_head(request, engine, response, context.is_reused)
             if response.status in OK and response.content_type == SSE:
@@ -69,7 +76,7 @@
         self,
         request: RoutedRequest,
         engine: Engine,
-        after_event: int | None,
+        headers: list[tuple[str, str]],
         context: SimpleNamespace,
     ) -> aiohttp.ClientResponse:
         """Send an attempt and return the response once its head is there."""
@@ -82,7 +89,7 @@
                 request.method,
                 URL(f"http://{engine.address}{request.path}", encoded=True),
                 data=request.body or None,
-                headers=request_headers(request, engine, after_event),
+                headers=headers,
                 allow_redirects=False,
                 trace_request_ctx=context,
             )
@@ -99,7 +106,7 @@
 
 
 def request_headers(
-    request: RoutedRequest, engine: Engine, after_event: int | None
+    request: RoutedRequest, engine: Engine, after_event: int | None, source: Engine | None
 ) -> list[tuple[str, str]]:
     """Return the headers of an attempt."""
     headers = list(request.headers)
@@ -109,6 +116,8 @@
         headers.append(("X-Tenant", request.account.name))
     if after_event is not None:
         headers.append(("Last-Event-Id", str(after_event)))
+    if source is not None:
+        headers.append(("Kv-Fetch", source.address))
     return headers
 
 
--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -20,7 +20,11 @@
 
 MS = 1000.0
 NO_TABLE_RETRY_S = 0.3
-IDLE_FACTOR = 1.25
+# Clients reuse connections that were idle for most of the limit; none may meet a close.
+KEEPALIVE_S = 120.0
+BACKLOG = 1024
+CLOSE_S = 0.1
+FINISH_CHECK_S = 0.05
 LARGEST_HEADERS_BYTES = 65_536
 
 
@@ -32,45 +36,73 @@
         self.status = status
 
 
+class ClientConnection(web.RequestHandler):
+    """Know whether bytes of a request have come that are not answered yet."""
+
+    __slots__ = ("has_request",)
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.has_request = False
+
+    def data_received(self, data: bytes) -> None:
+        """Note that a request has begun."""
+        self.has_request = True
+        super().data_received(data)
+
+
 class Ingress:
     """Serve clients, and count what is in flight so that a stop can wait for it."""
 
-    __slots__ = ("forwarding", "idle", "in_flight", "is_stopping", "runner", "server", "tables")
+    __slots__ = ("busy", "forwarding", "is_stopping", "listener", "server", "tables")
 
     def __init__(self, forwarding: Forwarding, tables: TableFollower):
         self.forwarding = forwarding
         self.tables = tables
-        self.in_flight = 0
+        self.busy: set[asyncio.Protocol] = set()
         self.is_stopping = False
-        self.idle = asyncio.Event()
-        self.idle.set()
         self.server: web.Server | None = None
-        self.runner: web.ServerRunner | None = None
+        self.listener: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Listen for clients."""
-        self.server = web.Server(
-            self.handle,
-            handler_cancellation=True,
+        self.server = web.Server(self.handle, handler_cancellation=True)
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(self.connection, host, port, backlog=BACKLOG)
+
+    def connection(self) -> ClientConnection:
+        """Return what serves a new connection."""
+        return ClientConnection(
+            self.server,
+            loop=asyncio.get_running_loop(),
             auto_decompress=False,
             access_log=None,
-            keepalive_timeout=60.0,
+            keepalive_timeout=KEEPALIVE_S,
             max_line_size=LARGEST_HEADERS_BYTES,
             max_field_size=LARGEST_HEADERS_BYTES,
         )
-        self.runner = web.ServerRunner(self.server)
-        await self.runner.setup()
-        await web.TCPSite(self.runner, host, port, backlog=1024).start()
+
+    def refuse_connections(self) -> None:
+        """Take no new connections, and close those on which no request has begun."""
+        self.listener.close()
+        for connection in self.server.connections:
+            if not connection.has_request and connection.transport:
+                connection.transport.close()
+
+    async def finish_all(self) -> None:
+        """Wait until every request that has begun is answered."""
+        while self.busy or any(c.has_request for c in self.server.connections):
+            await asyncio.sleep(FINISH_CHECK_S)
 
     async def close(self) -> None:
         """Stop listening and close what is left."""
-        if self.runner:
-            await self.runner.cleanup()
+        if self.listener:
+            self.listener.close()
+            await self.server.shutdown(CLOSE_S)
 
     async def handle(self, raw: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
-        self.in_flight += 1
-        self.idle.clear()
+        self.busy.add(raw.protocol)
         name = raw.headers.get("X-Request-Id", "")
         try:
             return await self.serve(raw, name)
@@ -84,9 +116,8 @@
             log(Event.TASK_FAILED, task="request", request=name, error=repr(error))
             raise
         finally:
-            self.in_flight -= 1
-            if not self.in_flight:
-                self.idle.set()
+            self.busy.discard(raw.protocol)
+            raw.protocol.has_request = False
 
     async def serve(self, raw: web.BaseRequest, name: str) -> web.StreamResponse:
         """Check a request, forward it and pass its answer back."""
