Learn the caches after a start, from peers or from the engines

Cause: after a restart of routers (alone or all at once) nothing was known of the engines' caches, so subjects were read anew; most tokens read again fell into the seconds after such restarts (trace by two-second spans of what was not held at placement). Change: a starting router takes over a peer's state; when all start at once, one router asks each engine for its list and tells the others. Engines whose registration is gone stay sources of copies for 2 s.

--- a/marjoramspool/engine_choice.py
+++ b/marjoramspool/engine_choice.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from marjoramspool import hashing
+from marjoramspool.clock import now
 from marjoramspool.engine_list import Engine, EngineList
 from marjoramspool.engine_loads import EngineLoads
 from marjoramspool.engine_trust import EngineTrust
@@ -16,13 +17,13 @@
 
 # The rest of an engine's memory is taken by the requests that it runs.
 CACHE_SHARE = 0.8
-FETCH_ABOVE_TOKENS = 1000
+FETCH_ABOVE_TOKENS = 100
 
 
 class Placement:
     """Hold one request's place at an engine until the attempt ends."""
 
-    __slots__ = ("choice", "engine", "is_read", "loads", "source", "unread_tokens")
+    __slots__ = ("choice", "engine", "is_read", "loads", "since", "source", "unread_tokens")
 
     def __init__(
         self,
@@ -34,6 +35,7 @@
     ):
         self.engine = engine
         self.source = source
+        self.since = now()
         self.loads = loads
         self.unread_tokens = unread_tokens
         self.choice = choice
@@ -57,7 +59,7 @@
 class EngineChoice:
     """Choose engines, and remember what was sent where."""
 
-    __slots__ = ("caches", "domain", "engines", "loads", "on_placed", "table", "trust")
+    __slots__ = ("caches", "domain", "engines", "loads", "on_placed", "table", "trust", "unlisted")
 
     def __init__(self, domain: str, engines: EngineList, table: Callable[[], RouteTable | None]):
         self.domain = domain
@@ -67,12 +69,30 @@
         self.trust = EngineTrust()
         self.caches = PrefixCaches()
         self.on_placed: list[Callable[[Engine, tuple[Part, ...]], None]] = []
+        # Engines whose caches were filled before this router came to know them.
+        self.unlisted: set[tuple[str, int]] = set()
         engines.on_gone.append(self.forget)
 
     def forget(self, engine: Engine) -> None:
         """Drop what is kept of an engine that is gone or has started anew."""
         self.caches.forget((engine.id, engine.started_ms))
         self.trust.forget(engine.id)
+        self.unlisted.discard((engine.id, engine.started_ms))
+
+    def model_engines(self) -> list[Engine]:
+        """Return the engines that keep a cache of prompts."""
+        table = self.table()
+        services = table.services if table else {}
+        return [
+            engine
+            for engine in self.engines.engines.values()
+            if engine.service in services and services[engine.service].engine
+        ]
+
+    def note_listed(self, engine: Engine, parts: tuple[Part, ...]) -> None:
+        """Record what an engine held before this router came to know it."""
+        self.unlisted.discard((engine.id, engine.started_ms))
+        self.note_read(engine, parts)
 
     def place(self, request: RoutedRequest, exclude: set[str]) -> Placement | None:
         """Choose an engine for a request and take a place there; None if there is none."""
@@ -98,8 +118,8 @@
     def source(self, engine: Engine, parts: tuple[Part, ...], held_tokens: int) -> Engine | None:
         """Return an engine from which another can copy much of a prompt, also a leaving one."""
         best, most = None, held_tokens + FETCH_ABOVE_TOKENS
-        for other in self.engines.engines.values():
-            if other.service != engine.service or other.id == engine.id:
+        for other in self.engines.reachable(engine.service):
+            if other.id == engine.id:
                 continue
             held = self.caches.held((other.id, other.started_ms), parts)
             if held > most and not self.trust.is_suspect(other.id):
--- a/marjoramspool/engine_list.py
+++ b/marjoramspool/engine_list.py
@@ -8,6 +8,8 @@
 
 __all__ = ["Engine", "EngineList"]
 
+# An engine goes on serving for at least this long after its registration is gone.
+LINGER_S = 2.0
 # Engines that are alive renew a registration that lapsed in an outage within this time.
 RENEWAL_S = 2.2
 
@@ -33,12 +35,13 @@
     engine renews it; an engine that had announced its leaving is dropped at once.
     """
 
-    __slots__ = ("clock", "doubted", "engines", "on_gone", "revision")
+    __slots__ = ("clock", "doubted", "engines", "lingering", "on_gone", "revision")
 
     def __init__(self, clock: Callable[[], float] = now):
         self.clock = clock
         self.engines: dict[str, Engine] = {}
         self.doubted: dict[str, float] = {}
+        self.lingering: dict[str, tuple[Engine, float]] = {}
         self.revision = 0
         self.on_gone: list[Callable[[Engine], None]] = []
 
@@ -48,6 +51,7 @@
         before = self.engines.get(engine.id)
         if before and before.started_ms != engine.started_ms:
             self.forget(before)
+        self.lingering.pop(engine.id, None)
         self.engines[engine.id] = engine
         if before is None or before.is_leaving != engine.is_leaving:
             log(
@@ -83,7 +87,7 @@
         if self.engines.pop(engine.id, None) is None:
             return
         log(Event.ENGINE_UNLISTED, engine=engine.id, address=engine.address, revision=self.revision)
-        self.forget(engine)
+        self.lingering[engine.id] = (engine, self.clock() + LINGER_S)
 
     def forget(self, engine: Engine) -> None:
         """Tell all who keep something about an engine that it is gone."""
@@ -102,6 +106,16 @@
         for name in [name for name, until in self.doubted.items() if until <= time]:
             self.drop(self.engines[name])
 
+    def reachable(self, service: str) -> list[Engine]:
+        """Return the engines of a service that serve, also those that get no new work."""
+        moment = self.clock()
+        for engine, until in list(self.lingering.values()):
+            if until <= moment:
+                del self.lingering[engine.id]
+                self.forget(engine)
+        lingering = [engine for engine, _ in self.lingering.values()]
+        return [e for e in [*self.engines.values(), *lingering] if e.service == service]
+
     def usable(self, service: str) -> list[Engine]:
         """Return the engines of a service that may get new work."""
         if self.doubted:
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from marjoramspool.bounds import Bounds
+from marjoramspool.clock import now
 from marjoramspool.dispatch import (
     AttemptError,
     BrokenAnswerError,
@@ -177,6 +178,14 @@
         except TimeoutError:
             return MayHaveRunError(f"engine {engine.id} did not answer in time")
         placement.note_read()
+        waited_s = round(now() - placement.since, 4)
+        log(
+            Event.ANSWER_BEGUN,
+            request=request.id,
+            engine=engine.id,
+            status=answer.status,
+            waited_s=waited_s,
+        )
         if answer.status >= SERVER_ERROR:
             self.choice.trust.note_failure(engine.id)
             if self.may_repeat(request, tries):
@@ -198,6 +207,8 @@
             request=request.id,
             engine=placement.engine.id,
             attempt=tries.arrivals,
+            subject=request.prompt.subject if request.prompt else None,
+            tokens=request.prompt.input_tokens if request.prompt else None,
             held=candidate.held_tokens,
             load=candidate.load.requests,
             unread=candidate.load.unread_tokens,
--- a/marjoramspool/peers/exchange.py
+++ b/marjoramspool/peers/exchange.py
@@ -46,7 +46,8 @@
     told = []
     for (name, started), cache in choice.caches.caches.items():
         engine = choice.engines.engines.get(name)
-        if engine and engine.started_ms == started:
+        is_known = (name, started) not in choice.unlisted
+        if engine and engine.started_ms == started and is_known:
             parts = list(cache.parts.items())[-PARTS_TOLD_AN_ENGINE:]
             told.append(Placed(name, tuple(parts)))
     return tuple(told)
@@ -56,6 +57,6 @@
     """Take over what another router knows of the caches, where this one knows nothing."""
     for placed in told:
         engine = choice.engines.engines.get(placed.engine)
-        if engine and (engine.id, engine.started_ms) not in choice.caches.caches:
+        if engine and (engine.id, engine.started_ms) in choice.unlisted:
             parts = tuple(Part(*part) for part in placed.parts)
-            choice.note_read(engine, tuple(reversed(parts)))
+            choice.note_listed(engine, tuple(reversed(parts)))
--- /dev/null
+++ b/marjoramspool/peers/joining.py
@@ -0,0 +1,102 @@
+"""Learning what the engines' caches hold after a start.
+
+A router that starts alone asks the others. When all have started at once nobody knows, so each
+engine is asked for its list by one router, which tells the others.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from marjoramspool import hashing
+from marjoramspool.engine_choice import EngineChoice
+from marjoramspool.engine_list import Engine
+from marjoramspool.events import Event, log
+from marjoramspool.peers.directory import Directory
+from marjoramspool.peers.state import StateCalls
+from marjoramspool.prompts import Part
+
+__all__ = ["CacheLister", "Joining"]
+
+PEERS_ASKED = 3
+# Time for the others to be introduced, and for the first of them to answer.
+INTRODUCTION_S = 0.4
+CHECK_S = 0.02
+# Time for the router that is first for an engine to tell its list.
+OTHERS_LIST_S = 0.8
+
+
+class CacheLister(Protocol):
+    """Ask an engine what its cache holds."""
+
+    async def list_cache(self, engine: Engine) -> tuple[Part, ...] | None:
+        """Return the parts that an engine holds; None if it does not answer."""
+
+
+class Joining:
+    """Learn the caches of the engines that were there before this router."""
+
+    __slots__ = ("choice", "directory", "lister", "me", "on_listed", "port", "state_calls")
+
+    def __init__(
+        self,
+        me: str,
+        port: int,
+        directory: Directory,
+        choice: EngineChoice,
+        state_calls: StateCalls,
+        lister: CacheLister,
+        on_listed: Callable[[Engine, tuple[Part, ...]], None],
+    ):
+        self.me = me
+        self.port = port
+        self.directory = directory
+        self.choice = choice
+        self.state_calls = state_calls
+        self.lister = lister
+        self.on_listed = on_listed
+
+    async def learn(self) -> None:
+        """Learn the caches from the other routers, else from the engines."""
+        self.choice.unlisted = {
+            (engine.id, engine.started_ms) for engine in self.choice.model_engines()
+        }
+        if not self.choice.unlisted:
+            return
+        await self.ask_peers()
+        if not self.choice.unlisted:
+            return
+        await self.ask_engines(is_first=True)
+        await asyncio.sleep(OTHERS_LIST_S)
+        await self.ask_engines(is_first=False)
+
+    async def ask_peers(self) -> None:
+        """Take over the state of a router that has been there for longer."""
+        waited_s = 0.0
+        while not self.directory.peers and waited_s < INTRODUCTION_S:
+            await asyncio.sleep(CHECK_S)
+            waited_s += CHECK_S
+        known = sorted(self.directory.peers.values(), key=lambda peer: peer.heard is None)
+        for peer in known[:PEERS_ASKED]:
+            if not self.choice.unlisted:
+                return
+            await self.state_calls.fetch(peer, self.port)
+
+    async def ask_engines(self, is_first: bool) -> None:
+        """Ask the engines that this router is first for, or all whose caches are unknown."""
+        routers = [self.me, *self.directory.peers]
+        asked = [
+            engine
+            for engine in self.choice.model_engines()
+            if (engine.id, engine.started_ms) in self.choice.unlisted
+            and (not is_first or hashing.rank(hashing.digest(engine.id), routers)[0] == self.me)
+        ]
+        await asyncio.gather(*[self.ask(engine) for engine in asked])
+
+    async def ask(self, engine: Engine) -> None:
+        """Ask one engine, and tell the other routers what it holds."""
+        parts = await self.lister.list_cache(engine)
+        log(Event.CACHE_LISTED, engine=engine.id, parts=None if parts is None else len(parts))
+        if parts is not None:
+            self.choice.note_listed(engine, parts)
+            self.on_listed(engine, parts)
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -14,10 +14,14 @@
 
 
 class Placed(msgspec.Struct, array_like=True, frozen=True):
-    """Tell that an engine reads a chain of parts; each part is an id and its tokens."""
+    """Tell that an engine reads a chain of parts, or holds parts that it was asked for.
+
+    Each part is an id and its tokens.
+    """
 
     engine: str
     parts: tuple[tuple[int, int], ...]
+    is_listed: bool = False
 
 
 class Told(msgspec.Struct, array_like=True, frozen=True):
--- a/marjoramspool/peers/telling.py
+++ b/marjoramspool/peers/telling.py
@@ -22,7 +22,8 @@
 QUIET_PERIOD_S = 0.4
 # A router that is not heard of is told this often.
 SEEK_PERIOD_S = 1.0
-PLACED_IN_ONE = 40
+PLACED_IN_ONE = 10
+PARTS_IN_ONE = 100
 
 
 class Telling(asyncio.DatagramProtocol):
@@ -92,6 +93,12 @@
         """Remember a placement until it is told."""
         self.placed.append(Placed(engine.id, tuple((part.id, part.tokens) for part in parts)))
 
+    def note_listed(self, engine: Engine, parts: tuple[Part, ...]) -> None:
+        """Tell what an engine holds, in messages that fit a datagram."""
+        for start in range(0, len(parts), PARTS_IN_ONE):
+            some = tuple((part.id, part.tokens) for part in parts[start : start + PARTS_IN_ONE])
+            self.placed.append(Placed(engine.id, some, is_listed=True))
+
     async def tell_for_ever(self) -> None:
         """Tell the other routers whenever there is something new."""
         while True:
@@ -148,7 +155,19 @@
         for placed in told.placed:
             engine = self.choice.engines.engines.get(placed.engine)
             if engine:
-                self.choice.note_read(engine, tuple(Part(*part) for part in placed.parts))
+                self.take_placed(engine, placed)
+        self.take_loads(peer, told)
+
+    def take_placed(self, engine: Engine, placed: Placed) -> None:
+        """Take in what an engine reads or holds."""
+        parts = tuple(Part(*part) for part in placed.parts)
+        if placed.is_listed:
+            self.choice.note_listed(engine, parts)
+        else:
+            self.choice.note_read(engine, parts)
+
+    def take_loads(self, peer: Peer, told: Told) -> None:
+        """Take in how new a router's knowledge is and what it has under way."""
         # Datagrams may overtake each other; loads are only taken from the newest.
         if told.number <= peer.number:
             return
--- a/marjoramspool/platform/daemon.py
+++ b/marjoramspool/platform/daemon.py
@@ -15,6 +15,7 @@
 from marjoramspool.json_logs import JsonLines
 from marjoramspool.peers import exchange
 from marjoramspool.peers.directory import Directory, Peer
+from marjoramspool.peers.joining import Joining
 from marjoramspool.peers.messages import RouterState
 from marjoramspool.peers.state import StateCalls
 from marjoramspool.peers.telling import Telling
@@ -35,6 +36,7 @@
 LEAVE_ROTATION_S = 2.3
 STOP_MARGIN_S = 0.4
 RESTART_PAUSE_S = 0.2
+JOIN_CHECK_S = 0.02
 
 
 class PlatformRouter:
@@ -48,6 +50,7 @@
         "engines",
         "forwarding",
         "ingress",
+        "joining",
         "sessions",
         "settings",
         "stack",
@@ -83,6 +86,15 @@
         self.state_calls = StateCalls(
             self.directory, self.give_state, self.take_state, self.is_behind
         )
+        self.joining = Joining(
+            settings.address,
+            settings.peers_port,
+            self.directory,
+            self.choice,
+            self.state_calls,
+            self.sessions,
+            self.telling.note_listed,
+        )
         self.discovery = Discovery(self.store, settings, self.directory)
         self.ingress = Ingress(self.forwarding, self.tables)
 
@@ -161,6 +173,7 @@
         self.start_task(self.telling.tell_for_ever)
         self.start_task(lambda: self.state_calls.catch_up_for_ever(self.settings.peers_port))
         self.start_task(self.discovery.follow)
+        self.start_task(self.join)
         stack.push_async_callback(self.ingress.close)
         await self.ingress.start(*endpoint(self.settings.callers))
         runner = web.ServerRunner(web.Server(self.readiness, access_log=None))
@@ -173,6 +186,13 @@
             domain=self.settings.failure_domain,
         )
 
+    async def join(self) -> None:
+        """Learn the caches once the engines are known, then rest."""
+        while self.tables.table is None or self.engine_follower.revision is None:
+            await asyncio.sleep(JOIN_CHECK_S)
+        await self.joining.learn()
+        await asyncio.Event().wait()
+
     def start_task(self, work) -> None:
         """Run a background task, and start it again if it fails."""
         self.tasks.append(asyncio.create_task(keep_running(work)))
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 
 import aiohttp
+import msgspec
 from yarl import URL
 
 from marjoramspool.dispatch import MayHaveRunError, NotSentError, TargetRefusedError
@@ -16,6 +17,7 @@
 from marjoramspool.http import new_session
 from marjoramspool.platform.headers import pass_back
 from marjoramspool.platform.keepalive import keepalive_socket
+from marjoramspool.prompts import Part
 from marjoramspool.requests import RoutedRequest
 
 __all__ = ["EngineSessions"]
@@ -28,9 +30,18 @@
 # Statuses that say a request has not run; an engine that ran it must not be quoted with them.
 NOT_RUN = (408, 421, 429, 503)
 WRONG_INSTANCE = 421
+LIST_PATH = "/marjoramspool/kv-list"
+LIST_S = 1.0
 SSE = "text/event-stream"
 
 
+class ListFields(msgspec.Struct, frozen=True):
+    """Decode what an engine's cache holds."""
+
+    # Each entry is an empty text, the part's id in hexadecimal, its tokens and the model.
+    held: list[tuple[str, str, int, str]]
+
+
 class EngineSessions:
     """Send attempts to engines; use as an async context manager."""
 
@@ -72,6 +83,18 @@
         finally:
             response.close()
 
+    async def list_cache(self, engine: Engine) -> tuple[Part, ...] | None:
+        """Return the parts that an engine holds; None if it does not answer."""
+        url = f"http://{engine.address}{LIST_PATH}"
+        try:
+            async with asyncio.timeout(LIST_S), self.pooled.get(url) as response:
+                body = await response.read()
+            held = msgspec.json.decode(body, type=ListFields).held
+            return tuple(Part(int(name, 16), tokens) for _, name, tokens, _ in held)
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            log(Event.ATTEMPT_FAILED, target=engine.id, why=f"no list of the cache: {error!r}")
+            return None
+
     async def send(
         self,
         request: RoutedRequest,
