Take doubt about missing registrations from the end of an outage; notice displaced engines

Change: doubt only for what the first short call after an outage shows, until 2.2 s after it. Change: an engine whose address is another's is passed over; a router spends 0.75 of its share, and takes its share of at least four routers.

--- a/marjoramspool/dispatch.py
+++ b/marjoramspool/dispatch.py
@@ -13,6 +13,7 @@
     "AttemptError",
     "BrokenAnswerError",
     "Dispatcher",
+    "DisplacedError",
     "MayHaveRunError",
     "NotSentError",
     "Request",
@@ -34,6 +35,10 @@
     """Report that the target's protocol says that it did not run the request."""
 
 
+class DisplacedError(TargetRefusedError):
+    """Report that a target's address belongs to another one now."""
+
+
 class MayHaveRunError(AttemptError):
     """Report that the request may have run."""
 
--- a/marjoramspool/engine_list.py
+++ b/marjoramspool/engine_list.py
@@ -6,7 +6,7 @@
 from marjoramspool.clock import now
 from marjoramspool.events import Event, log
 
-__all__ = ["Engine", "EngineList"]
+__all__ = ["RENEWAL_S", "Engine", "EngineList"]
 
 # An engine goes on serving for at least this long after its registration is gone.
 LINGER_S = 2.0
@@ -35,12 +35,14 @@
     engine renews it; an engine that had announced its leaving is dropped at once.
     """
 
-    __slots__ = ("clock", "doubted", "engines", "lingering", "on_gone", "revision")
+    __slots__ = ("clock", "doubted", "displaced", "engines", "lingering", "on_gone", "revision")
 
     def __init__(self, clock: Callable[[], float] = now):
         self.clock = clock
         self.engines: dict[str, Engine] = {}
         self.doubted: dict[str, float] = {}
+        # Engines whose address another incarnation has, though they are still listed.
+        self.displaced: set[tuple[str, int]] = set()
         self.lingering: dict[str, tuple[Engine, float]] = {}
         self.revision = 0
         self.on_gone: list[Callable[[Engine], None]] = []
@@ -63,27 +65,28 @@
                 revision=self.revision,
             )
 
-    def remove(self, name: str, is_doubtful: bool) -> None:
-        """Take in that a registration is gone; in doubt, wait whether the engine renews it."""
+    def remove(self, name: str, renewals_until: float | None = None) -> None:
+        """Take in that a registration is gone; the engine may renew it until a time."""
         engine = self.engines.get(name)
         if engine is None:
             return
-        if is_doubtful and not engine.is_leaving:
-            self.doubted.setdefault(name, self.clock() + RENEWAL_S)
+        if renewals_until is not None and not engine.is_leaving:
+            self.doubted.setdefault(name, renewals_until)
             return
         self.drop(engine)
 
-    def replace_all(self, engines: Iterable[Engine], is_doubtful: bool) -> None:
-        """Take in a whole list."""
+    def replace_all(self, engines: Iterable[Engine], renewals_until: float | None = None) -> None:
+        """Take in a whole list; engines that miss in it may renew until a time."""
         listed = {engine.id: engine for engine in engines}
         for engine in listed.values():
             self.put(engine)
         for name in self.engines.keys() - listed.keys():
-            self.remove(name, is_doubtful)
+            self.remove(name, renewals_until)
 
     def drop(self, engine: Engine) -> None:
         """Remove an engine from the list."""
         self.doubted.pop(engine.id, None)
+        self.displaced.discard((engine.id, engine.started_ms))
         if self.engines.pop(engine.id, None) is None:
             return
         log(Event.ENGINE_UNLISTED, engine=engine.id, address=engine.address, revision=self.revision)
@@ -100,6 +103,12 @@
         if engine and not engine.is_leaving:
             self.put(replace(engine, is_leaving=True))
 
+    def note_displaced(self, engine: Engine) -> None:
+        """Take in that an engine's address is no longer its own."""
+        if (engine.id, engine.started_ms) not in self.displaced:
+            self.displaced.add((engine.id, engine.started_ms))
+            log(Event.ENGINE_UNLISTED, engine=engine.id, address=engine.address, displaced=True)
+
     def expire(self) -> None:
         """Drop the engines that did not renew their registration in time."""
         time = self.clock()
@@ -123,5 +132,7 @@
         return [
             engine
             for engine in self.engines.values()
-            if engine.service == service and not engine.is_leaving
+            if engine.service == service
+            and not engine.is_leaving
+            and (engine.id, engine.started_ms) not in self.displaced
         ]
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -11,6 +11,7 @@
 from marjoramspool.dispatch import (
     AttemptError,
     BrokenAnswerError,
+    DisplacedError,
     MayHaveRunError,
     NotSentError,
     TargetRefusedError,
@@ -246,6 +247,8 @@
                 return True
             case TargetRefusedError():
                 tries.runs -= 1
+                if isinstance(error, DisplacedError):
+                    self.choice.engines.note_displaced(engine)
                 tries.problem = Problem(503, str(error), "send it again", RETRY_SOON_S)
                 return self.budget(request.service).take()
             case _:
--- a/marjoramspool/peers/directory.py
+++ b/marjoramspool/peers/directory.py
@@ -10,6 +10,8 @@
 
 SILENT_AFTER_S = 1.6
 FORGET_AFTER_S = 120.0
+# A router that has just started may not know the others yet.
+FEWEST = 4
 
 
 @dataclass(slots=True)
@@ -63,7 +65,7 @@
 
     def size(self) -> int:
         """Return how many routers there are at most, with this one."""
-        return 1 + sum(1 for peer in self.peers.values() if peer.heard is not None)
+        return max(FEWEST, 1 + len(self.peers))
 
     def expire(self) -> None:
         """Note the routers that have fallen silent, and forget those long gone."""
--- a/marjoramspool/peers/exchange.py
+++ b/marjoramspool/peers/exchange.py
@@ -31,13 +31,8 @@
     """Take over another router's list of engines."""
     engines.revision = revision
     engines.replace_all(
-        (
-            Engine(
-                e.id, e.service, e.address, e.failure_domain, e.slots, e.is_leaving, e.started_ms
-            )
-            for e in told
-        ),
-        is_doubtful=False,
+        Engine(e.id, e.service, e.address, e.failure_domain, e.slots, e.is_leaving, e.started_ms)
+        for e in told
     )
 
 
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -9,7 +9,12 @@
 import msgspec
 from yarl import URL
 
-from marjoramspool.dispatch import MayHaveRunError, NotSentError, TargetRefusedError
+from marjoramspool.dispatch import (
+    DisplacedError,
+    MayHaveRunError,
+    NotSentError,
+    TargetRefusedError,
+)
 from marjoramspool.engine_list import Engine
 from marjoramspool.event_stream import EventSplitter, StreamEvent
 from marjoramspool.events import Event, log
@@ -153,7 +158,7 @@
         log(Event.ANSWER_REJECTED, request=request.id, engine=engine.id, echoed=echoed)
         raise MayHaveRunError(f"engine {engine.id} answered another request")
     if response.status == WRONG_INSTANCE:
-        raise TargetRefusedError(f"{engine.address} is no longer engine {engine.id}")
+        raise DisplacedError(f"{engine.address} is no longer engine {engine.id}")
     if "X-Not-Executed" in response.headers:
         raise TargetRefusedError(f"engine {engine.id} refused with {response.status}")
     if response.status in NOT_RUN or "Content-Encoding" in response.headers:
--- a/marjoramspool/platform/follow.py
+++ b/marjoramspool/platform/follow.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from marjoramspool.clock import now
-from marjoramspool.engine_list import Engine, EngineList
+from marjoramspool.engine_list import RENEWAL_S, Engine, EngineList
 from marjoramspool.events import Event, log
 from marjoramspool.platform.desired import decode_table
 from marjoramspool.platform.registry import decode_engine
@@ -17,7 +17,6 @@
     Store,
     StoredObject,
     StoreError,
-    StoreOutError,
 )
 from marjoramspool.routes import RouteTable
 
@@ -27,24 +26,25 @@
 DESIRED_NAME = "main"
 ENGINES_KIND = "servers"
 WATCH_S = 25.0
+AT_ONCE_S = 0.001
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
-# Registrations that vanish this soon after an outage may come back.
-DOUBT_AFTER_OUTAGE_S = 6.0
+# Registrations that are found gone this soon after an outage may have lapsed in it.
+LAPSES_SHOW_S = 0.7
 
 
 class Follower:
     """Follow the objects of one kind: a listing, then watches from its revision."""
 
-    __slots__ = ("failed_at", "is_current", "kind", "on_change", "revision", "store")
+    __slots__ = ("has_failed", "kind", "on_change", "regained_at", "revision", "store")
 
     def __init__(self, store: Store, kind: str, on_change: Callable[[], None]):
         self.store = store
         self.kind = kind
         self.on_change = on_change
         self.revision: int | None = None
-        self.is_current = False
-        self.failed_at: float | None = None
+        self.has_failed = False
+        self.regained_at: float | None = None
 
     async def follow(self) -> None:
         """Keep up with the store, for ever."""
@@ -55,8 +55,8 @@
                 pause_s = FIRST_PAUSE_S
             except HistoryGoneError:
                 self.revision = None
-            except StoreError as error:
-                self.note_failure(error)
+            except StoreError:
+                self.has_failed = True
                 # Jitter keeps the routers from returning together after an outage.
                 await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
                 pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
@@ -65,22 +65,24 @@
         """Make one call and take in what it brings."""
         if self.revision is None:
             listing = await self.store.list_objects(self.kind)
+            self.note_answer()
             self.take_listing(listing.objects, listing.revision)
             self.revision = listing.revision
         else:
-            changes, revision = await self.store.watch(self.kind, self.revision, WATCH_S)
+            # After an outage, what happened in it is told apart from what happens later.
+            wait_s = AT_ONCE_S if self.has_failed else WATCH_S
+            changes, revision = await self.store.watch(self.kind, self.revision, wait_s)
+            self.note_answer()
             for change in changes:
                 self.take_change(change)
             self.revision = max(self.revision, revision)
-        self.is_current = True
         self.on_change()
 
-    def note_failure(self, error: StoreError) -> None:
-        """Record that the store did not answer."""
-        self.failed_at = now()
-        self.is_current = False
-        if not isinstance(error, StoreOutError):
-            return
+    def note_answer(self) -> None:
+        """Record that the store answers, perhaps again."""
+        if self.has_failed:
+            self.has_failed = False
+            self.regained_at = now()
 
     def take_listing(self, objects: list[StoredObject], revision: int) -> None:
         """Take in all objects."""
@@ -145,22 +147,25 @@
         super().__init__(store, ENGINES_KIND, on_change)
         self.engines = engines
 
-    @property
-    def is_doubtful(self) -> bool:
-        """Tell whether a missing registration may be the work of an outage."""
-        return self.failed_at is not None and now() - self.failed_at < DOUBT_AFTER_OUTAGE_S
+    def renewals_until(self) -> float | None:
+        """Return until when a missing registration may come back; None if it is surely gone."""
+        if self.regained_at is None or now() - self.regained_at > LAPSES_SHOW_S:
+            return None
+        return self.regained_at + RENEWAL_S
 
     def take_listing(self, objects: list[StoredObject], revision: int) -> None:
         """Take in all registrations."""
         self.engines.revision = revision
-        self.engines.replace_all(filter(None, map(read_engine, objects)), self.is_doubtful)
+        engines = filter(None, map(read_engine, objects))
+        self.engines.replace_all(engines, self.renewals_until())
 
     def take_change(self, change: Changed) -> None:
         """Take in a new, changed or removed registration."""
         self.engines.revision = max(self.engines.revision, change.object.revision)
         engine = None if change.is_removed else read_engine(change.object)
         if engine is None:
-            self.engines.remove(change.object.name, self.is_doubtful and change.is_removed)
+            until = self.renewals_until() if change.is_removed else None
+            self.engines.remove(change.object.name, until)
         else:
             self.engines.put(engine)
 
--- a/marjoramspool/retries.py
+++ b/marjoramspool/retries.py
@@ -7,6 +7,9 @@
 
 __all__ = ["SharedRetries"]
 
+# Routers that restart forget what they have spent in the window.
+SPENT_AT_MOST = 0.75
+
 
 class SharedRetries:
     """Grant repeats to one service as this router's share of a budget of the fleet.
@@ -50,7 +53,7 @@
         """Return how many repeats may still be sent now."""
         self.expire()
         allowed = self.ratio * len(self.requests) + self.reserve / max(1, self.routers())
-        return allowed - len(self.repeats)
+        return SPENT_AT_MOST * allowed - len(self.repeats)
 
     def take(self) -> bool:
         """Take one repeat if the budget allows it."""
