--- a/bench/catalogue.py
+++ b/bench/catalogue.py
@@ -9,7 +9,8 @@
 PAGE = Path(__file__).parent.parent / "docs" / "EVENTS.md"
 HEAD = """# Log events
 
-Each line of the log holds a number, a name, its meaning and fields as key=value. This page is
+Each line of the log holds a number, a name, its meaning and fields as key=value; on the platform it
+is a JSON object with the name under `event` and the fields beside it. This page is
 written by `python -m bench.catalogue`; a test compares it with the code.
 
 | number | name | level | meaning |
