--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -28,12 +28,10 @@
 
 RETRY_SOON_S = 0.1
 SERVER_ERROR = 500
-# An idempotent request is tried elsewhere after this multiple of its latency target.
-PATIENCE_TARGETS = 2.0
-LEAST_PATIENCE_S = 0.25
-# A resumable stream is tried elsewhere when its first event is later than this.
-FIRST_EVENT_TARGETS = 3.0
-PAUSE_PATIENCE_S = 1.5
+# A repeatable request is tried elsewhere while an answer can still meet its latency target.
+PATIENCE_TARGETS = 0.65
+# An engine that has much to read is given the time for it.
+READ_TOKENS_A_S = 40_000
 LEAST_LEFT_S = 0.02
 
 
@@ -169,7 +167,7 @@
         stack.enter_context(placement)
         self.note_sending(request, placement, tries)
         try:
-            async with asyncio.timeout(self.patience_s(request, tries)):
+            async with asyncio.timeout(self.patience_s(request, placement, tries)):
                 opening = self.client.open(request, engine, after, placement.source)
                 answer = await stack.enter_async_context(opening)
                 if isinstance(answer, StreamAnswer):
@@ -217,14 +215,14 @@
             left_s=round(request.left_s(), 3),
         )
 
-    def patience_s(self, request: RoutedRequest, tries: Tries) -> float:
+    def patience_s(self, request: RoutedRequest, placement: Placement, tries: Tries) -> float:
         """Return how long to wait for the first of an answer before trying elsewhere."""
         left_s = max(0.0, request.left_s())
         route = request.route
         if not route.is_repeatable or tries.runs >= route.attempts:
             return left_s
-        targets = FIRST_EVENT_TARGETS if request.is_stream else PATIENCE_TARGETS
-        return min(left_s, max(LEAST_PATIENCE_S, targets * route.latency_target_s))
+        reading_s = placement.choice.cost / READ_TOKENS_A_S if request.is_stream else 0.0
+        return min(left_s, PATIENCE_TARGETS * route.latency_target_s + reading_s)
 
     def may_repeat(self, request: RoutedRequest, tries: Tries) -> bool:
         """Tell whether a request that has run may be sent to one more engine."""
--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -109,7 +109,7 @@
         except RejectedError as error:
             log(Event.REQUEST_REJECTED, request=name, status=error.status, why=str(error))
             return self.finish(web.Response(status=error.status, text=f"{error}\n"))
-        except (ConnectionError, asyncio.CancelledError):
+        except asyncio.CancelledError:
             log(Event.CALLER_LEFT, request=name)
             raise
         except Exception as error:
@@ -189,6 +189,8 @@
             log(Event.REQUEST_FAILED, request=request.id, why=repr(error))
             if raw.transport:
                 raw.transport.close()
+        except ConnectionError:
+            log(Event.CALLER_LEFT, request=request.id)
         return response
 
 
