--- a/marjoramspool/engine_choice.py
+++ b/marjoramspool/engine_choice.py
@@ -12,11 +12,12 @@
 from marjoramspool.prompts import Part
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import RouteTable
+from marjoramspool.shared_parts import SharedParts
 
 __all__ = ["EngineChoice", "Placement"]
 
 # The rest of an engine's memory is taken by the requests that it runs.
-CACHE_SHARE = 0.8
+CACHE_SHARE = 0.7
 FETCH_ABOVE_TOKENS = 100
 
 
@@ -59,7 +60,17 @@
 class EngineChoice:
     """Choose engines, and remember what was sent where."""
 
-    __slots__ = ("caches", "domain", "engines", "loads", "on_placed", "table", "trust", "unlisted")
+    __slots__ = (
+        "caches",
+        "domain",
+        "engines",
+        "loads",
+        "on_placed",
+        "shared",
+        "table",
+        "trust",
+        "unlisted",
+    )
 
     def __init__(self, domain: str, engines: EngineList, table: Callable[[], RouteTable | None]):
         self.domain = domain
@@ -68,6 +79,7 @@
         self.loads = EngineLoads()
         self.trust = EngineTrust()
         self.caches = PrefixCaches()
+        self.shared = SharedParts()
         self.on_placed: list[Callable[[Engine, tuple[Part, ...]], None]] = []
         # Engines whose caches were filled before this router came to know them.
         self.unlisted: set[tuple[str, int]] = set()
@@ -100,7 +112,7 @@
         trusted = self.trust.trusted(engine.id for engine in usable)
         by_id = {engine.id: engine for engine in usable if engine.id in trusted}
         prompt = request.prompt
-        parts = prompt.parts if prompt else ()
+        parts = self.shared.worth_keeping(prompt, request.id) if prompt else ()
         tokens = prompt.input_tokens if prompt else 0
         key = hashing.digest(str(prompt.subject) if prompt else request.id)
         choice = choose_engine([self.candidate(e, parts) for e in by_id.values()], key, tokens)
--- a/marjoramspool/peers/exchange.py
+++ b/marjoramspool/peers/exchange.py
@@ -3,7 +3,7 @@
 from marjoramspool import hashing
 from marjoramspool.engine_choice import EngineChoice
 from marjoramspool.engine_list import Engine, EngineList
-from marjoramspool.peers.messages import Placed, ToldEngine
+from marjoramspool.peers.messages import Placed, ToldEngine, engine_number
 from marjoramspool.prompts import Part
 
 __all__ = ["caches_told", "engines_digest", "engines_told", "take_caches", "take_engines"]
@@ -14,7 +14,7 @@
 def engines_digest(engines: EngineList) -> int:
     """Return a hash over the registered engines and their states."""
     names = sorted(f"{e.id}/{e.started_ms}/{e.is_leaving}" for e in engines.engines.values())
-    return hashing.digest(",".join(names))
+    return hashing.digest(",".join(names)) & 0xFFFFFFFF
 
 
 def engines_told(engines: EngineList) -> tuple[ToldEngine, ...]:
@@ -44,14 +44,15 @@
         is_known = (name, started) not in choice.unlisted
         if engine and engine.started_ms == started and is_known:
             parts = list(cache.parts.items())[-PARTS_TOLD_AN_ENGINE:]
-            told.append(Placed(name, tuple(parts)))
+            told.append(Placed(engine_number(name, started), tuple(parts)))
     return tuple(told)
 
 
 def take_caches(choice: EngineChoice, told: tuple[Placed, ...]) -> None:
     """Take over what another router knows of the caches, where this one knows nothing."""
+    by_number = {engine_number(e.id, e.started_ms): e for e in choice.engines.engines.values()}
     for placed in told:
-        engine = choice.engines.engines.get(placed.engine)
+        engine = by_number.get(placed.engine)
         if engine and (engine.id, engine.started_ms) in choice.unlisted:
             parts = tuple(Part(*part) for part in placed.parts)
             choice.note_listed(engine, tuple(reversed(parts)))
--- a/marjoramspool/peers/joining.py
+++ b/marjoramspool/peers/joining.py
@@ -13,7 +13,7 @@
 from marjoramspool.engine_list import Engine
 from marjoramspool.events import Event, log
 from marjoramspool.peers.directory import Directory
-from marjoramspool.peers.state import StateCalls
+from marjoramspool.peers.state import CACHES, StateCalls
 from marjoramspool.prompts import Part
 
 __all__ = ["CacheLister", "Joining"]
@@ -36,20 +36,16 @@
 class Joining:
     """Learn the caches of the engines that were there before this router."""
 
-    __slots__ = ("choice", "directory", "lister", "me", "on_listed", "port", "state_calls")
+    __slots__ = ("choice", "directory", "lister", "on_listed", "state_calls")
 
     def __init__(
         self,
-        me: str,
-        port: int,
         directory: Directory,
         choice: EngineChoice,
         state_calls: StateCalls,
         lister: CacheLister,
         on_listed: Callable[[Engine, tuple[Part, ...]], None],
     ):
-        self.me = me
-        self.port = port
         self.directory = directory
         self.choice = choice
         self.state_calls = state_calls
@@ -80,16 +76,19 @@
         for peer in known[:PEERS_ASKED]:
             if not self.choice.unlisted:
                 return
-            await self.state_calls.fetch(peer, self.port)
+            await self.state_calls.fetch(peer, CACHES)
 
     async def ask_engines(self, is_first: bool) -> None:
         """Ask the engines that this router is first for, or all whose caches are unknown."""
-        routers = [self.me, *self.directory.peers]
+        routers = [self.directory.me, *self.directory.peers]
         asked = [
             engine
             for engine in self.choice.model_engines()
             if (engine.id, engine.started_ms) in self.choice.unlisted
-            and (not is_first or hashing.rank(hashing.digest(engine.id), routers)[0] == self.me)
+            and (
+                not is_first
+                or hashing.rank(hashing.digest(engine.id), routers)[0] == self.directory.me
+            )
         ]
         await asyncio.gather(*[self.ask(engine) for engine in asked])
 
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -1,14 +1,36 @@
 """Messages between routers."""
 
+from functools import lru_cache
+
 import msgspec
 
-__all__ = ["Placed", "RouterState", "Told", "ToldEngine", "ToldLoad", "decode_told", "encode"]
+from marjoramspool import hashing
+
+__all__ = [
+    "Bundle",
+    "CachesState",
+    "EnginesState",
+    "Placed",
+    "TableState",
+    "Told",
+    "ToldEngine",
+    "ToldLoad",
+    "decode_datagram",
+    "encode",
+    "engine_number",
+]
+
+
+@lru_cache(maxsize=4096)
+def engine_number(engine: str, started_ms: int) -> int:
+    """Return a short number for one incarnation of an engine."""
+    return hashing.digest(f"{engine}/{started_ms}") & 0xFFFFFFFF
 
 
 class ToldLoad(msgspec.Struct, array_like=True, frozen=True):
-    """Tell what a router has under way at one engine."""
+    """Tell what a router has under way at one engine, named by its number."""
 
-    engine: str
+    engine: int
     requests: int
     unread_tokens: int
 
@@ -16,29 +38,37 @@
 class Placed(msgspec.Struct, array_like=True, frozen=True):
     """Tell that an engine reads a chain of parts, or holds parts that it was asked for.
 
-    Each part is an id and its tokens.
+    The engine is named by its number; each part is an id and its tokens.
     """
 
-    engine: str
+    engine: int
     parts: tuple[tuple[int, int], ...]
     is_listed: bool = False
 
 
-class Told(msgspec.Struct, array_like=True, frozen=True):
+class Told(msgspec.Struct, array_like=True, frozen=True, tag=0):
     """Tell the other routers who sends this, what it knows and what it has under way.
 
-    `number` rises with each message of one start of the router, and starts at its start.
+    `number` rises with each message of one start of the router; `start` tells the starts apart.
     """
 
-    router: str
     address: str
+    domain: str
+    start: int
     number: int
+    link_mbps: int
     table_revision: int
     engines_revision: int
     engines_digest: int
+    has_store: bool
     loads: tuple[ToldLoad, ...] = ()
     placed: tuple[Placed, ...] = ()
-    is_leaving: bool = False
+
+
+class Bundle(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """Pass on what several routers of one failure domain told."""
+
+    told: tuple[Told, ...]
 
 
 class ToldEngine(msgspec.Struct, array_like=True, frozen=True):
@@ -53,25 +83,35 @@
     started_ms: int
 
 
-class RouterState(msgspec.Struct, array_like=True, frozen=True):
-    """Hold all that a router can hand to another: its routes, its engines, their caches."""
+class TableState(msgspec.Struct, array_like=True, frozen=True):
+    """Hand over the routes, compressed."""
 
-    table_revision: int
+    revision: int
     table: bytes
-    engines_revision: int
+
+
+class EnginesState(msgspec.Struct, array_like=True, frozen=True):
+    """Hand over the registered engines."""
+
+    revision: int
     engines: tuple[ToldEngine, ...]
+
+
+class CachesState(msgspec.Struct, array_like=True, frozen=True):
+    """Hand over what the engines' caches hold."""
+
     caches: tuple[Placed, ...]
 
 
 encoder = msgspec.msgpack.Encoder()
-told_decoder = msgspec.msgpack.Decoder(Told)
+datagram_decoder = msgspec.msgpack.Decoder(Told | Bundle)
 
 
-def encode(message: Told | RouterState) -> bytes:
+def encode(message: msgspec.Struct) -> bytes:
     """Return a message as bytes."""
     return encoder.encode(message)
 
 
-def decode_told(data: bytes) -> Told:
-    """Return a told message; raise msgspec.MsgspecError."""
-    return told_decoder.decode(data)
+def decode_datagram(data: bytes) -> Told | Bundle:
+    """Return a datagram's message; raise msgspec.MsgspecError."""
+    return datagram_decoder.decode(data)
--- a/marjoramspool/peers/state.py
+++ b/marjoramspool/peers/state.py
@@ -1,6 +1,7 @@
 """Handing a router's state to another that cannot read it from the store."""
 
 import asyncio
+import random
 from collections.abc import Callable
 
 import aiohttp
@@ -11,43 +12,64 @@
 from marjoramspool.events import Event, log
 from marjoramspool.http import new_session
 from marjoramspool.peers.directory import Directory, Peer
-from marjoramspool.peers.messages import RouterState, encode
+from marjoramspool.peers.messages import CachesState, EnginesState, TableState, encode
 
-__all__ = ["StateCalls"]
+__all__ = ["State", "StateCalls"]
 
-PATH = "/state"
-CALL_S = 1.0
-# The store usually brings a change to all routers within this time.
-PATIENCE_S = 0.25
+State = TableState | EnginesState | CachesState
+
+TABLE = "/table"
+ENGINES = "/engines"
+CACHES = "/caches"
+KINDS: dict[str, type] = {TABLE: TableState, ENGINES: EnginesState, CACHES: CachesState}
+CALL_S = 1.5
 CHECK_PERIOD_S = 0.1
 
 
 class StateCalls:
-    """Serve this router's state to others, and fetch theirs when they know more."""
+    """Serve this router's state to others, and fetch theirs when they know more.
+
+    `give` returns a state or None if this router has none; `lag` tells for how long to wait for
+    the store before a peer is asked, in seconds.
+    """
 
-    __slots__ = ("behind_since", "directory", "give", "is_behind", "runner", "session", "take")
+    __slots__ = (
+        "behind_since",
+        "directory",
+        "give",
+        "is_behind",
+        "lag_s",
+        "port",
+        "runner",
+        "session",
+        "take",
+    )
 
     def __init__(
         self,
         directory: Directory,
-        give: Callable[[], RouterState | None],
-        take: Callable[[RouterState, str], None],
-        is_behind: Callable[[Peer], bool],
+        port: int,
+        give: Callable[[type], State | None],
+        take: Callable[[State, str], None],
+        is_behind: Callable[[type, Peer], bool],
+        lag_s: Callable[[], float],
     ):
         self.directory = directory
+        self.port = port
         self.give = give
         self.take = take
         self.is_behind = is_behind
-        self.behind_since: float | None = None
+        self.lag_s = lag_s
+        self.behind_since: dict[str, float] = {}
         self.session: aiohttp.ClientSession | None = None
         self.runner: web.ServerRunner | None = None
 
-    async def start(self, host: str, port: int) -> None:
+    async def start(self) -> None:
         """Listen for other routers."""
         self.session = new_session(CALL_S, reuse=False)
         self.runner = web.ServerRunner(web.Server(self.handle, access_log=None))
         await self.runner.setup()
-        await web.TCPSite(self.runner, host, port).start()
+        await web.TCPSite(self.runner, self.directory.me, self.port).start()
 
     async def close(self) -> None:
         """Stop listening."""
@@ -55,37 +77,43 @@
         await self.session.close()
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
-        """Hand out this router's state."""
-        state = self.give() if request.path == PATH else None
-        if state is None:
-            return web.Response(status=404 if request.path != PATH else 503)
-        return web.Response(body=encode(state))
-
-    async def catch_up_for_ever(self, port: int) -> None:
-        """Fetch the state of a router that knows more, once the store had time to bring it."""
+        """Hand out a part of this router's state."""
+        kind = KINDS.get(request.path)
+        if kind is None:
+            return web.Response(status=404)
+        state = self.give(kind)
+        return web.Response(status=503) if state is None else web.Response(body=encode(state))
+
+    async def catch_up_for_ever(self) -> None:
+        """Fetch what other routers know better, once the store had time to bring it."""
         while True:
-            await asyncio.sleep(CHECK_PERIOD_S)
-            ahead = [peer for peer in self.directory.heard() if self.is_behind(peer)]
-            if not ahead:
-                self.behind_since = None
-                continue
-            if self.behind_since is None:
-                self.behind_since = now()
-            if now() - self.behind_since >= PATIENCE_S:
-                peer = max(ahead, key=lambda p: (p.table_revision, p.engines_revision))
-                await self.fetch(peer, port)
-                self.behind_since = None
-
-    async def fetch(self, peer: Peer, port: int) -> bool:
-        """Fetch a router's state and take it in; tell whether that worked."""
+            await asyncio.sleep(CHECK_PERIOD_S * random.uniform(0.7, 1.3))
+            for path in (TABLE, ENGINES):
+                await self.catch_up(path)
+
+    async def catch_up(self, path: str) -> None:
+        """Fetch one part of the state if another router knows better for long enough."""
+        ahead = [peer for peer in self.directory.heard() if self.is_behind(KINDS[path], peer)]
+        if not ahead:
+            self.behind_since.pop(path, None)
+            return
+        since = self.behind_since.setdefault(path, now())
+        if now() - since >= self.lag_s():
+            near = [peer for peer in ahead if peer.domain == self.directory.domain]
+            await self.fetch(random.choice(near or ahead), path)
+            self.behind_since.pop(path, None)
+
+    async def fetch(self, peer: Peer, path: str) -> bool:
+        """Fetch a part of a router's state and take it in; tell whether that worked."""
+        url = f"http://{peer.address}:{self.port}{path}"
         try:
-            async with asyncio.timeout(CALL_S):
-                async with self.session.get(f"http://{peer.address}:{port}{PATH}") as response:
-                    response.raise_for_status()
-                    body = await response.read()
-            state = msgspec.msgpack.decode(body, type=RouterState)
+            async with asyncio.timeout(CALL_S), self.session.get(url) as response:
+                response.raise_for_status()
+                body = await response.read()
+            state = msgspec.msgpack.decode(body, type=KINDS[path])
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as error:
-            log(Event.PEER_STATE_MISSED, router=peer.name, why=repr(error))
+            log(Event.PEER_STATE_MISSED, address=peer.address, part=path, why=repr(error))
             return False
-        self.take(state, peer.name)
+        log(Event.PEER_STATE_TAKEN, address=peer.address, part=path, bytes=len(body))
+        self.take(state, peer.address)
         return True
--- a/marjoramspool/peers/telling.py
+++ b/marjoramspool/peers/telling.py
@@ -1,8 +1,10 @@
 """Telling the other routers of loads and placements, in datagrams."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 
 import msgspec
 
@@ -11,63 +13,81 @@
 from marjoramspool.engine_list import Engine
 from marjoramspool.engine_loads import Load
 from marjoramspool.events import Event, log
+from marjoramspool.peers import relays
 from marjoramspool.peers.directory import Directory, Peer
-from marjoramspool.peers.messages import Placed, Told, ToldLoad, decode_told, encode
+from marjoramspool.peers.messages import (
+    Bundle,
+    Placed,
+    Told,
+    ToldLoad,
+    decode_datagram,
+    encode,
+    engine_number,
+)
 from marjoramspool.prompts import Part
 
-__all__ = ["Telling"]
+__all__ = ["Knowledge", "Telling"]
 
 PERIOD_S = 0.03
+# On the way through relays, messages wait for company.
+RELAYED_PERIOD_S = 0.12
 # With nothing new, a sign of life goes out this often.
 QUIET_PERIOD_S = 0.4
 # A router that is not heard of is told this often.
 SEEK_PERIOD_S = 1.0
 PLACED_IN_ONE = 10
 PARTS_IN_ONE = 100
+TOLD_IN_ONE = 12
+
+
+@dataclass(slots=True, frozen=True)
+class Knowledge:
+    """Say how new a router's routes and engines are, and whether the store answers it."""
+
+    table_revision: int
+    engines_revision: int
+    engines_digest: int
+    has_store: bool
 
 
 class Telling(asyncio.DatagramProtocol):
     """Tell the other routers, and take in what they tell."""
 
     __slots__ = (
-        "address",
+        "by_number",
         "choice",
         "directory",
-        "last_loads",
-        "name",
+        "knowledge",
+        "last_told",
         "number",
-        "on_told",
+        "passing",
         "placed",
         "port",
-        "revisions",
         "sent_at",
         "sought_at",
+        "start_number",
         "transport",
-        "is_leaving",
     )
 
     def __init__(
         self,
-        name: str,
-        address: str,
         port: int,
         directory: Directory,
         choice: EngineChoice,
-        revisions: Callable[[], tuple[int, int, int]],
+        knowledge: Callable[[], Knowledge],
     ):
-        self.name = name
-        self.address = address
         self.port = port
         self.directory = directory
         self.choice = choice
-        self.revisions = revisions
-        self.number = int(now() * 1000)
+        self.knowledge = knowledge
+        self.start_number = random.getrandbits(32)
+        self.number = 0
         self.placed: list[Placed] = []
-        self.last_loads: tuple[ToldLoad, ...] = ()
+        self.passing: list[Told] = []
+        self.last_told: tuple = ()
+        self.by_number: dict[int, Engine] = {}
         self.sent_at = 0.0
         self.sought_at = 0.0
-        self.is_leaving = False
-        self.on_told: list[Callable[[Peer], None]] = []
         self.transport: asyncio.DatagramTransport | None = None
         choice.on_placed.append(self.note_placed)
         directory.on_silent.append(lambda peer: choice.loads.forget_router(peer.address))
@@ -75,10 +95,11 @@
     async def start(self) -> None:
         """Open the datagram socket."""
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(self.address, self.port))
+        address = (self.directory.me, self.port)
+        await loop.create_datagram_endpoint(lambda: self, local_addr=address)
 
     def close(self) -> None:
-        """Tell the others that this router leaves, and close the socket."""
+        """Close the socket."""
         if self.transport:
             self.transport.close()
 
@@ -91,94 +112,171 @@
 
     def note_placed(self, engine: Engine, parts: tuple[Part, ...]) -> None:
         """Remember a placement until it is told."""
-        self.placed.append(Placed(engine.id, tuple((part.id, part.tokens) for part in parts)))
+        self.placed.append(Placed(number_of(engine), as_pairs(parts)))
 
     def note_listed(self, engine: Engine, parts: tuple[Part, ...]) -> None:
         """Tell what an engine holds, in messages that fit a datagram."""
         for start in range(0, len(parts), PARTS_IN_ONE):
-            some = tuple((part.id, part.tokens) for part in parts[start : start + PARTS_IN_ONE])
-            self.placed.append(Placed(engine.id, some, is_listed=True))
+            some = as_pairs(parts[start : start + PARTS_IN_ONE])
+            self.placed.append(Placed(number_of(engine), some, is_listed=True))
 
     async def tell_for_ever(self) -> None:
         """Tell the other routers whenever there is something new."""
         while True:
-            await asyncio.sleep(PERIOD_S)
+            is_direct = relays.is_direct(self.directory)
+            await asyncio.sleep(PERIOD_S if is_direct else RELAYED_PERIOD_S)
             self.directory.expire()
             self.tell()
 
     def tell(self) -> None:
         """Tell what is new, or give a sign of life when it is due."""
+        told = self.news()
+        if relays.is_direct(self.directory):
+            if told:
+                self.send(encode(told), self.listeners())
+            return
+        relay = relays.relay_of(self.directory, self.directory.domain)
+        if relay != self.directory.me:
+            if told:
+                self.send(encode(told), self.listeners(relay))
+            return
+        self.pass_on(told)
+
+    def news(self) -> Told | None:
+        """Return what to tell now, None if nothing is due."""
         moment = now()
+        knowledge = self.knowledge()
         loads = tuple(
-            ToldLoad(engine, load.requests, load.unread_tokens)
-            for engine, load in sorted(self.choice.loads.own.items())
+            ToldLoad(number_of(engine), load.requests, load.unread_tokens)
+            for name, load in sorted(self.choice.loads.own.items())
+            if (engine := self.choice.engines.engines.get(name))
         )
-        is_quiet = loads == self.last_loads and not self.placed
+        is_quiet = (loads, knowledge) == self.last_told and not self.placed
         if is_quiet and moment - self.sent_at < QUIET_PERIOD_S:
-            return
+            return None
         self.sent_at = moment
-        self.last_loads = loads
+        self.last_told = (loads, knowledge)
         self.number += 1
-        message = encode(
-            Told(
-                self.name,
-                self.address,
-                self.number,
-                *self.revisions(),
-                loads,
-                tuple(self.placed[:PLACED_IN_ONE]),
-                self.is_leaving,
-            )
-        )
+        placed = tuple(self.placed[:PLACED_IN_ONE])
         del self.placed[:PLACED_IN_ONE]
-        for address in self.listeners(moment):
+        return Told(
+            self.directory.me,
+            self.directory.domain,
+            self.start_number,
+            self.number,
+            self.directory.link_mbps,
+            knowledge.table_revision,
+            knowledge.engines_revision,
+            knowledge.engines_digest,
+            knowledge.has_store,
+            loads,
+            placed,
+        )
+
+    def pass_on(self, told: Told | None) -> None:
+        """Pass on what this failure domain and the others told, as its relay."""
+        passing = [*self.passing, told] if told else self.passing
+        self.passing = []
+        domain = self.directory.domain
+        outward = [one for one in passing if one.domain == domain]
+        self.send_bundles(outward, relays.relays(self.directory))
+        self.send_bundles(passing, [peer.address for peer in relays.own_domain(self.directory)])
+
+    def send_bundles(self, told: list[Told], addresses: list[str]) -> None:
+        """Send messages in bundles that fit a datagram."""
+        for start in range(0, len(told), TOLD_IN_ONE):
+            self.send(encode(Bundle(tuple(told[start : start + TOLD_IN_ONE]))), addresses)
+
+    def send(self, message: bytes, addresses: list[str]) -> None:
+        """Send a datagram to some routers."""
+        for address in addresses:
             with suppress(OSError):
                 self.transport.sendto(message, (address, self.port))
 
-    def listeners(self, moment: float) -> list[str]:
-        """Return whom to tell: those heard of, and now and then the others."""
+    def listeners(self, relay: str | None = None) -> list[str]:
+        """Return whom to tell: those heard of or the relay, and now and then the others."""
+        moment = now()
         if moment - self.sought_at >= SEEK_PERIOD_S:
             self.sought_at = moment
-            return list(self.directory.peers)
-        return [peer.address for peer in self.directory.heard()]
+            if relay is None:
+                return list(self.directory.peers)
+            return list({relay, *relays.relays(self.directory)})
+        return [relay] if relay else [peer.address for peer in self.directory.heard()]
 
     def datagram_received(self, data: bytes, addr: tuple) -> None:
-        """Take in what another router tells."""
+        """Take in what other routers tell."""
         try:
-            told = decode_told(data)
+            message = decode_datagram(data)
         except msgspec.MsgspecError as error:
             log(Event.PEER_UNREADABLE, address=addr[0], fault=str(error))
             return
-        if told.address == self.address:
+        match message:
+            case Told():
+                self.take(message)
+            case Bundle(told):
+                for one in told:
+                    self.take(one)
+
+    def take(self, told: Told) -> None:
+        """Take in what one router tells, and pass it on if this one is its relay."""
+        if told.address == self.directory.me:
+            return
+        peer = self.directory.hear(told.address, told.domain)
+        # Datagrams may overtake each other, and come twice where relays change.
+        is_newest = told.start != peer.start or told.number > peer.number
+        if not is_newest:
             return
-        peer = self.directory.hear(told.router, told.address)
+        self.take_knowledge(peer, told)
         for placed in told.placed:
-            engine = self.choice.engines.engines.get(placed.engine)
-            if engine:
-                self.take_placed(engine, placed)
-        self.take_loads(peer, told)
+            self.take_placed(placed)
+        self.choice.loads.tell(told.address, dict(self.loads(told)))
+        if not relays.is_direct(self.directory):
+            self.passing.append(told)
+
+    def take_knowledge(self, peer: Peer, told: Told) -> None:
+        """Take in how new a router's knowledge is."""
+        peer.start = told.start
+        peer.number = told.number
+        peer.domain = told.domain
+        peer.link_mbps = told.link_mbps
+        peer.table_revision = told.table_revision
+        peer.engines_revision = told.engines_revision
+        peer.engines_digest = told.engines_digest
+        peer.has_store = told.has_store
 
-    def take_placed(self, engine: Engine, placed: Placed) -> None:
+    def take_placed(self, placed: Placed) -> None:
         """Take in what an engine reads or holds."""
+        engine = self.engine(placed.engine)
+        if engine is None:
+            return
         parts = tuple(Part(*part) for part in placed.parts)
         if placed.is_listed:
             self.choice.note_listed(engine, parts)
         else:
             self.choice.note_read(engine, parts)
 
-    def take_loads(self, peer: Peer, told: Told) -> None:
-        """Take in how new a router's knowledge is and what it has under way."""
-        # Datagrams may overtake each other; loads are only taken from the newest.
-        if told.number <= peer.number:
-            return
-        peer.number = told.number
-        peer.table_revision = told.table_revision
-        peer.engines_revision = told.engines_revision
-        peer.engines_digest = told.engines_digest
-        peer.is_leaving = told.is_leaving
-        self.choice.loads.tell(
-            told.address,
-            {load.engine: Load(load.requests, load.unread_tokens) for load in told.loads},
-        )
-        for call in self.on_told:
-            call(peer)
+    def loads(self, told: Told):
+        """Yield the engines and loads that a router tells of."""
+        for load in told.loads:
+            engine = self.engine(load.engine)
+            if engine:
+                yield engine.id, Load(load.requests, load.unread_tokens)
+
+    def engine(self, number: int) -> Engine | None:
+        """Return the engine that a number names, None if this router does not know it."""
+        engine = self.by_number.get(number)
+        if engine is None or engine.id not in self.choice.engines.engines:
+            engines = self.choice.engines.engines.values()
+            self.by_number = {number_of(engine): engine for engine in engines}
+            engine = self.by_number.get(number)
+        return engine
+
+
+def number_of(engine: Engine) -> int:
+    """Return the number that names an engine between routers."""
+    return engine_number(engine.id, engine.started_ms)
+
+
+def as_pairs(parts: tuple[Part, ...]) -> tuple[tuple[int, int], ...]:
+    """Return parts as a message holds them."""
+    return tuple((part.id, part.tokens) for part in parts)
--- a/marjoramspool/platform/daemon.py
+++ b/marjoramspool/platform/daemon.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+import zlib
 from contextlib import AsyncExitStack
 
 from aiohttp import web
@@ -13,15 +14,15 @@
 from marjoramspool.events import Event, log
 from marjoramspool.forwarding import Forwarding
 from marjoramspool.json_logs import JsonLines
-from marjoramspool.peers import exchange
+from marjoramspool.peers import exchange, relays
 from marjoramspool.peers.directory import Directory, Peer
 from marjoramspool.peers.joining import Joining
-from marjoramspool.peers.messages import RouterState
-from marjoramspool.peers.state import StateCalls
-from marjoramspool.peers.telling import Telling
+from marjoramspool.peers.messages import CachesState, EnginesState, TableState
+from marjoramspool.peers.state import State, StateCalls
+from marjoramspool.peers.telling import Knowledge, Telling
 from marjoramspool.platform.discovery import Discovery
 from marjoramspool.platform.egress import EngineSessions
-from marjoramspool.platform.follow import EngineFollower, TableFollower
+from marjoramspool.platform.follow import Duty, EngineFollower, TableFollower
 from marjoramspool.platform.ingress import Ingress
 from marjoramspool.platform.settings import HostSettings, SettingsError, read_settings
 from marjoramspool.platform.store import Store
@@ -37,6 +38,8 @@
 STOP_MARGIN_S = 0.4
 RESTART_PAUSE_S = 0.2
 JOIN_CHECK_S = 0.02
+# The store usually brings a change to all that watch within this time.
+WATCH_LAG_S = 0.3
 
 
 class PlatformRouter:
@@ -67,33 +70,25 @@
         self.tasks: list[asyncio.Task] = []
         self.store = Store(settings.store, STORE_TIMEOUT_S)
         self.engines = EngineList()
-        self.tables = TableFollower(self.store, lambda: None)
-        self.engine_follower = EngineFollower(self.store, self.engines, lambda: None)
+        self.tables = TableFollower(self.store, self.duty)
+        self.engine_follower = EngineFollower(self.store, self.engines, self.duty)
         self.choice = EngineChoice(settings.failure_domain, self.engines, lambda: self.tables.table)
         self.sessions = EngineSessions()
-        self.directory = Directory(settings.address)
+        self.directory = Directory(settings.address, settings.failure_domain, settings.link_mbps)
         self.forwarding = Forwarding(
             self.choice, self.sessions, settings.bounds, self.directory.size
         )
-        self.telling = Telling(
-            settings.name,
-            settings.address,
-            settings.peers_port,
-            self.directory,
-            self.choice,
-            self.revisions,
-        )
+        self.telling = Telling(settings.peers_port, self.directory, self.choice, self.knowledge)
         self.state_calls = StateCalls(
-            self.directory, self.give_state, self.take_state, self.is_behind
+            self.directory,
+            settings.peers_port,
+            self.give_state,
+            self.take_state,
+            self.is_behind,
+            self.lag_s,
         )
         self.joining = Joining(
-            settings.address,
-            settings.peers_port,
-            self.directory,
-            self.choice,
-            self.state_calls,
-            self.sessions,
-            self.telling.note_listed,
+            self.directory, self.choice, self.state_calls, self.sessions, self.telling.note_listed
         )
         self.discovery = Discovery(self.store, settings, self.directory)
         self.ingress = Ingress(self.forwarding, self.tables)
@@ -107,47 +102,62 @@
             and self.engine_follower.revision is not None
         )
 
-    def revisions(self) -> tuple[int, int, int]:
+    @property
+    def has_store(self) -> bool:
+        """Tell whether the store answers this router, as far as is known."""
+        return not (self.tables.has_failed or self.engine_follower.has_failed)
+
+    def duty(self) -> Duty:
+        """Return for whom this router watches the store."""
+        if relays.is_direct(self.directory):
+            return Duty.WATCH_FOR_ITSELF
+        if self.directory.me in relays.watchers(self.directory, self.has_store):
+            return Duty.WATCH_FOR_OTHERS
+        return Duty.LEAVE_TO_OTHERS
+
+    def lag_s(self) -> float:
+        """Return how long the store may take before another router is asked, in seconds."""
+        return 0.0 if self.duty() is Duty.LEAVE_TO_OTHERS else WATCH_LAG_S
+
+    def knowledge(self) -> Knowledge:
         """Return how new the routes and the engines are that this router knows."""
-        return (
+        return Knowledge(
             self.tables.seen,
             self.engine_follower.revision or 0,
             exchange.engines_digest(self.engines),
+            self.has_store,
         )
 
-    def is_behind(self, peer: Peer) -> bool:
+    def is_behind(self, kind: type, peer: Peer) -> bool:
         """Tell whether another router knows newer routes or engines."""
-        table, engines, digest = self.revisions()
-        return peer.table_revision > table or (
-            peer.engines_revision > engines and peer.engines_digest != digest
-        )
+        own = self.knowledge()
+        if kind is TableState:
+            return peer.table_revision > own.table_revision
+        is_newer = peer.engines_revision > own.engines_revision
+        return is_newer and peer.engines_digest != own.engines_digest
 
-    def give_state(self) -> RouterState | None:
-        """Return what another router can take over; None if this one is not ready."""
+    def give_state(self, kind: type) -> State | None:
+        """Return a part of the state that another router can take over; None if there is none."""
         if self.tables.table is None or self.engine_follower.revision is None:
             return None
-        return RouterState(
-            self.tables.seen,
-            self.tables.spec,
-            self.engine_follower.revision,
-            exchange.engines_told(self.engines),
-            exchange.caches_told(self.choice),
-        )
+        if kind is TableState:
+            return TableState(self.tables.seen, zlib.compress(self.tables.spec))
+        if kind is EnginesState:
+            told = exchange.engines_told(self.engines)
+            return EnginesState(self.engine_follower.revision, told)
+        return CachesState(exchange.caches_told(self.choice))
 
-    def take_state(self, state: RouterState, router: str) -> None:
+    def take_state(self, state: State, address: str) -> None:
         """Take over what another router knows better."""
-        log(
-            Event.PEER_STATE_TAKEN,
-            router=router,
-            table=state.table_revision,
-            engines=state.engines_revision,
-            own_engines=self.engine_follower.revision,
-        )
-        self.tables.offer(state.table_revision, state.table, router)
-        if state.engines_revision > (self.engine_follower.revision or 0):
-            exchange.take_engines(self.engines, state.engines, state.engines_revision)
-            self.engine_follower.revision = state.engines_revision
-        exchange.take_caches(self.choice, state.caches)
+        match state:
+            case TableState(revision, table):
+                self.tables.offer(revision, zlib.decompress(table), address)
+            case EnginesState(revision, engines):
+                if revision > (self.engine_follower.revision or 0):
+                    exchange.take_engines(self.engines, engines, revision)
+                    self.engine_follower.revision = revision
+            case CachesState(caches):
+                exchange.take_caches(self.choice, caches)
 
     async def __aenter__(self):
         async with AsyncExitStack() as stack:
@@ -168,10 +178,10 @@
         self.start_task(self.engine_follower.follow)
         await self.telling.start()
         stack.callback(self.telling.close)
-        await self.state_calls.start(self.settings.address, self.settings.peers_port)
+        await self.state_calls.start()
         stack.push_async_callback(self.state_calls.close)
         self.start_task(self.telling.tell_for_ever)
-        self.start_task(lambda: self.state_calls.catch_up_for_ever(self.settings.peers_port))
+        self.start_task(self.state_calls.catch_up_for_ever)
         self.start_task(self.discovery.follow)
         self.start_task(self.join)
         stack.push_async_callback(self.ingress.close)
--- a/marjoramspool/platform/discovery.py
+++ b/marjoramspool/platform/discovery.py
@@ -25,6 +25,7 @@
     address: str
     failure_domain: str
     operators: str = ""
+    link_mbps: int = 0
 
 
 class Discovery:
@@ -47,7 +48,8 @@
                 # Hosts that start together register within a moment.
                 await asyncio.sleep(SETTLE_S * random.uniform(0.8, 1.2))
                 while True:
-                    self.introduce((await self.store.list_objects(KIND)).objects)
+                    listing = await self.store.list_objects(KIND, is_stale_allowed=True)
+                    self.introduce(listing.objects)
                     await asyncio.sleep(LIST_PERIOD_S * random.uniform(0.8, 1.2))
             except PlatformError:
                 await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
@@ -57,7 +59,8 @@
         """Write this router's address, unless it stands there already."""
         if self.is_registered:
             return
-        spec = RouterSpec(self.settings.address, self.settings.failure_domain)
+        settings = self.settings
+        spec = RouterSpec(settings.address, settings.failure_domain, link_mbps=settings.link_mbps)
         listing = await self.store.list_objects(KIND)
         self.introduce(listing.objects)
         mine = next((o for o in listing.objects if o.name == self.settings.name), None)
@@ -70,7 +73,7 @@
         for stored in objects:
             spec = read_spec(stored)
             if spec:
-                self.directory.introduce(stored.name, spec.address)
+                self.directory.introduce(spec.address, spec.failure_domain, spec.link_mbps)
 
 
 def read_spec(stored: StoredObject) -> RouterSpec | None:
--- a/marjoramspool/platform/follow.py
+++ b/marjoramspool/platform/follow.py
@@ -1,6 +1,7 @@
 """Following the store: the desired state and the registered engines."""
 
 import asyncio
+import enum
 import random
 from collections.abc import Callable
 
@@ -20,12 +21,15 @@
 )
 from marjoramspool.routes import RouteTable
 
-__all__ = ["EngineFollower", "Follower", "TableFollower"]
+__all__ = ["Duty", "EngineFollower", "Follower", "TableFollower"]
 
 DESIRED_KIND = "config"
 DESIRED_NAME = "main"
 ENGINES_KIND = "servers"
 WATCH_S = 25.0
+# Those that watch for others are found silent soon.
+WATCH_FOR_OTHERS_S = 1.0
+IDLE_CHECK_S = 0.15
 AT_ONCE_S = 0.001
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
@@ -33,15 +37,23 @@
 LAPSES_SHOW_S = 0.7
 
 
+class Duty(enum.Enum):
+    """Say for whom a router watches the store."""
+
+    WATCH_FOR_ITSELF = 1
+    WATCH_FOR_OTHERS = 2
+    LEAVE_TO_OTHERS = 3
+
+
 class Follower:
     """Follow the objects of one kind: a listing, then watches from its revision."""
 
-    __slots__ = ("has_failed", "kind", "on_change", "regained_at", "revision", "store")
+    __slots__ = ("duty", "has_failed", "kind", "regained_at", "revision", "store")
 
-    def __init__(self, store: Store, kind: str, on_change: Callable[[], None]):
+    def __init__(self, store: Store, kind: str, duty: Callable[[], Duty]):
         self.store = store
         self.kind = kind
-        self.on_change = on_change
+        self.duty = duty
         self.revision: int | None = None
         self.has_failed = False
         self.regained_at: float | None = None
@@ -50,6 +62,9 @@
         """Keep up with the store, for ever."""
         pause_s = FIRST_PAUSE_S
         while True:
+            if self.revision is not None and self.duty() is Duty.LEAVE_TO_OTHERS:
+                await asyncio.sleep(IDLE_CHECK_S)
+                continue
             try:
                 await self.step()
                 pause_s = FIRST_PAUSE_S
@@ -70,13 +85,16 @@
             self.revision = listing.revision
         else:
             # After an outage, what happened in it is told apart from what happens later.
-            wait_s = AT_ONCE_S if self.has_failed else WATCH_S
+            wait_s = AT_ONCE_S if self.has_failed else self.wait_s()
             changes, revision = await self.store.watch(self.kind, self.revision, wait_s)
             self.note_answer()
             for change in changes:
                 self.take_change(change)
             self.revision = max(self.revision, revision)
-        self.on_change()
+
+    def wait_s(self) -> float:
+        """Return how long a watch may wait."""
+        return WATCH_S if self.duty() is Duty.WATCH_FOR_ITSELF else WATCH_FOR_OTHERS_S
 
     def note_answer(self) -> None:
         """Record that the store answers, perhaps again."""
@@ -98,8 +116,8 @@
 
     __slots__ = ("seen", "spec", "table")
 
-    def __init__(self, store: Store, on_change: Callable[[], None]):
-        super().__init__(store, DESIRED_KIND, on_change)
+    def __init__(self, store: Store, duty: Callable[[], Duty]):
+        super().__init__(store, DESIRED_KIND, duty)
         self.table: RouteTable | None = None
         self.seen = 0
         self.spec = b""
@@ -134,7 +152,6 @@
             routes=len(table.routes),
             source=source,
         )
-        self.on_change()
         return True
 
 
@@ -143,8 +160,8 @@
 
     __slots__ = ("engines",)
 
-    def __init__(self, store: Store, engines: EngineList, on_change: Callable[[], None]):
-        super().__init__(store, ENGINES_KIND, on_change)
+    def __init__(self, store: Store, engines: EngineList, duty: Callable[[], Duty]):
+        super().__init__(store, ENGINES_KIND, duty)
         self.engines = engines
 
     def renewals_until(self) -> float | None:
--- a/marjoramspool/platform/settings.py
+++ b/marjoramspool/platform/settings.py
@@ -39,6 +39,12 @@
     address: str
 
 
+class LimitFields(msgspec.Struct, frozen=True):
+    """Decode what the host has."""
+
+    link_mbps: float = 1000.0
+
+
 class SettingsFields(msgspec.Struct, frozen=True):
     """Decode the settings file; what is not named here is ignored."""
 
@@ -49,6 +55,7 @@
     internal_ports: tuple[int, int]
     platform: StoreFields
     bounds: BoundFields = BoundFields()
+    limits: LimitFields = LimitFields()
     seeds: list[str] = []
 
 
@@ -63,6 +70,7 @@
     readiness: str
     peers_port: int
     store: str
+    link_mbps: int
     bounds: Bounds
     seeds: tuple[str, ...]
 
@@ -92,6 +100,7 @@
         readiness=fields.listen.readiness,
         peers_port=fields.internal_ports[0],
         store=fields.platform.address,
+        link_mbps=int(fields.limits.link_mbps),
         bounds=Bounds(
             stop_s=bounds.grace_s,
             retry_ratio=bounds.retry_budget_ratio,
--- a/marjoramspool/platform/store.py
+++ b/marjoramspool/platform/store.py
@@ -149,17 +149,18 @@
     async def __aexit__(self, *details):
         await self.session.close()
 
-    async def list_objects(self, kind: str) -> Listing:
-        """Read all objects of a kind; raise PlatformError."""
+    async def list_objects(self, kind: str, is_stale_allowed: bool = False) -> Listing:
+        """Read all objects of a kind, cheaper if they may be seconds old; raise PlatformError."""
         objects: list[StoredObject] = []
-        query = ""
+        stale = "allow_stale=1" if is_stale_allowed else ""
+        query = stale
         while True:
-            _, body = await self.call("GET", f"{PATH}/{kind}{query}")
+            _, body = await self.call("GET", f"{PATH}/{kind}" + (f"?{query}" if query else ""))
             page = decode(ListFields, body)
             objects.extend(read_objects(page.items))
             if not page.more or not objects:
                 return Listing(objects, page.at)
-            query = f"?since_revision={quote(objects[-1].name, safe='')}"
+            query = f"since_revision={quote(objects[-1].name, safe='')}&{stale}".rstrip("&")
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> tuple[list[Changed], int]:
         """Wait for changes after a revision; return them and the revision to go on from.
