--- /dev/null
+++ b/marjoramspool/platform/tests/test_answers.py
@@ -0,0 +1,187 @@
+"""Answers are whole and a request's own, and what is told of a request that failed is true."""
+
+import asyncio
+from collections import Counter
+
+import aiohttp
+import pytest
+
+from bench.local import until
+from bench.platform_fleet import HOST, KEY, route
+
+LOOKUP = route("/lookup/", "idempotent", "desk")
+ORDER = route("/order/", "non_idempotent", "desk", max_attempts=1)
+CHAT = route("/chat/", "streaming", "model", stream_resume=True)
+REPORT = route("/report/", "streaming", "model", max_attempts=1)
+
+
+async def start(site, targets=2, engines=2, **options):
+    for _ in range(targets):
+        await site.add_engine("desk")
+    for _ in range(engines):
+        await site.add_engine("model", is_stream=True, **options)
+    await site.configure(LOOKUP, ORDER, CHAT, REPORT)
+    await site.add_router()
+
+
+def arm_all(site, kind, times):
+    for engine in site.engines:
+        engine.faults[kind] = times
+
+
+def runs(site, request):
+    return sum(engine.runs(request) for engine in site.engines)
+
+
+async def test_a_request_reaches_the_engine_as_the_client_sent_it(site):
+    await start(site)
+    headers = {
+        "X-Tenant": "forged",
+        "X-Hold": "h",
+        "X-Pin-Ms": "100",
+        "Kv-From": "1.2.3.4:5/x",
+        "X-Model": "m",
+        "X-Prompt-Prefix": "aa:10",
+        "X-Token-Count": "10,5",
+        "X-Other": "kept",
+        "Connection": "X-Hop",
+        "X-Hop": "not passed on",
+    }
+    body = b"x" * 70_000
+    status, answered, content = await site.ask(
+        "/order/a%2Fb/../c?q=%20", "r1", data=body, headers=headers
+    )
+    assert (status, content) == (200, b"answer to r1")
+    assert answered["X-Response-Signature"] == "sig.1"
+    (arrival,) = [a for engine in site.engines for a in engine.arrivals]
+    assert arrival.path == "/order/a%2Fb/../c?q=%20"
+    assert arrival.body == body
+    assert arrival.headers["x-tenant"] == "crews"
+    assert arrival.headers["x-other"] == "kept"
+    assert arrival.headers["x-prompt-prefix"] == "aa:10"
+    assert 0 < int(arrival.headers["x-request-deadline-ms"]) <= 3000
+    absent = {"api-key", "x-hold", "x-pin-ms", "kv-from", "x-hop", "accept-encoding"}
+    assert not absent & set(arrival.headers)
+
+
+@pytest.mark.parametrize("fault", ["reset", "cut", "unframed-cut", "foreign", "bare", "busy503"])
+async def test_an_order_that_may_have_run_runs_once_and_is_told_unknown(site, fault):
+    await start(site)
+    arm_all(site, fault, 1)
+    status, _, _ = await site.ask("/order/1", "r1")
+    assert status == 502
+    assert runs(site, "r1") == 1
+
+
+@pytest.mark.parametrize("fault", ["reset", "cut", "unframed-cut", "foreign", "bare", "error"])
+async def test_a_lookup_is_tried_at_another_target(site, fault):
+    await start(site)
+    site.engines[0].faults[fault] = site.engines[1].faults[fault] = 1
+    site.engines[1].faults[fault] = 0
+    for number in range(4):
+        status, _, body = await site.ask("/lookup/1", f"r{number}", method="GET")
+        assert (status, body) == (200, f"answer to r{number}".encode())
+
+
+async def test_a_late_second_answer_is_never_the_next_requests(site):
+    await start(site, targets=1)
+    site.engines[0].faults["extra"] = 3
+    for number in range(6):
+        status, _, body = await site.ask("/lookup/1", f"r{number}", method="GET")
+        assert status != 200 or body == f"answer to r{number}".encode()
+        await asyncio.sleep(0.01 * (number % 3))
+
+
+async def test_full_targets_are_told_as_not_run_with_a_time(site):
+    await start(site)
+    arm_all(site, "shed", 5)
+    status, headers, _ = await site.ask("/order/1", "r1")
+    assert status == 503
+    assert 0 < float(headers["Retry-After"]) <= 0.5
+    assert runs(site, "r1") == 0
+
+
+async def test_an_order_goes_to_another_target_where_one_takes_no_connection(site):
+    await start(site)
+    await site.engines[0].stop()
+    for number in range(6):
+        status, _, _ = await site.ask("/order/1", f"r{number}")
+        assert status == 200
+
+
+async def test_an_address_of_another_incarnation_is_passed_over(site):
+    await start(site, targets=1)
+    displaced = site.engines[0].id
+    site.engines[0].id = "i-other"
+    await site.add_engine("desk")
+    await until(lambda: len(site.routers[0].engines.usable("desk")) == 2, "both are known")
+    for number in range(8):
+        status, _, _ = await site.ask("/order/1", f"r{number}")
+        assert status == 200
+    misdirected = [a for a in site.engines[0].arrivals if not a.has_run]
+    assert len(misdirected) <= 1, "one answer tells that the address is another's"
+    assert displaced in site.routers[0].engines.engines
+
+
+async def test_a_stream_goes_on_at_another_engine_with_each_event_once(site):
+    await start(site)
+    once = Counter(cut=1)
+    for engine in site.engines:
+        engine.faults = once
+    status, headers, body = await site.ask("/chat/1", "r1")
+    events = [line for line in body.split(b"\n") if line.startswith(b"id:")]
+    assert status == 200
+    assert events == [f"id: {number}".encode() for number in range(1, 7)]
+    assert headers["X-Response-Signature"] == "sig.1"
+    assert all(engine.runs("r1") <= 1 for engine in site.engines)
+
+
+async def test_a_stream_that_may_not_be_resumed_breaks_off_visibly(site):
+    await start(site)
+    arm_all(site, "cut", 1)
+    _, _, body = await site.ask("/report/1", "r1")
+    assert body is None
+    assert runs(site, "r1") == 1
+
+
+async def test_an_engine_stops_work_when_the_client_leaves(site):
+    await start(site, engines=1, piece_s=0.05, pieces=100)
+    url = f"http://{site.routers[0].settings.callers}/report/1"
+    headers = {"X-Request-Id": "r1", "Host": HOST, "Api-Key": KEY}
+    async with site.session.post(url, headers=headers) as response:
+        await response.content.readany()
+        response.close()
+    engine = site.engines[-1]
+    await until(lambda: engine.arrivals[0].is_cut, "the engine sees the close", 0.5)
+
+
+async def test_a_request_over_its_time_is_answered_at_its_time(site):
+    await start(site, targets=1)
+    site.engines[0].faults["mute"] = 1
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    status, _, _ = await site.ask("/order/1", "r1", headers={"X-Request-Deadline-Ms": "300"})
+    assert status == 504
+    assert loop.time() - began < 0.3 + 0.5
+
+
+async def test_repeats_stay_within_the_shared_budget(site):
+    await start(site)
+    arm_all(site, "error", 1000)
+    for number in range(60):
+        await site.ask("/lookup/1", f"r{number}", method="GET")
+    arrivals = sum(len(engine.arrivals) for engine in site.engines)
+    bounds = site.routers[0].settings.bounds
+    share = bounds.retry_ratio * 60 + bounds.retry_reserve / site.routers[0].directory.size()
+    assert arrivals - 60 <= share
+
+
+async def test_a_broken_client_connection_does_not_end_the_router(site):
+    await start(site)
+    async with aiohttp.ClientSession() as session:
+        for number in range(5):
+            url = f"http://{site.routers[0].settings.callers}/chat/1"
+            headers = {"X-Request-Id": f"r{number}", "Host": HOST, "Api-Key": KEY}
+            async with session.post(url, headers=headers) as response:
+                response.close()
+    assert (await site.ask("/lookup/1", "last", method="GET"))[0] == 200
--- /dev/null
+++ b/standins/platform_engine.py
@@ -0,0 +1,211 @@
+"""Stand-in for an engine or a plain target on the platform, with the faults it may show.
+
+It speaks HTTP over a plain socket, since many of its faults are answers that no library sends.
+"""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+
+import msgspec
+
+__all__ = ["Arrival", "PlatformEngine"]
+
+PIECE_S = 0.005
+PIECES = 6
+SIGNATURE = "sig.1"
+
+
+@dataclass(slots=True)
+class Arrival:
+    """Hold one request that reached the engine."""
+
+    id: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    has_run: bool = False
+    is_cut: bool = False
+
+
+@dataclass(slots=True)
+class PlatformEngine:
+    """Answer requests; `faults` names what to do with the next ones, by kind and number of times.
+
+    Faults: shed, error, reset (ran, no answer), cut (breaks off midway), extra (a second answer
+    later), unframed-cut (no length, reset midway), foreign (another request's answer), bare (no
+    signature), mute (never answers), busy503 (a 503 that does not say that it has not run).
+    """
+
+    id: str
+    service: str
+    is_stream: bool = False
+    piece_s: float = PIECE_S
+    pieces: int = PIECES
+    faults: Counter = field(default_factory=Counter)
+    arrivals: list[Arrival] = field(default_factory=list)
+    held: list[tuple[str, str, int, str]] = field(default_factory=list)
+    lists: int = 0
+    server: asyncio.Server | None = None
+    address: str = ""
+    open: set = field(default_factory=set)
+
+    async def start(self, host: str = "127.0.0.1") -> None:
+        """Listen on a free port."""
+        self.server = await asyncio.start_server(self.serve, host, 0)
+        self.address = "{}:{}".format(*self.server.sockets[0].getsockname()[:2])
+
+    async def stop(self) -> None:
+        """Stop listening and cut what is open."""
+        self.server.close()
+        for writer in list(self.open):
+            writer.transport.abort()
+
+    def entry(self, **changes) -> dict:
+        """Return what the engine registers."""
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 16,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1000,
+        }
+        return entry | changes
+
+    def runs(self, request: str | None = None) -> int:
+        """Return how many requests have run, or how often one has."""
+        return sum(a.has_run and request in (None, a.id) for a in self.arrivals)
+
+    def take(self, kind: str) -> bool:
+        """Use up one showing of a fault."""
+        if self.faults[kind] <= 0:
+            return False
+        self.faults[kind] -= 1
+        return True
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        self.open.add(writer)
+        try:
+            while arrival := await read_request(reader):
+                if not await self.answer(arrival, reader, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.open.discard(writer)
+            writer.close()
+
+    async def answer(self, arrival: Arrival, reader, writer) -> bool:
+        """Answer one request; tell whether the connection is kept."""
+        if arrival.path == "/marjoramspool/kv-list":
+            self.lists += 1
+            body = msgspec.json.encode({"epoch": 1, "next_token": 1, "held": self.held})
+            writer.write(head(200, arrival.id, len(body)) + body)
+            return True
+        self.arrivals.append(arrival)
+        if arrival.headers.get("x-expect-instance", self.id) != self.id:
+            writer.write(head(421, arrival.id, 0, **{"X-Instance-Id": self.id}))
+            return True
+        if self.take("shed"):
+            writer.write(head(503, arrival.id, 0, **{"X-Not-Executed": "1"}))
+            return True
+        arrival.has_run = True
+        if self.take("mute"):
+            arrival.is_cut = not await reader.read(1)
+            return False
+        if self.take("reset"):
+            writer.transport.abort()
+            return False
+        if self.take("error"):
+            writer.write(head(500, arrival.id, 5) + b"error")
+            return True
+        if self.take("busy503"):
+            writer.write(head(503, arrival.id, 0))
+            return True
+        if self.is_stream:
+            return await self.stream(arrival, reader, writer)
+        return await self.plain(arrival, writer)
+
+    async def plain(self, arrival: Arrival, writer) -> bool:
+        """Send a short body."""
+        body = f"answer to {arrival.id}".encode()
+        name = "another" if self.take("foreign") else arrival.id
+        if self.take("unframed-cut"):
+            writer.write(head(200, name, None) + body[:4])
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.transport.abort()
+            return False
+        if self.take("cut"):
+            writer.write(head(200, name, len(body)) + body[:4])
+            await writer.drain()
+            return False
+        signature = {"X-Response-Signature": ""} if self.take("bare") else {}
+        writer.write(head(200, name, len(body), **signature) + body)
+        if self.take("extra"):
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.write(head(200, name, len(body)) + body)
+        return True
+
+    async def stream(self, arrival: Arrival, reader, writer) -> bool:
+        """Send events, from after the one that a resumption names."""
+        first = int(arrival.headers.get("last-event-id", "0")) + 1
+        writer.write(head(200, arrival.id, None, chunked=True))
+        for number in range(first, self.pieces + 1):
+            await asyncio.sleep(self.piece_s)
+            if reader.at_eof():
+                arrival.is_cut = True
+                return False
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if number == first + 2 and self.take("cut"):
+                writer.write(chunk(event[:8]))
+                await writer.drain()
+                writer.transport.abort()
+                return False
+            writer.write(chunk(event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+async def read_request(reader: asyncio.StreamReader) -> Arrival | None:
+    """Read one request; None at the end of the connection."""
+    try:
+        block = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    except asyncio.IncompleteReadError:
+        return None
+    first, *lines = block.rstrip("\r\n").split("\r\n")
+    method, path, _ = first.split(" ", 2)
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Arrival(headers.get("x-request-id", ""), method, path, headers, body)
+
+
+def head(
+    status: int, request: str, length: int | None, chunked: bool = False, **more: str
+) -> bytes:
+    """Return the head of an answer."""
+    headers = {"X-Request-Id": request, "X-Response-Signature": SIGNATURE} | more
+    if chunked:
+        headers |= {"Transfer-Encoding": "chunked", "Content-Type": "text/event-stream"}
+    elif length is None:
+        headers["Connection"] = "close"
+    else:
+        headers["Content-Length"] = str(length)
+    lines = [f"{name}: {value}" for name, value in headers.items() if value]
+    return "\r\n".join([f"HTTP/1.1 {status} Status", *lines, "", ""]).encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Return bytes as one chunk."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
