Prove placement, judgement of engines and telling by decisions alone; mend relays

Found by the tests: a relay that fell silent stayed chosen, since duplicates of its old messages counted as signs of life, and since all that were heard through it fell silent with it; a router that was still learning handed out no caches; sockets stayed open when a start failed. Change: only news is a sign of life, those heard through a relay have 4 s, what is known of a cache is handed out also where it is not all.

--- a/marjoramspool/peers/directory.py
+++ b/marjoramspool/peers/directory.py
@@ -9,6 +9,8 @@
 __all__ = ["Directory", "Peer"]
 
 SILENT_AFTER_S = 1.6
+# Those heard through a relay are given the time in which the relay is replaced.
+RELAYED_SILENT_AFTER_S = 4.0
 FORGET_AFTER_S = 120.0
 # A router that was introduced may be taken for present this long before it is heard of.
 BENEFIT_S = 3.0
@@ -25,6 +27,7 @@
     introduced: float
     link_mbps: int = 0
     heard: float | None = None
+    is_relayed: bool = False
     start: int = 0
     number: int = 0
     table_revision: int = 0
@@ -52,20 +55,22 @@
         if address != self.me and address not in self.peers:
             self.peers[address] = Peer(address, domain, self.clock(), link_mbps)
 
-    def hear(self, address: str, domain: str) -> Peer:
-        """Take in a sign of life."""
+    def hear(self, address: str, domain: str, is_relayed: bool = False) -> Peer:
+        """Take in a sign of life, direct or through a relay."""
         peer = self.peers.get(address)
         if peer is None:
             peer = self.peers[address] = Peer(address, domain, self.clock())
         if peer.heard is None or address in self.silent:
             log(Event.MEMBER_ALIVE, address=address, domain=domain)
         peer.heard = self.clock()
+        peer.is_relayed = is_relayed
         self.silent.discard(address)
         return peer
 
     def is_heard(self, peer: Peer) -> bool:
         """Tell whether a router has been heard of lately."""
-        return peer.heard is not None and self.clock() - peer.heard < SILENT_AFTER_S
+        bound_s = RELAYED_SILENT_AFTER_S if peer.is_relayed else SILENT_AFTER_S
+        return peer.heard is not None and self.clock() - peer.heard < bound_s
 
     def heard(self) -> list[Peer]:
         """Return the routers that are heard of."""
--- a/marjoramspool/peers/exchange.py
+++ b/marjoramspool/peers/exchange.py
@@ -41,10 +41,10 @@
     told = []
     for (name, started), cache in choice.caches.caches.items():
         engine = choice.engines.engines.get(name)
-        is_known = (name, started) not in choice.unlisted
-        if engine and engine.started_ms == started and is_known:
-            parts = list(cache.parts.items())[-PARTS_TOLD_AN_ENGINE:]
-            told.append(Placed(engine_number(name, started), tuple(parts)))
+        if engine and engine.started_ms == started:
+            parts = tuple(list(cache.parts.items())[-PARTS_TOLD_AN_ENGINE:])
+            is_listed = (name, started) not in choice.unlisted
+            told.append(Placed(engine_number(name, started), parts, is_listed))
     return tuple(told)
 
 
@@ -53,6 +53,10 @@
     by_number = {engine_number(e.id, e.started_ms): e for e in choice.engines.engines.values()}
     for placed in told:
         engine = by_number.get(placed.engine)
-        if engine and (engine.id, engine.started_ms) in choice.unlisted:
-            parts = tuple(Part(*part) for part in placed.parts)
-            choice.note_listed(engine, tuple(reversed(parts)))
+        if engine is None or (engine.id, engine.started_ms) not in choice.unlisted:
+            continue
+        parts = tuple(Part(*part) for part in reversed(placed.parts))
+        if placed.is_listed:
+            choice.note_listed(engine, parts)
+        else:
+            choice.note_read(engine, parts)
--- a/marjoramspool/peers/state.py
+++ b/marjoramspool/peers/state.py
@@ -73,8 +73,10 @@
 
     async def close(self) -> None:
         """Stop listening."""
-        await self.runner.cleanup()
-        await self.session.close()
+        if self.runner:
+            await self.runner.cleanup()
+        if self.session:
+            await self.session.close()
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Hand out a part of this router's state."""
--- a/marjoramspool/peers/telling.py
+++ b/marjoramspool/peers/telling.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from marjoramspool.clock import now
 from marjoramspool.engine_choice import EngineChoice
 from marjoramspool.engine_list import Engine
 from marjoramspool.engine_loads import Load
@@ -144,7 +143,7 @@
 
     def news(self) -> Told | None:
         """Return what to tell now, None if nothing is due."""
-        moment = now()
+        moment = self.directory.clock()
         knowledge = self.knowledge()
         loads = tuple(
             ToldLoad(number_of(engine), load.requests, load.unread_tokens)
@@ -195,7 +194,7 @@
 
     def listeners(self, relay: str | None = None) -> list[str]:
         """Return whom to tell: those heard of or the relay, and now and then the others."""
-        moment = now()
+        moment = self.directory.clock()
         if moment - self.sought_at >= SEEK_PERIOD_S:
             self.sought_at = moment
             if relay is None:
@@ -212,20 +211,20 @@
             return
         match message:
             case Told():
-                self.take(message)
+                self.take(message, is_relayed=False)
             case Bundle(told):
                 for one in told:
-                    self.take(one)
+                    self.take(one, is_relayed=one.address != addr[0])
 
-    def take(self, told: Told) -> None:
+    def take(self, told: Told, is_relayed: bool) -> None:
         """Take in what one router tells, and pass it on if this one is its relay."""
         if told.address == self.directory.me:
             return
-        peer = self.directory.hear(told.address, told.domain)
+        known = self.directory.peers.get(told.address)
         # Datagrams may overtake each other, and come twice where relays change.
-        is_newest = told.start != peer.start or told.number > peer.number
-        if not is_newest:
+        if known and told.start == known.start and told.number <= known.number:
             return
+        peer = self.directory.hear(told.address, told.domain, is_relayed)
         self.take_knowledge(peer, told)
         for placed in told.placed:
             self.take_placed(placed)
--- /dev/null
+++ b/marjoramspool/peers/tests/test_telling.py
@@ -0,0 +1,237 @@
+"""What routers tell each other, directly and through relays."""
+
+import asyncio
+
+import pytest
+
+from bench.local import until
+from bench.platform_fleet import route
+from marjoramspool.engine_choice import EngineChoice
+from marjoramspool.engine_list import Engine, EngineList
+from marjoramspool.engine_loads import Load
+from marjoramspool.peers import relays
+from marjoramspool.peers.directory import Directory
+from marjoramspool.peers.messages import decode_datagram
+from marjoramspool.peers.telling import Knowledge, Telling
+from marjoramspool.prompts import Part
+
+ENGINE = Engine("i-1", "model", "1.1.1.1:1", "zone", 8, False, 1)
+
+
+class Wire:
+    """Carry datagrams between routers of a test, and count them."""
+
+    def __init__(self):
+        self.ends = {}
+        self.queue = []
+        self.sent = {}
+
+    def transport(self, address):
+        wire = self
+
+        class Transport:
+            def sendto(self, data, to):
+                wire.sent[address] = wire.sent.get(address, 0) + 1
+                wire.queue.append((to[0], data, address))
+
+        return Transport()
+
+    def deliver(self):
+        queue, self.queue = self.queue, []
+        for to, data, source in queue:
+            if to in self.ends:
+                self.ends[to].datagram_received(data, (source, 1))
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def make_router(wire, address, domain, clock, link=100):
+    engines = EngineList(clock)
+    engines.put(ENGINE)
+    choice = EngineChoice(domain, engines, lambda: None)
+    directory = Directory(address, domain, link, clock)
+    telling = Telling(1, directory, choice, lambda: Knowledge(1, 1, 1, True))
+    telling.transport = wire.transport(address)
+    wire.ends[address] = telling
+    return telling
+
+
+def make_fleet(count, domains=4):
+    wire, clock = Wire(), Clock()
+    routers = [
+        make_router(wire, f"10.0.0.{n}", f"zone-{n % domains}", clock, 5 + n % 3)
+        for n in range(count)
+    ]
+    for one in routers:
+        for other in routers:
+            directory = other.directory
+            one.directory.introduce(directory.me, directory.domain, directory.link_mbps)
+    return wire, clock, routers
+
+
+def rounds(wire, clock, routers, count=3):
+    for _ in range(count):
+        clock.now += 0.5
+        for router in routers:
+            router.sent_at = 0.0
+            router.tell()
+        wire.deliver()
+
+
+@pytest.mark.parametrize("count", [2, 7, 40, 87])
+def test_every_router_learns_every_load(count):
+    wire, clock, routers = make_fleet(count)
+    for router in routers:
+        router.choice.loads.begin(ENGINE.id, 10)
+    rounds(wire, clock, routers, 5)
+    for router in routers:
+        assert router.choice.loads.of(ENGINE.id) == Load(count, 10 * count)
+
+
+def test_a_plain_router_of_a_large_fleet_sends_little():
+    wire, clock, routers = make_fleet(87)
+    rounds(wire, clock, routers, 5)
+    wire.sent.clear()
+    rounds(wire, clock, routers, 10)
+    domains = {router.directory.domain for router in routers}
+    relaying = {relays.relay_of(routers[0].directory, domain) for domain in domains}
+    assert max(wire.sent[address] for address in wire.sent if address not in relaying) <= 5 * 10
+
+
+def test_relays_have_the_best_links_and_all_agree_on_them():
+    _, _, routers = make_fleet(40)
+    chosen = {relays.relay_of(router.directory, "zone-1") for router in routers}
+    assert len(chosen) == 1
+    links = {r.directory.me: r.directory.link_mbps for r in routers}
+    best = max(r.directory.link_mbps for r in routers if r.directory.domain == "zone-1")
+    assert links[chosen.pop()] == best
+
+
+def test_a_relay_that_falls_silent_is_replaced():
+    wire, clock, routers = make_fleet(40)
+    rounds(wire, clock, routers, 5)
+    lost = relays.relay_of(routers[0].directory, "zone-1")
+    del wire.ends[lost]
+    rest = [router for router in routers if router.directory.me != lost]
+    rounds(wire, clock, rest, 12)
+    for router in rest:
+        assert relays.relay_of(router.directory, "zone-1") != lost
+        assert len(router.directory.heard()) == len(rest) - 1
+
+
+def test_few_watch_for_a_large_fleet_and_those_without_store_give_way():
+    wire, clock, routers = make_fleet(40)
+    rounds(wire, clock, routers, 5)
+    first = relays.watchers(routers[0].directory, True)
+    assert len(first) == relays.WATCHERS
+    for router in routers:
+        assert relays.watchers(router.directory, True) == first
+    for router in routers:
+        if router.directory.me in first:
+            router.knowledge = lambda: Knowledge(1, 1, 1, False)
+    rounds(wire, clock, routers, 5)
+    others = relays.watchers(routers[0].directory, routers[0].directory.me not in first)
+    assert not others & first
+
+
+def test_all_of_a_small_fleet_watch():
+    _, _, routers = make_fleet(7)
+    assert len(relays.watchers(routers[0].directory, True)) == 7
+
+
+def test_an_old_datagram_does_not_bring_an_old_load_back():
+    wire, clock, (one, two) = make_fleet(2)
+    one.choice.loads.begin(ENGINE.id, 0)
+    one.tell()
+    late = list(wire.queue)
+    one.choice.loads.end(ENGINE.id)
+    rounds(wire, clock, [one])
+    wire.queue = late
+    wire.deliver()
+    assert two.choice.loads.of(ENGINE.id) == Load(0, 0)
+
+
+def test_a_router_that_started_anew_is_believed_though_it_counts_from_one():
+    wire, clock, (one, two) = make_fleet(2)
+    rounds(wire, clock, [one, two], 5)
+    again = make_router(wire, one.directory.me, "zone-0", clock)
+    again.directory.introduce(two.directory.me, "zone-1", 5)
+    again.choice.loads.begin(ENGINE.id, 0)
+    rounds(wire, clock, [again], 2)
+    assert two.choice.loads.of(ENGINE.id) == Load(1, 0)
+
+
+def test_junk_is_passed_over():
+    wire, clock, (one, two) = make_fleet(2)
+    for junk in (b"", b"\x00", b"\x91\x07", b"\xff" * 100):
+        two.datagram_received(junk, ("9.9.9.9", 1))
+    rounds(wire, clock, [one, two])
+    assert len(two.directory.heard()) == 1
+
+
+def test_messages_fit_a_datagram():
+    wire, clock, (one, _) = make_fleet(2)
+    one.note_listed(ENGINE, tuple(Part(2**32 - n, 30_000) for n in range(1500)))
+    sizes = []
+    while one.placed:
+        clock.now += 0.5
+        one.tell()
+        sizes += [len(data) for _, data, _ in wire.queue]
+        assert all(decode_datagram(data) for _, data, _ in wire.queue)
+        wire.deliver()
+    assert max(sizes) < 60_000
+
+
+async def test_routers_place_by_what_the_others_placed(site):
+    for _ in range(4):
+        await site.add_engine("model", is_stream=True)
+    await site.configure(route("/chat/", "streaming", "model"))
+    for _ in range(3):
+        await site.add_router()
+    await site.meet()
+    for number in range(9):
+        prefix = f"aa:500,bb:4000,{number:x}:50"
+        headers = {"X-Model": "m", "X-Token-Count": "4550,5", "X-Prompt-Prefix": prefix}
+        await site.ask("/chat/x", f"r{number}", number % 3, headers=headers)
+        await asyncio.sleep(0.08)
+    assert sum(bool(engine.arrivals) for engine in site.engines) == 1
+
+
+async def test_a_router_that_starts_learns_the_caches_from_another(site):
+    for _ in range(2):
+        await site.add_engine("model", is_stream=True)
+    await site.configure(route("/chat/", "streaming", "model"))
+    await site.add_router()
+    headers = {"X-Model": "m", "X-Token-Count": "4550,5", "X-Prompt-Prefix": "aa:500,bb:4000,c:50"}
+    await site.ask("/chat/x", "r", headers=headers)
+    second = await site.add_router()
+    parts = (Part(0xAA, 500), Part(0xBB, 4000))
+    await until(
+        lambda: any(c.held(parts) for c in second.choice.caches.caches.values()),
+        "the second router knows what is held",
+    )
+
+
+async def test_routers_that_all_start_ask_each_engine_once(site):
+    for number in range(3):
+        engine = await site.add_engine("model", is_stream=True)
+        engine.held = [("", f"{number + 1:x}", 700, "m")]
+    await site.configure(route("/chat/", "streaming", "model"))
+    await asyncio.gather(*[site.add_router() for _ in range(3)])
+    await asyncio.gather(*[router.__aexit__(None, None, None) for router in site.routers])
+    site.routers.clear()
+    for engine in site.engines:
+        engine.lists = 0
+    site.started = 0
+    routers = await asyncio.gather(*[site.add_router(wait=False) for _ in range(3)])
+    await until(lambda: all(not r.choice.unlisted for r in routers), "all caches are known")
+    await until(
+        lambda: all(len(r.choice.caches.caches) == 3 for r in routers), "all know all caches"
+    )
+    assert sum(engine.lists for engine in site.engines) <= 2 * 3
--- /dev/null
+++ b/marjoramspool/tests/test_engine_judgement.py
@@ -0,0 +1,121 @@
+"""Engines that leave, lapse, return, fail and recover; and the budget of repeats."""
+
+import pytest
+
+from marjoramspool.engine_list import RENEWAL_S, Engine, EngineList
+from marjoramspool.engine_trust import EngineTrust
+from marjoramspool.retries import SharedRetries
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def engine(name, leaving=False, started=1, service="s"):
+    return Engine(name, service, f"1.1.1.1:{len(name)}", "zone", 8, leaving, started)
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def engines(clock):
+    engines = EngineList(clock)
+    engines.replace_all([engine("a"), engine("b"), engine("c")])
+    return engines
+
+
+def names(engines):
+    return sorted(e.id for e in engines.usable("s"))
+
+
+def test_a_registration_that_goes_in_calm_times_ends_new_work_at_once(engines):
+    engines.remove("a")
+    assert names(engines) == ["b", "c"]
+
+
+def test_a_lapse_shown_by_the_end_of_an_outage_waits_for_its_renewal(engines, clock):
+    engines.replace_all([engine("b")], renewals_until=clock.now + RENEWAL_S)
+    assert names(engines) == ["a", "b", "c"]
+    engines.put(engine("a"))
+    clock.now += RENEWAL_S + 0.1
+    assert names(engines) == ["a", "b"]
+
+
+def test_an_engine_that_announced_its_leaving_is_not_waited_for(engines, clock):
+    engines.put(engine("a", leaving=True))
+    engines.replace_all([engine("b"), engine("c")], renewals_until=clock.now + RENEWAL_S)
+    assert "a" not in engines.engines
+
+
+def test_a_gone_engine_can_be_copied_from_for_a_moment_and_is_then_forgotten(engines, clock):
+    gone = []
+    engines.on_gone.append(lambda e: gone.append(e.id))
+    engines.remove("a")
+    assert sorted(e.id for e in engines.reachable("s")) == ["a", "b", "c"]
+    assert not gone
+    clock.now += 2.1
+    assert sorted(e.id for e in engines.reachable("s")) == ["b", "c"]
+    assert gone == ["a"]
+
+
+def test_a_displaced_engine_is_passed_over_until_it_starts_anew(engines):
+    engines.note_displaced(engine("a"))
+    engines.put(engine("a"))
+    assert names(engines) == ["b", "c"]
+    engines.put(engine("a", started=2))
+    assert names(engines) == ["a", "b", "c"]
+
+
+def test_a_grey_engine_is_passed_over_and_tried_again_later(clock):
+    trust = EngineTrust(clock)
+    for _ in range(3):
+        trust.note_failure("a")
+    assert trust.trusted("abc") == {"b", "c"}
+    clock.now += 1.1
+    assert trust.trusted("abc") == {"a", "b", "c"}
+    trust.note_failure("a")
+    clock.now += 1.1
+    assert trust.trusted("abc") == {"b", "c"}, "the second pause is longer"
+
+
+def test_single_failures_among_successes_condemn_nobody(clock):
+    trust = EngineTrust(clock)
+    for number in range(100):
+        (trust.note_failure if number % 7 == 0 else trust.note_success)("a")
+    assert not trust.is_suspect("a")
+
+
+def test_when_most_engines_look_bad_all_are_used(clock):
+    trust = EngineTrust(clock)
+    for name in "abc":
+        trust.note_unreachable(name)
+    assert trust.trusted("abcd") == set("abcd")
+
+
+@pytest.mark.parametrize("routers", [1, 7, 87])
+def test_repeats_of_all_routers_stay_within_the_budget(clock, routers):
+    budgets = [SharedRetries(0.2, 54, 10.0, lambda: routers, clock) for _ in range(routers)]
+    for number in range(10 * routers):
+        budgets[number % routers].note_request()
+    spent = sum(budget.take() for budget in budgets for _ in range(200))
+    assert 0 < spent <= 0.2 * 10 * routers + 54
+
+
+def test_a_storm_of_failures_cannot_spend_more_than_the_window_allows(clock):
+    budget = SharedRetries(0.2, 54, 10.0, lambda: 1, clock)
+    spent = []
+    for _ in range(3000):
+        clock.now += 0.01
+        budget.note_request()
+        if budget.take():
+            spent.append(clock.now)
+    for start in spent:
+        within = sum(start <= at < start + 10.0 for at in spent)
+        assert within <= 0.2 * 1000 + 54
