Share which engines cannot be reached; serve metrics; read changed settings; prove stops and logs

Change: a connection that breaks before any byte counts like one that is not taken; routers tell which engines they cannot reach, and two witnesses are enough to pass one over. Also: metrics page on the address of the deploy file, its library loaded when first read; settings that change with or without SIGHUP are taken over, broken ones logged and left; the log is pushed out at the end. Tests of stops, signals, starts, log bounds and a reader that does not read, on the real process.

--- a/marjoramspool/dispatch.py
+++ b/marjoramspool/dispatch.py
@@ -17,6 +17,7 @@
     "MayHaveRunError",
     "NotSentError",
     "Request",
+    "ResetError",
     "SilentConnectionError",
     "TargetRefusedError",
     "single",
@@ -43,6 +44,10 @@
     """Report that the request may have run."""
 
 
+class ResetError(MayHaveRunError):
+    """Report that a connection broke before any byte of an answer came."""
+
+
 class SilentConnectionError(MayHaveRunError):
     """Report that a connection went silent although its target answers new ones."""
 
--- a/marjoramspool/engine_trust.py
+++ b/marjoramspool/engine_trust.py
@@ -14,6 +14,7 @@
 LONGEST_PAUSE_S = 8.0
 UNREACHABLE_PAUSE_S = 0.5
 LARGEST_SHARE_PASSED_OVER = 0.5
+WITNESSES = 2
 
 
 @dataclass(slots=True)
@@ -23,6 +24,7 @@
     failures: float = 0.0
     pauses: int = 0
     until: float = 0.0
+    is_unreachable: bool = False
 
 
 class EngineTrust:
@@ -31,11 +33,12 @@
     When more than half of a service looks bad, the fault is likelier elsewhere and all are used.
     """
 
-    __slots__ = ("clock", "records")
+    __slots__ = ("clock", "records", "told")
 
     def __init__(self, clock: Callable[[], float] = now):
         self.clock = clock
         self.records: dict[str, Record] = {}
+        self.told: dict[str, frozenset[str]] = {}
 
     def note_success(self, engine: str) -> None:
         """Record that an engine answered well."""
@@ -56,18 +59,33 @@
             record.pauses += 1
             # The next failure after the pause starts a new one.
             record.failures = SUSPECT_ABOVE - FAILURE_WEIGHT / 2
-            self.suspect(engine, record, pause_s)
+            self.suspect(engine, record, pause_s, is_unreachable=False)
 
     def note_unreachable(self, engine: str) -> None:
         """Record that an engine takes no connection."""
         record = self.records.setdefault(engine, Record())
         pause_s = min(LONGEST_PAUSE_S, UNREACHABLE_PAUSE_S * 2**record.pauses)
         record.pauses += 1
-        self.suspect(engine, record, pause_s)
-
-    def suspect(self, engine: str, record: Record, pause_s: float) -> None:
+        self.suspect(engine, record, pause_s, is_unreachable=True)
+
+    def tell(self, router: str, unreachable: frozenset[str]) -> None:
+        """Take in which engines another router finds unreachable now."""
+        if unreachable:
+            self.told[router] = unreachable
+        else:
+            self.told.pop(router, None)
+
+    def unreachable(self) -> frozenset[str]:
+        """Return the engines that this router finds unreachable now."""
+        moment = self.clock()
+        return frozenset(
+            name for name, r in self.records.items() if r.is_unreachable and r.until > moment
+        )
+
+    def suspect(self, engine: str, record: Record, pause_s: float, is_unreachable: bool) -> None:
         """Pass an engine over for a while."""
         record.until = self.clock() + pause_s
+        record.is_unreachable = is_unreachable
         log(Event.ENGINE_SUSPECTED, engine=engine, failures=record.failures, pause_s=pause_s)
 
     def forget(self, engine: str) -> None:
@@ -77,7 +95,10 @@
     def is_suspect(self, engine: str) -> bool:
         """Tell whether an engine is passed over now."""
         record = self.records.get(engine)
-        return record is not None and record.until > self.clock()
+        if record is not None and record.until > self.clock():
+            return True
+        # One router alone may have its own trouble on the way there.
+        return sum(engine in names for names in self.told.values()) >= WITNESSES
 
     def trusted(self, engines: Iterable[str]) -> set[str]:
         """Return those of some engines that may get requests."""
--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -22,6 +22,7 @@
     ROUTES_ADOPTED = (204, "info", "a newer version of the routes is in force")
     ROUTES_INVALID = (205, "error", "a version of the routes is invalid; the last good one stays")
     SETTINGS_READ = (206, "info", "the settings were read again")
+    SETTINGS_INVALID = (207, "error", "changed settings cannot be used; the last good ones stay")
     PLATFORM_OUT = (301, "warning", "the platform does not answer; soft state carries on")
     PLATFORM_BACK = (302, "info", "the platform answers again")
     PLATFORM_BUDGET = (303, "warning", "a platform call was refused by this router's own budget")
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -14,12 +14,14 @@
     DisplacedError,
     MayHaveRunError,
     NotSentError,
+    ResetError,
     TargetRefusedError,
 )
 from marjoramspool.engine_choice import EngineChoice, Placement
 from marjoramspool.engine_list import Engine
 from marjoramspool.event_stream import StreamEvent
 from marjoramspool.events import Event, log
+from marjoramspool.metrics import Metrics
 from marjoramspool.outcomes import NotRun, Problem, Unknown
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.retries import SharedRetries
@@ -86,7 +88,7 @@
 class Forwarding:
     """Serve routed requests; every answer is whole, and every failure says whether it ran."""
 
-    __slots__ = ("bounds", "choice", "client", "retries", "routers")
+    __slots__ = ("bounds", "choice", "client", "metrics", "retries", "routers")
 
     def __init__(
         self,
@@ -94,7 +96,9 @@
         client: EngineClient,
         bounds: Bounds,
         routers: Callable[[], int],
+        metrics: Metrics,
     ):
+        self.metrics = metrics
         self.choice = choice
         self.client = client
         self.bounds = bounds
@@ -122,6 +126,7 @@
                     outcome = await self.attempts(request, tries, stack, request.after_event)
             except TimeoutError:
                 outcome = self.time_is_up(tries)
+            self.metrics.count(f"outcomes.{type(outcome).__name__}")
             if isinstance(outcome, StreamAnswer):
                 events = outcome.events
                 outcome.events = self.whole_stream(request, tries, stack, events)
@@ -185,6 +190,7 @@
             status=answer.status,
             waited_s=waited_s,
         )
+        self.metrics.observe(f"first_answer_seconds.{request.service}", waited_s)
         if answer.status >= SERVER_ERROR:
             self.choice.trust.note_failure(engine.id)
             if self.may_repeat(request, tries):
@@ -237,6 +243,7 @@
     ) -> bool:
         """Take in a failed attempt; tell whether the request may be sent again."""
         log(Event.ATTEMPT_FAILED, request=request.id, target=engine.id, why=str(error))
+        self.metrics.count(f"attempts_failed.{type(error).__name__}")
         match error:
             case NotSentError():
                 tries.runs -= 1
@@ -250,7 +257,10 @@
                 tries.problem = Problem(503, str(error), "send it again", RETRY_SOON_S)
                 return self.budget(request.service).take()
             case _:
-                self.choice.trust.note_failure(engine.id)
+                if isinstance(error, ResetError):
+                    self.choice.trust.note_unreachable(engine.id)
+                else:
+                    self.choice.trust.note_failure(engine.id)
                 tries.problem = Problem(502, str(error), "check whether it ran")
                 return self.may_repeat(request, tries) and self.budget(request.service).take()
 
--- a/marjoramspool/json_logs.py
+++ b/marjoramspool/json_logs.py
@@ -10,6 +10,7 @@
 
 LINES_A_SECOND = 400
 BYTES_KEPT = 1 << 18
+LAST_MOMENT_S = 0.1
 
 
 class JsonLines(Handler):
@@ -49,6 +50,17 @@
     def write(self, line: dict) -> None:
         """Put a line into the buffer, and write as much of it as the reader takes."""
         self.waiting += self.encoder.encode(line) + b"\n"
+        self.push()
+
+    def finish(self) -> None:
+        """Give the reader a last moment to take what waits."""
+        give_up = time.monotonic() + LAST_MOMENT_S
+        while self.waiting and time.monotonic() < give_up:
+            self.push()
+            time.sleep(0.01)
+
+    def push(self) -> None:
+        """Write as much of the buffer as the reader takes."""
         try:
             written = os.write(self.descriptor, self.waiting)
         except BlockingIOError:
--- a/marjoramspool/metrics.py
+++ b/marjoramspool/metrics.py
@@ -1,21 +1,52 @@
-"""Metrics by statsd."""
+"""Counters, gauges and latency histograms; pushed by statsd, or served as a page."""
 
-from statsd import StatsClient
+from bisect import bisect_left
+from collections.abc import Callable
 
-__all__ = ["Metrics"]
+__all__ = ["Histogram", "Metrics"]
 
 PREFIX = "marjoramspool"
+BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0)
+
+
+class Histogram:
+    """Count durations in buckets, in seconds."""
+
+    __slots__ = ("counts", "total_s")
+
+    def __init__(self):
+        self.counts = [0] * (len(BUCKETS_S) + 1)
+        self.total_s = 0.0
+
+    def observe(self, duration_s: float) -> None:
+        """Count one duration."""
+        self.counts[bisect_left(BUCKETS_S, duration_s)] += 1
+        self.total_s += duration_s
+
+    def cumulative(self) -> list[tuple[str, int]]:
+        """Return each bucket's upper bound and how many durations are not above it."""
+        bounds = [*map(str, BUCKETS_S), "+Inf"]
+        sums, total = [], 0
+        for bound, count in zip(bounds, self.counts, strict=True):
+            total += count
+            sums.append((bound, total))
+        return sums
 
 
 class Metrics:
-    """Send counters and gauges over UDP; without an address, send nothing."""
+    """Keep counters, gauges and histograms; with an address, send counts and gauges by statsd."""
 
-    __slots__ = ("client", "counts")
+    __slots__ = ("client", "counts", "gauges", "histograms")
 
     def __init__(self, address: str | None):
         self.counts: dict[str, int] = {}
-        self.client: StatsClient | None = None
+        self.gauges: dict[str, Callable[[], float]] = {}
+        self.histograms: dict[str, Histogram] = {}
+        self.client = None
         if address:
+            # Imported here, since hosts that serve a page do without it.
+            from statsd import StatsClient
+
             host, _, port = address.rpartition(":")
             self.client = StatsClient(host, int(port), prefix=PREFIX)
 
@@ -29,3 +60,10 @@
         """Report a level."""
         if self.client:
             self.client.gauge(name, value)
+
+    def observe(self, name: str, duration_s: float) -> None:
+        """Count a duration in seconds."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = self.histograms[name] = Histogram()
+        histogram.observe(duration_s)
--- /dev/null
+++ b/marjoramspool/metrics_page.py
@@ -0,0 +1,48 @@
+"""The metrics as a page of text, in the format that Prometheus reads."""
+
+from collections.abc import Iterator
+
+from marjoramspool.metrics import PREFIX, Metrics
+
+__all__ = ["render_page"]
+
+
+class Collector:
+    """Hand the metrics to the library that writes the page."""
+
+    def __init__(self, metrics: Metrics):
+        self.metrics = metrics
+
+    def collect(self) -> Iterator[object]:
+        """Yield each metric."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        for name, count in sorted(self.metrics.counts.items()):
+            yield CounterMetricFamily(page_name(name), name, value=count)
+        for name, read in sorted(self.metrics.gauges.items()):
+            yield GaugeMetricFamily(page_name(name), name, value=read())
+        for name, histogram in sorted(self.metrics.histograms.items()):
+            yield HistogramMetricFamily(
+                page_name(name),
+                name,
+                buckets=histogram.cumulative(),
+                sum_value=histogram.total_s,
+            )
+
+
+def render_page(metrics: Metrics) -> bytes:
+    """Return the page; the library is loaded at the first call, to spare the memory before."""
+    from prometheus_client import CollectorRegistry, generate_latest
+
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(Collector(metrics))
+    return generate_latest(registry)
+
+
+def page_name(name: str) -> str:
+    """Return the name of a metric on the page."""
+    return f"{PREFIX}_{name.replace('.', '_').replace('-', '_')}"
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -63,6 +63,7 @@
     has_store: bool
     loads: tuple[ToldLoad, ...] = ()
     placed: tuple[Placed, ...] = ()
+    unreachable: tuple[int, ...] = ()
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, tag=1):
--- a/marjoramspool/peers/telling.py
+++ b/marjoramspool/peers/telling.py
@@ -89,7 +89,12 @@
         self.sought_at = 0.0
         self.transport: asyncio.DatagramTransport | None = None
         choice.on_placed.append(self.note_placed)
-        directory.on_silent.append(lambda peer: choice.loads.forget_router(peer.address))
+        directory.on_silent.append(self.forget)
+
+    def forget(self, peer: Peer) -> None:
+        """Drop what a router told that is no longer heard of."""
+        self.choice.loads.forget_router(peer.address)
+        self.choice.trust.tell(peer.address, frozenset())
 
     async def start(self) -> None:
         """Open the datagram socket."""
@@ -150,11 +155,17 @@
             for name, load in sorted(self.choice.loads.own.items())
             if (engine := self.choice.engines.engines.get(name))
         )
-        is_quiet = (loads, knowledge) == self.last_told and not self.placed
+        unreachable = tuple(
+            number_of(engine)
+            for name in sorted(self.choice.trust.unreachable())
+            if (engine := self.choice.engines.engines.get(name))
+        )
+        news = (loads, knowledge, unreachable)
+        is_quiet = news == self.last_told and not self.placed
         if is_quiet and moment - self.sent_at < QUIET_PERIOD_S:
             return None
         self.sent_at = moment
-        self.last_told = (loads, knowledge)
+        self.last_told = news
         self.number += 1
         placed = tuple(self.placed[:PLACED_IN_ONE])
         del self.placed[:PLACED_IN_ONE]
@@ -170,6 +181,7 @@
             knowledge.has_store,
             loads,
             placed,
+            unreachable,
         )
 
     def pass_on(self, told: Told | None) -> None:
@@ -229,6 +241,8 @@
         for placed in told.placed:
             self.take_placed(placed)
         self.choice.loads.tell(told.address, dict(self.loads(told)))
+        unreachable = filter(None, map(self.engine, told.unreachable))
+        self.choice.trust.tell(told.address, frozenset(engine.id for engine in unreachable))
         if not relays.is_direct(self.directory):
             self.passing.append(told)
 
--- a/marjoramspool/platform/daemon.py
+++ b/marjoramspool/platform/daemon.py
@@ -5,7 +5,9 @@
 import signal
 import sys
 import zlib
+from collections.abc import Callable
 from contextlib import AsyncExitStack
+from dataclasses import dataclass
 
 from aiohttp import web
 
@@ -14,6 +16,8 @@
 from marjoramspool.events import Event, log
 from marjoramspool.forwarding import Forwarding
 from marjoramspool.json_logs import JsonLines
+from marjoramspool.metrics import Metrics
+from marjoramspool.metrics_page import render_page
 from marjoramspool.peers import exchange, relays
 from marjoramspool.peers.directory import Directory, Peer
 from marjoramspool.peers.joining import Joining
@@ -31,17 +35,27 @@
 
 SETTINGS_VARIABLE = "MARJORAMSPOOL_BOOT"
 EXIT_INVALID = 2
+STANDARD_OUTPUT = 1
 STORE_TIMEOUT_S = 1.0
 READY_PATH = "/marjoramspool/readyz"
 # The balancer asks once a second and takes a host out after two misses.
 LEAVE_ROTATION_S = 2.3
 STOP_MARGIN_S = 0.4
 RESTART_PAUSE_S = 0.2
+SETTINGS_PERIOD_S = 1.0
 JOIN_CHECK_S = 0.02
 # The store usually brings a change to all that watch within this time.
 WATCH_LAG_S = 0.3
 
 
+@dataclass(slots=True, frozen=True)
+class MetricsAddress:
+    """Say on which port and path the metrics page is served."""
+
+    port: int
+    path: str
+
+
 class PlatformRouter:
     """Own every part of one router; use as an async context manager."""
 
@@ -53,6 +67,8 @@
         "engines",
         "forwarding",
         "ingress",
+        "metrics",
+        "metrics_at",
         "joining",
         "sessions",
         "settings",
@@ -64,8 +80,10 @@
         "telling",
     )
 
-    def __init__(self, settings: HostSettings):
+    def __init__(self, settings: HostSettings, metrics_at: MetricsAddress | None = None):
         self.settings = settings
+        self.metrics_at = metrics_at
+        self.metrics = Metrics(None)
         self.stack = AsyncExitStack()
         self.tasks: list[asyncio.Task] = []
         self.store = Store(settings.store, STORE_TIMEOUT_S)
@@ -76,7 +94,7 @@
         self.sessions = EngineSessions()
         self.directory = Directory(settings.address, settings.failure_domain, settings.link_mbps)
         self.forwarding = Forwarding(
-            self.choice, self.sessions, settings.bounds, self.directory.size
+            self.choice, self.sessions, settings.bounds, self.directory.size, self.metrics
         )
         self.telling = Telling(settings.peers_port, self.directory, self.choice, self.knowledge)
         self.state_calls = StateCalls(
@@ -186,10 +204,11 @@
         self.start_task(self.join)
         stack.push_async_callback(self.ingress.close)
         await self.ingress.start(*endpoint(self.settings.callers))
-        runner = web.ServerRunner(web.Server(self.readiness, access_log=None))
-        await runner.setup()
-        stack.push_async_callback(runner.cleanup)
-        await web.TCPSite(runner, *endpoint(self.settings.readiness)).start()
+        await self.serve_page(stack, self.readiness, endpoint(self.settings.readiness))
+        if self.metrics_at:
+            self.add_gauges()
+            address = (self.settings.address, self.metrics_at.port)
+            await self.serve_page(stack, self.serve_metrics, address)
         log(
             Event.ROUTER_STARTED,
             router=self.settings.name,
@@ -213,12 +232,43 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
+    async def serve_page(
+        self, stack: AsyncExitStack, handler: Callable, address: tuple[str, int]
+    ) -> None:
+        """Serve one page on an address of its own."""
+        runner = web.ServerRunner(web.Server(handler, access_log=None))
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, *address).start()
+
+    def add_gauges(self) -> None:
+        """Name the levels that the metrics page shows."""
+        self.metrics.gauges = {
+            "requests_in_flight": lambda: len(self.ingress.busy),
+            "routers_heard": lambda: len(self.directory.heard()),
+            "engines_listed": lambda: len(self.engines.engines),
+            "table_revision": lambda: self.tables.seen,
+            "store_calls": lambda: self.store.calls,
+            "store_answers": lambda: float(self.has_store),
+        }
+
+    async def serve_metrics(self, request: web.BaseRequest) -> web.Response:
+        """Serve the metrics page."""
+        if request.path != self.metrics_at.path:
+            return web.Response(status=404)
+        return web.Response(body=render_page(self.metrics), content_type="text/plain")
+
     async def readiness(self, request: web.BaseRequest) -> web.Response:
         """Tell the balancer whether to send clients here."""
         if request.path != READY_PATH:
             return web.Response(status=404)
         return web.Response(status=200 if self.is_ready else 503)
 
+    def adopt(self, settings: HostSettings) -> None:
+        """Take over what may change while the router runs: the store's address and the bounds."""
+        self.store.address = settings.store
+        self.forwarding.bounds = settings.bounds
+
     async def shut_down(self) -> None:
         """Leave gracefully: fail readiness, serve what still comes, finish all, then stop."""
         log(Event.ROUTER_DRAINING, in_flight=len(self.ingress.busy))
@@ -232,6 +282,42 @@
             log(Event.ROUTER_DRAINING, in_flight=len(self.ingress.busy))
 
 
+class Reload:
+    """Take over settings that change while the router runs, with or without a signal."""
+
+    __slots__ = ("changed_at", "path", "router")
+
+    def __init__(self, path: str, router: PlatformRouter):
+        self.path = path
+        self.router = router
+        self.changed_at = self.file_time()
+
+    def file_time(self) -> int:
+        """Return when the file changed last, in nanoseconds; 0 if it is not there."""
+        try:
+            return os.stat(self.path).st_mtime_ns
+        except OSError:
+            return 0
+
+    def read(self) -> None:
+        """Read the file; keep what is in force if it cannot be used."""
+        self.changed_at = self.file_time()
+        try:
+            settings = read_settings(self.path)
+        except SettingsError as error:
+            log(Event.SETTINGS_INVALID, path=self.path, fault=str(error))
+            return
+        log(Event.SETTINGS_READ, path=self.path, store=settings.store)
+        self.router.adopt(settings)
+
+    async def follow(self) -> None:
+        """Look now and then whether the file has changed, for ever."""
+        while True:
+            await asyncio.sleep(SETTINGS_PERIOD_S)
+            if self.file_time() != self.changed_at:
+                self.read()
+
+
 async def keep_running(work) -> None:
     """Run a task for ever; start it again if it fails."""
     while True:
@@ -248,14 +334,28 @@
     return host, int(port)
 
 
-async def run(path: str, settings: HostSettings) -> None:
+def metrics_address(words: list[str]) -> MetricsAddress | None:
+    """Return where the arguments ask for metrics; raise SettingsError if they are malformed."""
+    match words:
+        case []:
+            return None
+        case ["--metrics", place]:
+            port, slash, path = place.partition("/")
+            if port.isdigit() and slash:
+                return MetricsAddress(int(port), f"/{path}")
+    raise SettingsError(f"arguments {words}: write nothing or --metrics PORT/PATH")
+
+
+async def run(path: str, settings: HostSettings, metrics_at: MetricsAddress | None) -> None:
     """Run a router until SIGTERM or SIGINT."""
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log(Event.SETTINGS_READ, path=path))
-    async with PlatformRouter(settings) as router:
+    async with PlatformRouter(settings, metrics_at) as router:
+        reload = Reload(path, router)
+        loop.add_signal_handler(signal.SIGHUP, reload.read)
+        router.start_task(reload.follow)
         await stopping.wait()
         await router.shut_down()
 
@@ -263,10 +363,13 @@
 def main() -> None:
     """Check the settings and run the router."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
-    with JsonLines(1).applicationbound():
+    lines = JsonLines(STANDARD_OUTPUT)
+    with lines.applicationbound():
         try:
+            metrics_at = metrics_address(sys.argv[1:])
             settings = read_settings(path)
         except SettingsError as error:
             print(error, file=sys.stderr)
             raise SystemExit(EXIT_INVALID) from error
-        asyncio.run(run(path, settings))
+        asyncio.run(run(path, settings, metrics_at))
+        lines.finish()
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -13,6 +13,7 @@
     DisplacedError,
     MayHaveRunError,
     NotSentError,
+    ResetError,
     TargetRefusedError,
 )
 from marjoramspool.engine_list import Engine
@@ -124,7 +125,7 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSentError(f"engine {engine.id} takes no connection: {error!r}") from error
         except (aiohttp.ClientError, OSError) as error:
-            raise MayHaveRunError(f"engine {engine.id} gave no answer: {error!r}") from error
+            raise ResetError(f"engine {engine.id} gave no answer: {error!r}") from error
 
 
 async def note_reuse(_, context, __) -> None:
--- /dev/null
+++ b/marjoramspool/platform/tests/test_stopping.py
@@ -0,0 +1,207 @@
+"""Stops, signals and starts of the real process, as clients and the balancer see them."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import time
+
+import aiohttp
+import msgspec
+import pytest
+
+from bench.platform_fleet import HOST, KEY, route
+
+WAIT_S = 10.0
+
+
+class RouterProcess:
+    """Run the daemon as the platform runs it."""
+
+    def __init__(self, site, path):
+        self.site = site
+        self.path = path
+        self.settings = site.settings("front-1", "127.0.0.31", "zone-a")
+        self.process = None
+        self.log = path.with_name("log").open("w+b")
+
+    def write_settings(self, **changes):
+        fields = {
+            "node_name": self.settings.name,
+            "ip": self.settings.address,
+            "zone": "zone-a",
+            "listen": {"front": self.settings.callers, "readiness": self.settings.readiness},
+            "internal_ports": [self.settings.peers_port, self.settings.peers_port],
+            "platform": {"address": self.settings.store},
+            "bounds": {"grace_s": 4},
+            "unknown": {"ignored": True},
+        }
+        self.path.write_bytes(msgspec.json.encode(fields | changes))
+
+    async def start(self, *arguments, ready=True):
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "marjoramspool.platform",
+            *arguments,
+            env={"MARJORAMSPOOL_BOOT": str(self.path), "PATH": "/usr/bin"},
+            stdout=self.log,
+            stderr=self.log,
+        )
+        give_up = time.monotonic() + WAIT_S
+        while ready and await self.readiness() != 200:
+            assert time.monotonic() < give_up, "it is not ready in time"
+            await asyncio.sleep(0.05)
+
+    async def readiness(self):
+        url = f"http://{self.settings.readiness}/marjoramspool/readyz"
+        try:
+            async with self.site.session.get(url) as response:
+                return response.status
+        except aiohttp.ClientError:
+            return None
+
+    async def ask(self, path, request, session=None, method="GET"):
+        headers = {"X-Request-Id": request, "Host": HOST, "Api-Key": KEY}
+        url = f"http://{self.settings.callers}{path}"
+        session = session or self.site.session
+        async with session.request(method, url, headers=headers) as response:
+            return response.status, response.headers, await response.read()
+
+    async def lines(self):
+        """Return the log lines after the end of the process."""
+        await self.process.wait()
+        self.log.seek(0)
+        return [msgspec.json.decode(line) for line in self.log.read().splitlines()]
+
+
+@pytest.fixture
+async def router(site, tmp_path):
+    await site.add_engine("desk")
+    await site.add_engine("model", is_stream=True, pieces=40, piece_s=0.05)
+    await site.configure(
+        route("/lookup/", "idempotent", "desk"),
+        route("/order/", "non_idempotent", "desk"),
+        route("/report/", "streaming", "model", timeout_ms=9000),
+    )
+    router = RouterProcess(site, tmp_path / "settings.json")
+    router.write_settings()
+    yield router
+    if router.process and router.process.returncode is None:
+        router.process.kill()
+        await router.process.wait()
+
+
+async def test_a_stop_finishes_what_is_in_flight_and_answers_what_still_comes(router):
+    await router.start()
+    stream = asyncio.create_task(router.ask("/report/x", "long"))
+    await asyncio.sleep(0.3)
+    async with aiohttp.ClientSession() as kept:
+        await router.ask("/lookup/x", "warm", kept)
+        router.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        assert await router.readiness() == 503
+        status, headers, _ = await router.ask("/order/x", "late", kept, "POST")
+        assert status == 200
+        assert headers["Connection"] == "close"
+    status, _, body = await stream
+    assert (status, body.count(b"id:")) == (200, 40)
+    assert await asyncio.wait_for(router.process.wait(), WAIT_S) == 0
+
+
+async def test_requests_that_race_with_the_close_get_an_answer_or_are_not_read(router):
+    await router.start()
+    cut = []
+
+    async def keep_asking(number):
+        count = 0
+        async with aiohttp.ClientSession() as session:
+            while True:
+                count += 1
+                arrivals = len(router.site.engines[0].arrivals)
+                try:
+                    await router.ask("/order/x", f"r{number}-{count}", session, "POST")
+                except aiohttp.ClientConnectorError:
+                    return
+                except aiohttp.ClientError:
+                    seen = router.site.engines[0].arrivals[arrivals:]
+                    cut.extend(a for a in seen if a.id == f"r{number}-{count}")
+
+    router.process.send_signal(signal.SIGTERM)
+    await asyncio.wait_for(asyncio.gather(*[keep_asking(n) for n in range(8)]), WAIT_S)
+    assert not cut, "a request was passed on and its connection closed"
+    assert await asyncio.wait_for(router.process.wait(), WAIT_S) == 0
+
+
+async def test_idle_connections_end_with_the_stop(router):
+    await router.start()
+    host, port = router.settings.callers.split(":")
+    with socket.create_connection((host, int(port))) as idle:
+        router.process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(router.process.wait(), WAIT_S) == 0
+        assert idle.recv(1) == b""
+
+
+async def test_sighup_reads_the_settings_and_cuts_nothing(router):
+    await router.start()
+    stream = asyncio.create_task(router.ask("/report/x", "long"))
+    await asyncio.sleep(0.2)
+    for _ in range(3):
+        router.write_settings(more="changed")
+        router.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.05)
+    status, _, body = await stream
+    assert (status, body.count(b"id:")) == (200, 40)
+    router.path.write_text("{broken")
+    router.process.send_signal(signal.SIGHUP)
+    await asyncio.sleep(0.1)
+    assert await router.readiness() == 200
+    router.process.terminate()
+    events = [line["event"] for line in await router.lines()]
+    assert events.count("SETTINGS_READ") == 3
+    assert "SETTINGS_INVALID" in events
+
+
+async def test_a_changed_store_address_is_taken_over_without_a_signal(router):
+    await router.start()
+    router.write_settings(platform={"address": "127.0.0.1:1"})
+    await asyncio.sleep(3.0)
+    assert (await router.ask("/lookup/x", "r"))[0] == 200
+    router.process.terminate()
+    assert "SETTINGS_READ" in [line["event"] for line in await router.lines()]
+
+
+async def test_bad_settings_end_the_start_with_a_clear_error(router):
+    router.write_settings(listen={"front": "nowhere", "readiness": "127.0.0.1:1"})
+    await router.start(ready=False)
+    assert await router.process.wait() == 2
+    router.log.seek(0)
+    error = router.log.read()
+    assert b"listen.front" in error
+    assert b"not IP:PORT" in error
+
+
+async def test_the_log_explains_a_request_and_the_metrics_count_it(router):
+    await router.start("--metrics", "9471/metrics")
+    await router.ask("/lookup/x", "r1")
+    url = f"http://{router.settings.address}:9471/metrics"
+    async with router.site.session.get(url) as response:
+        page = await response.text()
+    assert "marjoramspool_outcomes_WholeAnswer_total 1.0" in page
+    assert 'marjoramspool_first_answer_seconds_desk_bucket{le="+Inf"} 1.0' in page
+    router.process.terminate()
+    lines = await router.lines()
+    mine = [line["event"] for line in lines if line.get("request") == "r1"]
+    assert mine == ["REQUEST_PLACED", "ANSWER_BEGUN", "REQUEST_SERVED"]
+    assert {"ROUTER_STARTED", "ROUTES_ADOPTED", "ENGINE_LISTED"} <= {x["event"] for x in lines}
+
+
+async def test_a_reader_that_stops_reading_the_log_costs_no_request(router):
+    reading, router.log = os.pipe()
+    await router.start()
+    for number in range(1500):
+        status, _, _ = await router.ask("/lookup/x", f"r{number}")
+        assert status == 200
+    os.close(reading)
+    os.close(router.log)
--- a/marjoramspool/tests/test_engine_judgement.py
+++ b/marjoramspool/tests/test_engine_judgement.py
@@ -119,3 +119,25 @@
     for start in spent:
         within = sum(start <= at < start + 10.0 for at in spent)
         assert within <= 0.2 * 1000 + 54
+
+
+def test_an_engine_that_two_routers_cannot_reach_is_passed_over_before_the_first_try(clock):
+    trust = EngineTrust(clock)
+    trust.tell("x", frozenset("a"))
+    assert trust.trusted("abc") == set("abc"), "one router may have its own trouble"
+    trust.tell("y", frozenset("a"))
+    assert trust.trusted("abc") == set("bc")
+    trust.tell("x", frozenset())
+    assert trust.trusted("abc") == set("abc")
+
+
+def test_only_what_this_router_found_itself_is_told_on(clock):
+    trust = EngineTrust(clock)
+    trust.tell("x", frozenset("a"))
+    trust.tell("y", frozenset("a"))
+    trust.note_unreachable("b")
+    for _ in range(3):
+        trust.note_failure("c")
+    assert trust.unreachable() == {"b"}
+    clock.now += 1.0
+    assert trust.unreachable() == frozenset()
