--- a/marjoramspool/platform/follow.py
+++ b/marjoramspool/platform/follow.py
@@ -33,6 +33,8 @@
 AT_ONCE_S = 0.001
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
+# A router that knows nothing yet serves nobody.
+LONGEST_FIRST_PAUSE_S = 0.3
 # Registrations that are found gone this soon after an outage may have lapsed in it.
 LAPSES_SHOW_S = 0.7
 
@@ -73,8 +75,8 @@
             except PlatformError:
                 self.has_failed = True
                 # Jitter keeps the routers from returning together after an outage.
-                await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
-                pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
+                await self.store.wait_regained(pause_s * random.uniform(0.5, 1.5))
+                pause_s = min(self.longest_pause_s(), pause_s * 2)
 
     async def step(self) -> None:
         """Make one call and take in what it brings."""
@@ -92,6 +94,10 @@
                 self.take_change(change)
             self.revision = max(self.revision, revision)
 
+    def longest_pause_s(self) -> float:
+        """Return the longest pause between calls in an outage, in seconds."""
+        return LONGEST_PAUSE_S if self.revision is not None else LONGEST_FIRST_PAUSE_S
+
     def wait_s(self) -> float:
         """Return how long a watch may wait."""
         return WATCH_S if self.duty() is Duty.WATCH_FOR_ITSELF else WATCH_FOR_OTHERS_S
--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -19,7 +19,7 @@
 __all__ = ["Ingress"]
 
 MS = 1000.0
-NO_TABLE_RETRY_S = 0.3
+NO_TABLE_RETRY_S = 1.0
 # Clients reuse connections that were idle for most of the limit; none may meet a close.
 KEEPALIVE_S = 120.0
 BACKLOG = 1024
--- a/marjoramspool/platform/store.py
+++ b/marjoramspool/platform/store.py
@@ -1,6 +1,8 @@
 """Client of the platform's metadata store: objects by kind and name, with watches."""
 
+import asyncio
 import time
+from contextlib import suppress
 from dataclasses import dataclass
 from urllib.parse import quote
 
@@ -132,7 +134,7 @@
 class Store:
     """Call the store; use as an async context manager."""
 
-    __slots__ = ("address", "bytes", "calls", "out_since", "session", "timeout_s")
+    __slots__ = ("address", "bytes", "calls", "out_since", "regained", "session", "timeout_s")
 
     def __init__(self, address: str, timeout_s: float):
         self.address = address
@@ -140,6 +142,7 @@
         self.calls = 0
         self.bytes = 0
         self.out_since: float | None = None
+        self.regained = asyncio.Event()
         self.session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self):
@@ -246,10 +249,17 @@
         self.bytes += len(path) + len(data or b"") + sum(len(k) + len(v) + 4 for k, v in sent)
         self.bytes += len(body) + sum(len(k) + len(v) + 4 for k, v in response.raw_headers)
 
+    async def wait_regained(self, wait_s: float) -> None:
+        """Wait until any call is answered again, or for a time in seconds."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self.regained.wait()
+
     def note_out(self, why: str) -> None:
         """Log that the store is lost, once."""
         if self.out_since is None:
             self.out_since = time.monotonic()
+            self.regained.clear()
             log(Event.PLATFORM_OUT, address=self.address, why=why)
 
     def note_back(self) -> None:
@@ -257,6 +267,7 @@
         if self.out_since is not None:
             away_s = round(time.monotonic() - self.out_since, 3)
             self.out_since = None
+            self.regained.set()
             log(Event.PLATFORM_BACK, address=self.address, away_s=away_s)
 
 
