--- a/marjoramspool/operators/commands.py
+++ b/marjoramspool/operators/commands.py
@@ -5,7 +5,7 @@
 import getpass
 import sys
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
 
@@ -14,7 +14,10 @@
 
 from marjoramspool.document import InvalidFileError, hash_key, read_document
 from marjoramspool.operators.client import ConflictError, Operator, status_of
+from marjoramspool.operators.log_reader import explain_request, read_lines
 from marjoramspool.platform.client import PlatformError
+from marjoramspool.platform.deploy import check_deploy
+from marjoramspool.platform.settings import SettingsError, read_settings
 
 __all__ = ["Marjoramspool", "main"]
 
@@ -29,7 +32,7 @@
 Json = Annotated[bool, cappa.Arg(long=True, help="Print JSON.")]
 
 
-@cappa.command(help="Check a service document.")
+@cappa.command(help="Check a service document, a deploy file (.toml) or settings (.json).")
 @dataclass
 class Check:
     """Hold the arguments of check."""
@@ -39,6 +42,10 @@
 
     def __call__(self) -> int:
         """Check a file and print every fault."""
+        if self.file.endswith((".toml", ".json")):
+            (check_deploy if self.file.endswith(".toml") else read_settings)(self.file)
+            show(self.json, {"file": self.file, "valid": True}, f"{self.file} is valid")
+            return 0
         document = read_document(self.file, read_file(self.file))
         text = f"{self.file}: {document.name} is valid"
         show(self.json, {"service": document.name, "valid": True}, text)
@@ -178,13 +185,33 @@
     """Hold the arguments of explain."""
 
     request: str
-    platform: Platform
+    platform: Annotated[str, cappa.Arg(long=True, help="The platform's store, IP:PORT.")] = ""
+    logs: Annotated[
+        list[str], cappa.Arg(long=True, num_args=-1, help="Log files of routers to join.")
+    ] = field(default_factory=list)
     json: Json = False
 
     def __call__(self) -> int:
         """Print the trace of a request."""
+        if self.logs:
+            return self.explain_logs()
+        if not self.platform:
+            print("explain: name --logs FILE... or --platform IP:PORT", file=sys.stderr)
+            return EXIT_INVALID
         return asyncio.run(self.explain())
 
+    def explain_logs(self) -> int:
+        """Join the lines of log files, and print them with the cause."""
+        texts = (line for path in self.logs for line in read_file(path).splitlines())
+        found = explain_request(self.request, read_lines(texts))
+        if found is None:
+            return not_found(f"{self.request}: no line names it; give the logs of all routers")
+        lines = [f"  {line.text()}" for line in found.lines]
+        if found.context:
+            lines += ["around it:", *[f"  {line.text()}" for line in found.context]]
+        show(self.json, found, "\n".join([*lines, f"cause: {found.cause}"]))
+        return 0
+
     async def explain(self) -> int:
         """Ask the routers for the trace."""
         async with Operator(self.platform) as operator:
@@ -261,12 +288,12 @@
     return f"{name}: {state}, {status.in_flight} in flight, {versions} {owned} {faults}".rstrip()
 
 
-def main() -> None:
+def main(words: list[str] | None = None) -> None:
     """Run the chosen command; exit with its code."""
     try:
-        arguments = cappa.parse(Marjoramspool)
+        arguments = cappa.parse(Marjoramspool, argv=words)
         raise SystemExit(arguments.command())
-    except InvalidFileError as error:
+    except (InvalidFileError, SettingsError) as error:
         print(error, file=sys.stderr)
         raise SystemExit(EXIT_INVALID) from error
     except ConflictError as error:
