--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -21,7 +21,7 @@
 MS = 1000.0
 NO_TABLE_RETRY_S = 1.0
 # Clients reuse connections that were idle for most of the limit; none may meet a close.
-KEEPALIVE_S = 120.0
+KEEPALIVE_S = 300.0
 BACKLOG = 1024
 BODY_WAIT_S = 15.0
 CLOSE_S = 0.1
--- a/marjoramspool/platform/tests/test_answers.py
+++ b/marjoramspool/platform/tests/test_answers.py
@@ -188,6 +188,26 @@
     assert loop.time() - began < 0.3 + 0.5
 
 
+async def test_a_lookup_leaves_a_silent_connection_within_its_target(site):
+    await start(site)
+    site.engines[0].faults["mute"] = 100
+    loop = asyncio.get_running_loop()
+    for number in range(6):
+        began = loop.time()
+        status, _, _ = await site.ask("/lookup/1", f"r{number}", method="GET")
+        assert status == 200
+        assert loop.time() - began < LOOKUP["target_latency_ms"] / 1000 + 0.1
+
+
+async def test_a_stream_without_its_first_event_goes_to_another_engine(site):
+    await start(site)
+    site.engines[2].faults["mute"] = 1
+    site.engines[3].faults["mute"] = 0
+    for number in range(4):
+        status, _, body = await site.ask("/chat/1", f"r{number}")
+        assert (status, body.count(b"id:")) == (200, 6)
+
+
 async def test_repeats_stay_within_the_shared_budget(site):
     await start(site)
     arm_all(site, "error", 1000)
--- a/marjoramspool/platform/tests/test_desired_state.py
+++ b/marjoramspool/platform/tests/test_desired_state.py
@@ -101,6 +101,18 @@
     assert await status_of(site, "/lookup/x", 1) == 401
 
 
+async def test_a_router_whose_watches_are_silent_learns_from_another(site):
+    await start(site, routers=2)
+    deaf = site.routers[1]
+    site.arm("silent", times=-1, path="/watch")
+    await site.configure(LOOKUP, DEEPER)
+    site.store.faults.armed.clear()
+    await site.configure(LOOKUP, keys=("key-two",))
+    fresh = await site.add_router()
+    assert KEY not in fresh.tables.table.accounts
+    await until(lambda: KEY not in deaf.tables.table.accounts, "the key is gone", IN_FORCE_S)
+
+
 async def test_a_start_while_the_store_turns_this_host_away(site):
     await start(site)
     await site.put("marjoramspool-routers", "x", {"address": "127.0.0.11", "failure_domain": "z"})
