--- a/marjoramspool/peers/telling.py
+++ b/marjoramspool/peers/telling.py
@@ -141,6 +141,8 @@
             return
         relay = relays.relay_of(self.directory, self.directory.domain)
         if relay != self.directory.me:
+            # Another passes these on.
+            self.passing.clear()
             if told:
                 self.send(encode(told), self.listeners(relay))
             return
--- a/marjoramspool/peers/tests/test_telling.py
+++ b/marjoramspool/peers/tests/test_telling.py
@@ -235,3 +235,9 @@
         lambda: all(len(r.choice.caches.caches) == 3 for r in routers), "all know all caches"
     )
     assert sum(engine.lists for engine in site.engines) <= 2 * 3
+
+
+def test_what_is_heard_does_not_pile_up():
+    wire, clock, routers = make_fleet(40)
+    rounds(wire, clock, routers, 20)
+    assert max(len(router.passing) for router in routers) <= 2 * len(routers)
