--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -197,9 +197,9 @@
         )
         self.metrics.observe(f"first_answer_seconds.{request.service}", waited_s)
         if answer.status >= SERVER_ERROR:
-            self.choice.trust.note_failure(engine.id)
             if self.may_repeat(request, tries):
                 return MayHaveRunError(f"engine {engine.id} answered {answer.status}")
+            self.choice.trust.note_failure(engine.id)
         else:
             self.choice.trust.note_success(engine.id)
         return answer
@@ -285,6 +285,8 @@
             try:
                 async for event in events:
                     if event.number is not None:
+                        if last is not None and event.number <= last:
+                            continue
                         last = event.number
                     yield event
                 return
--- a/marjoramspool/platform/tests/test_answers.py
+++ b/marjoramspool/platform/tests/test_answers.py
@@ -159,6 +159,16 @@
     assert all(engine.runs("r1") <= 1 for engine in site.engines)
 
 
+async def test_events_that_come_again_after_a_resumption_are_passed_on_once(site):
+    await start(site)
+    faults = Counter(cut=1, repeat=1)
+    for engine in site.engines:
+        engine.faults = faults
+    _, _, body = await site.ask("/chat/1", "r1")
+    events = [line for line in body.split(b"\n") if line.startswith(b"id:")]
+    assert events == [f"id: {number}".encode() for number in range(1, 7)]
+
+
 async def test_a_stream_that_may_not_be_resumed_breaks_off_visibly(site):
     await start(site)
     arm_all(site, "cut", 1)
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -35,7 +35,7 @@
 
     Faults: shed, error, reset (ran, no answer), cut (breaks off midway), extra (a second answer
     later), unframed-cut (no length, reset midway), foreign (another request's answer), bare (no
-    signature), mute (never answers), busy503 (a 503 that does not say that it has not run).
+    signature), repeat (a resumed stream begins anew), mute (never answers), busy503 (a 503 that does not say that it has not run).
     """
 
     id: str
@@ -157,6 +157,8 @@
     async def stream(self, arrival: Arrival, reader, writer) -> bool:
         """Send events, from after the one that a resumption names."""
         first = int(arrival.headers.get("last-event-id", "0")) + 1
+        if first > 1 and self.take("repeat"):
+            first = 1
         writer.write(head(200, arrival.id, None, chunked=True))
         for number in range(first, self.pieces + 1):
             await asyncio.sleep(self.piece_s)
