--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -35,7 +35,8 @@
 
     Faults: shed, error, reset (ran, no answer), cut (breaks off midway), extra (a second answer
     later), unframed-cut (no length, reset midway), foreign (another request's answer), bare (no
-    signature), repeat (a resumed stream begins anew), mute (never answers), busy503 (a 503 that does not say that it has not run).
+    signature), repeat (a resumed stream begins anew), mute (never answers), busy503 (a 503 that
+    does not say that it has not run).
     """
 
     id: str
