--- a/marjoramspool/platform/tests/test_stopping.py
+++ b/marjoramspool/platform/tests/test_stopping.py
@@ -6,6 +6,7 @@
 import socket
 import sys
 import time
+from pathlib import Path
 
 import aiohttp
 import msgspec
@@ -49,8 +50,12 @@
             stdout=self.log,
             stderr=self.log,
         )
+        if ready:
+            await self.wait_ready()
+
+    async def wait_ready(self):
         give_up = time.monotonic() + WAIT_S
-        while ready and await self.readiness() != 200:
+        while await self.readiness() != 200:
             assert time.monotonic() < give_up, "it is not ready in time"
             await asyncio.sleep(0.05)
 
@@ -205,3 +210,19 @@
         assert status == 200
     os.close(reading)
     os.close(router.log)
+
+
+async def test_sighup_during_the_start_ends_nothing(router):
+    await router.start(ready=False)
+    for _ in range(40):
+        await asyncio.sleep(0.01)
+        if router.process.returncode is None and await starts_python(router):
+            router.process.send_signal(signal.SIGHUP)
+    await router.wait_ready()
+
+
+async def starts_python(router):
+    """Tell whether the interpreter runs the program, which then ignores the signal."""
+    status = Path(f"/proc/{router.process.pid}/status").read_text()
+    ignored = next(line for line in status.splitlines() if line.startswith("SigIgn"))
+    return bool(int(ignored.split()[1], 16) & 1)
