Keep a caller's request when the link to another router closes; test group commit by itself

Cause of ServerDisconnectedError beside load, seen in three runs of the group commit test: gRPC reports a channel that is closed under a call as asyncio.CancelledError, also to a task that nobody cancelled; a link reset under a pending claim thus cut the caller's connection without an answer. The test of group commit counted writes of 200 orders against 200, and mixed in admission and deadlines; beside load it failed for each of these in turn. Replaced by two: 200 orders, 60 at a time, complete and run once each; and 200 claims at once take at most 2 writes a shard, 32 in all (stricter than 199).

--- a/marjoramspool/routers/links.py
+++ b/marjoramspool/routers/links.py
@@ -138,6 +138,11 @@
             reply = await getattr(link.stub, method)(request, timeout=timeout_s)
         except grpc.RpcError:
             return None
+        except asyncio.CancelledError:
+            # gRPC reports a channel that is closed under a call like a caller that leaves.
+            if asyncio.current_task().cancelling():
+                raise
+            return None
         link.bytes += reply.ByteSize() + FRAME_BYTES
         return reply
 
--- a/marjoramspool/tests/test_at_most_once.py
+++ b/marjoramspool/tests/test_at_most_once.py
@@ -221,11 +221,10 @@
     assert executions["order"] >= 1
 
 
-async def test_claims_are_committed_in_groups(fleet):
+async def test_many_orders_at_once_run_once_each(fleet):
     executions = await start(fleet, deadline="20s")
-    before = fleet.platform.calls["write"]
     # Fewer at a time than an account may queue, whatever the speed of the machine.
-    places = asyncio.Semaphore(90)
+    places = asyncio.Semaphore(60)
 
     async def place_order(n):
         async with places:
@@ -234,7 +233,17 @@
     results = await asyncio.gather(*[place_order(n) for n in range(200)])
     assert [r for r in results if r[1] != "completed"] == []
     assert all(executions[f"order-{n}"] == 1 for n in range(200))
-    assert fleet.platform.calls["write"] - before < 200
+
+
+async def test_claims_are_committed_in_groups(fleet):
+    await start(fleet, routers=1)
+    claims = fleet.routers[0].claims
+    before = fleet.platform.calls["write"]
+    keys = [ledger.claim_key("field-desk", "crews", f"key-{n}") for n in range(200)]
+    takes = [ledger.Take(key, "body", f"attempt of {key}") for key in keys]
+    results = await asyncio.gather(*[claims.commit_here(take, 30.0) for take in takes])
+    assert all(isinstance(result, ledger.Granted) for result in results)
+    assert fleet.platform.calls["write"] - before <= 2 * claims.shards
 
 
 async def test_old_entries_roll_into_segments_and_still_count(fleet, monkeypatch):
