Share the restart of background tasks; drop settings that nothing reads

Found on the last reading: keep_running stood in both daemons, and the adapter read seeds that no module used. Behaviour unchanged; the tests of stops, settings, desired state, peers, processes and callers pass.

--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -113,7 +113,6 @@
             store=f"127.0.0.1:{self.store_port}",
             link_mbps=1000,
             bounds=Bounds(stop_s=3.0),
-            seeds=(),
         )
 
     async def add_router(self, wait: bool = True) -> PlatformRouter:
--- a/marjoramspool/platform/daemon.py
+++ b/marjoramspool/platform/daemon.py
@@ -11,6 +11,7 @@
 
 from aiohttp import web
 
+from marjoramspool.background import keep_running
 from marjoramspool.engine_choice import EngineChoice
 from marjoramspool.engine_list import EngineList
 from marjoramspool.events import Event, log
@@ -224,7 +225,9 @@
 
     def start_task(self, work) -> None:
         """Run a background task, and start it again if it fails."""
-        self.tasks.append(asyncio.create_task(keep_running(work)))
+        self.tasks.append(
+            asyncio.create_task(keep_running(work.__qualname__, work, RESTART_PAUSE_S))
+        )
 
     async def stop_tasks(self) -> None:
         """Stop the background tasks."""
@@ -282,16 +285,6 @@
             log(Event.ROUTER_DRAINING, in_flight=len(self.ingress.busy))
 
 
-async def keep_running(work) -> None:
-    """Run a task for ever; start it again if it fails."""
-    while True:
-        try:
-            await work()
-        except Exception as error:
-            log(Event.TASK_FAILED, task=work.__qualname__, error=repr(error))
-        await asyncio.sleep(RESTART_PAUSE_S)
-
-
 def endpoint(text: str) -> tuple[str, int]:
     """Return the host and port of an endpoint."""
     host, _, port = text.rpartition(":")
--- a/marjoramspool/platform/settings.py
+++ b/marjoramspool/platform/settings.py
@@ -9,8 +9,6 @@
 
 __all__ = ["HostSettings", "SettingsError", "read_settings"]
 
-MS = 1000.0
-
 
 class SettingsError(Exception):
     """Report a settings file that cannot be used, with the key, the fault and the remedy."""
@@ -56,7 +54,6 @@
     platform: StoreFields
     bounds: BoundFields = BoundFields()
     limits: LimitFields = LimitFields()
-    seeds: list[str] = []
 
 
 @dataclass(slots=True, frozen=True)
@@ -72,7 +69,6 @@
     store: str
     link_mbps: int
     bounds: Bounds
-    seeds: tuple[str, ...]
 
 
 def read_settings(path: str) -> HostSettings:
@@ -108,7 +104,6 @@
             retry_window_s=bounds.budget_window_s,
             load_factor=bounds.cap_x,
         ),
-        seeds=tuple(seed for seed in fields.seeds if is_endpoint(seed)),
     )
 
 
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -10,6 +10,7 @@
 from marjoramspool import partition
 from marjoramspool.admissions import Admissions
 from marjoramspool.audit import Audit
+from marjoramspool.background import keep_running
 from marjoramspool.callers.server import CallersServer
 from marjoramspool.claims import Claims, preferred_router
 from marjoramspool.configuration import Configuration
@@ -218,7 +219,9 @@
             ),
         }
         for name, start in work.items():
-            self.tasks.append(asyncio.create_task(keep_running(name, start), name=name))
+            self.tasks.append(
+                asyncio.create_task(keep_running(name, start, RESTART_PAUSE_S), name=name)
+            )
 
     async def stop_tasks(self) -> None:
         """Stop the background tasks."""
@@ -278,13 +281,3 @@
         await self.orders.hand_over()
         await self.audit.flush()
         return finished
-
-
-async def keep_running(name: str, start) -> None:
-    """Run a task for ever; start it again if it fails."""
-    while True:
-        try:
-            await start()
-        except Exception as error:
-            log(Event.TASK_FAILED, task=name, error=repr(error))
-        await asyncio.sleep(RESTART_PAUSE_S)
