Copy prompts from engines that fail requests, not from ended ones; wait for the first state

After power came back to all hosts, up to 50 requests were refused in the first 0.2 s, before the store had answered once.

Ruled out: eviction (the model of the caches agrees with the time to the first event), copies that do not work (their times fit twice the length between zones), two requests that read the same part at once (21,000 to 29,000 tokens, left).

Parts of refused and failed prompts are taken back, here and at the other routers.

--- a/marjoramspool/engine_choice.py
+++ b/marjoramspool/engine_choice.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from marjoramspool import hashing
+from marjoramspool.cache_sources import Holder, choose_source
 from marjoramspool.clock import now
 from marjoramspool.engine_list import Engine, EngineList
 from marjoramspool.engine_loads import EngineLoads
@@ -18,13 +19,21 @@
 
 # The rest of an engine's memory is taken by the requests that it runs.
 CACHE_SHARE = 0.7
-FETCH_ABOVE_TOKENS = 100
 
 
 class Placement:
     """Hold one request's place at an engine until the attempt ends."""
 
-    __slots__ = ("choice", "engine", "is_read", "loads", "since", "source", "unread_tokens")
+    __slots__ = (
+        "choice",
+        "engine",
+        "is_read",
+        "loads",
+        "new_parts",
+        "since",
+        "source",
+        "unread_tokens",
+    )
 
     def __init__(
         self,
@@ -33,9 +42,11 @@
         unread_tokens: int,
         choice: Choice,
         source: Engine | None = None,
+        new_parts: tuple[Part, ...] = (),
     ):
         self.engine = engine
         self.source = source
+        self.new_parts = new_parts
         self.since = now()
         self.loads = loads
         self.unread_tokens = unread_tokens
@@ -66,6 +77,7 @@
         "engines",
         "loads",
         "on_placed",
+        "on_unread",
         "shared",
         "table",
         "trust",
@@ -81,6 +93,7 @@
         self.caches = PrefixCaches()
         self.shared = SharedParts()
         self.on_placed: list[Callable[[Engine, tuple[Part, ...]], None]] = []
+        self.on_unread: list[Callable[[Engine, tuple[Part, ...]], None]] = []
         # Engines whose caches were filled before this router came to know them.
         self.unlisted: set[tuple[str, int]] = set()
         engines.on_gone.append(self.forget)
@@ -119,24 +132,27 @@
         if choice is None:
             return None
         engine = by_id[choice.engine.name]
-        source = self.source(engine, parts, choice.engine.held_tokens) if parts else None
-        if parts:
-            self.note_read(engine, parts)
-            for call in self.on_placed:
-                call(engine, parts)
         unread = max(0, tokens - choice.engine.held_tokens)
-        return Placement(engine, self.loads, unread, choice, source)
+        if not parts:
+            return Placement(engine, self.loads, unread, choice)
+        source = self.source(engine, parts, choice.engine.held_tokens)
+        new_parts = self.caches.lacking((engine.id, engine.started_ms), parts)
+        self.note_read(engine, parts)
+        for call in self.on_placed:
+            call(engine, parts)
+        return Placement(engine, self.loads, unread, choice, source, new_parts)
 
     def source(self, engine: Engine, parts: tuple[Part, ...], held_tokens: int) -> Engine | None:
-        """Return an engine from which another can copy much of a prompt, also a leaving one."""
-        best, most = None, held_tokens + FETCH_ABOVE_TOKENS
-        for other in self.engines.reachable(engine.service):
-            if other.id == engine.id:
-                continue
-            held = self.caches.held((other.id, other.started_ms), parts)
-            if held > most and not self.trust.is_suspect(other.id):
-                best, most = other, held
-        return best
+        """Return an engine from which another can copy much of a prompt, also a leaving one.
+
+        An engine that fails requests still hands out what it holds.
+        """
+        holders = [
+            Holder(other, self.caches.held((other.id, other.started_ms), parts))
+            for other in self.engines.reachable(engine.service)
+            if other.id != engine.id and not self.trust.is_closed(other.id)
+        ]
+        return choose_source(engine, holders, held_tokens)
 
     def candidate(self, engine: Engine, parts: tuple[Part, ...]) -> Candidate:
         """Return what the choice needs to know of an engine."""
@@ -148,6 +164,17 @@
             is_near=engine.failure_domain == self.domain,
         )
 
+    def note_unread(self, placement: Placement) -> None:
+        """Take back that an engine read a prompt, since it refused or failed the request."""
+        if placement.new_parts:
+            self.drop_parts(placement.engine, placement.new_parts)
+            for call in self.on_unread:
+                call(placement.engine, placement.new_parts)
+
+    def drop_parts(self, engine: Engine, parts: tuple[Part, ...]) -> None:
+        """Record that an engine does not hold some parts."""
+        self.caches.drop((engine.id, engine.started_ms), parts)
+
     def note_read(self, engine: Engine, parts: tuple[Part, ...]) -> None:
         """Record that an engine reads a chain of parts."""
         table = self.table()
--- a/marjoramspool/engine_list.py
+++ b/marjoramspool/engine_list.py
@@ -8,7 +8,7 @@
 
 __all__ = ["RENEWAL_S", "Engine", "EngineList"]
 
-# An engine goes on serving for at least this long after its registration is gone.
+# An engine whose registration goes without warning serves on for at least this long.
 LINGER_S = 2.0
 # Engines that are alive renew a registration that lapsed in an outage within this time.
 RENEWAL_S = 2.2
@@ -90,7 +90,11 @@
         if self.engines.pop(engine.id, None) is None:
             return
         log(Event.ENGINE_UNLISTED, engine=engine.id, address=engine.address, revision=self.revision)
-        self.lingering[engine.id] = (engine, self.clock() + LINGER_S)
+        if engine.is_leaving:
+            # It had its time to serve after it announced that it leaves.
+            self.forget(engine)
+        else:
+            self.lingering[engine.id] = (engine, self.clock() + LINGER_S)
 
     def forget(self, engine: Engine) -> None:
         """Tell all who keep something about an engine that it is gone."""
--- a/marjoramspool/engine_trust.py
+++ b/marjoramspool/engine_trust.py
@@ -25,6 +25,7 @@
     pauses: int = 0
     until: float = 0.0
     is_unreachable: bool = False
+    is_closed: bool = False
 
 
 class EngineTrust:
@@ -45,6 +46,7 @@
         record = self.records.get(engine)
         if record is None:
             return
+        record.is_closed = False
         record.failures *= 1.0 - FAILURE_WEIGHT
         if record.until > self.clock():
             return
@@ -61,9 +63,10 @@
             record.failures = SUSPECT_ABOVE - FAILURE_WEIGHT / 2
             self.suspect(engine, record, pause_s, is_unreachable=False)
 
-    def note_unreachable(self, engine: str) -> None:
-        """Record that an engine takes no connection."""
+    def note_unreachable(self, engine: str, is_closed: bool) -> None:
+        """Record that an engine broke a connection, or takes none if it is closed."""
         record = self.records.setdefault(engine, Record())
+        record.is_closed = is_closed
         pause_s = min(LONGEST_PAUSE_S, UNREACHABLE_PAUSE_S * 2**record.pauses)
         record.pauses += 1
         self.suspect(engine, record, pause_s, is_unreachable=True)
@@ -92,6 +95,11 @@
         """Forget an engine that is gone."""
         self.records.pop(engine, None)
 
+    def is_closed(self, engine: str) -> bool:
+        """Tell whether an engine took no connection of late."""
+        record = self.records.get(engine)
+        return record is not None and record.is_closed and record.until > self.clock()
+
     def is_suspect(self, engine: str) -> bool:
         """Tell whether an engine is passed over now."""
         record = self.records.get(engine)
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -183,6 +183,8 @@
                 if isinstance(answer, StreamAnswer):
                     answer.events = await first_event(answer.events, stack)
         except AttemptError as error:
+            if isinstance(error, NotSentError | TargetRefusedError):
+                self.choice.note_unread(placement)
             return error
         except TimeoutError:
             return MayHaveRunError(f"engine {engine.id} did not answer in time")
@@ -197,6 +199,7 @@
         )
         self.metrics.observe(f"first_answer_seconds.{request.service}", waited_s)
         if answer.status >= SERVER_ERROR:
+            self.choice.note_unread(placement)
             if self.may_repeat(request, tries):
                 return MayHaveRunError(f"engine {engine.id} answered {answer.status}")
             self.choice.trust.note_failure(engine.id)
@@ -252,7 +255,7 @@
         match error:
             case NotSentError():
                 tries.runs -= 1
-                self.choice.trust.note_unreachable(engine.id)
+                self.choice.trust.note_unreachable(engine.id, is_closed=True)
                 tries.note_not_run(error)
                 return True
             case TargetRefusedError():
@@ -263,7 +266,7 @@
                 return self.budget(request.service).take()
             case _:
                 if isinstance(error, ResetError):
-                    self.choice.trust.note_unreachable(engine.id)
+                    self.choice.trust.note_unreachable(engine.id, is_closed=False)
                 else:
                     self.choice.trust.note_failure(engine.id)
                 tries.problem = Problem(502, str(error), "check whether it ran")
--- a/marjoramspool/peers/exchange.py
+++ b/marjoramspool/peers/exchange.py
@@ -3,10 +3,17 @@
 from marjoramspool import hashing
 from marjoramspool.engine_choice import EngineChoice
 from marjoramspool.engine_list import Engine, EngineList
-from marjoramspool.peers.messages import Placed, ToldEngine, engine_number
+from marjoramspool.peers.messages import Cached, Placed, ToldEngine, engine_number
 from marjoramspool.prompts import Part
 
-__all__ = ["caches_told", "engines_digest", "engines_told", "take_caches", "take_engines"]
+__all__ = [
+    "caches_told",
+    "engines_digest",
+    "engines_told",
+    "take_cached",
+    "take_caches",
+    "take_engines",
+]
 
 PARTS_TOLD_AN_ENGINE = 1500
 
@@ -43,8 +50,8 @@
         engine = choice.engines.engines.get(name)
         if engine and engine.started_ms == started:
             parts = tuple(list(cache.parts.items())[-PARTS_TOLD_AN_ENGINE:])
-            is_listed = (name, started) not in choice.unlisted
-            told.append(Placed(engine_number(name, started), parts, is_listed))
+            how = Cached.READ if (name, started) in choice.unlisted else Cached.LISTED
+            told.append(Placed(engine_number(name, started), parts, how))
     return tuple(told)
 
 
@@ -56,7 +63,15 @@
         if engine is None or (engine.id, engine.started_ms) not in choice.unlisted:
             continue
         parts = tuple(Part(*part) for part in reversed(placed.parts))
-        if placed.is_listed:
-            choice.note_listed(engine, parts)
-        else:
+        take_cached(choice, engine, parts, placed.how)
+
+
+def take_cached(choice: EngineChoice, engine: Engine, parts: tuple[Part, ...], how: Cached) -> None:
+    """Take in what an engine reads, holds or does not hold."""
+    match how:
+        case Cached.READ:
             choice.note_read(engine, parts)
+        case Cached.LISTED:
+            choice.note_listed(engine, parts)
+        case Cached.UNREAD:
+            choice.drop_parts(engine, parts)
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -1,5 +1,6 @@
 """Messages between routers."""
 
+import enum
 from functools import lru_cache
 
 import msgspec
@@ -8,6 +9,7 @@
 
 __all__ = [
     "Bundle",
+    "Cached",
     "CachesState",
     "EnginesState",
     "Placed",
@@ -35,15 +37,25 @@
     unread_tokens: int
 
 
+class Cached(enum.IntEnum):
+    """Say how an engine came to hold parts of prompts, or that it does not."""
+
+    READ = 0
+    # The engine itself said what it holds.
+    LISTED = 1
+    # What was told before did not come to pass.
+    UNREAD = 2
+
+
 class Placed(msgspec.Struct, array_like=True, frozen=True):
-    """Tell that an engine reads a chain of parts, or holds parts that it was asked for.
+    """Tell that an engine reads a chain of parts, holds parts, or does not after all.
 
     The engine is named by its number; each part is an id and its tokens.
     """
 
     engine: int
     parts: tuple[tuple[int, int], ...]
-    is_listed: bool = False
+    how: Cached = Cached.READ
 
 
 class Told(msgspec.Struct, array_like=True, frozen=True, tag=0):
--- a/marjoramspool/peers/telling.py
+++ b/marjoramspool/peers/telling.py
@@ -14,8 +14,10 @@
 from marjoramspool.events import Event, log
 from marjoramspool.peers import relays
 from marjoramspool.peers.directory import Directory, Peer
+from marjoramspool.peers.exchange import take_cached
 from marjoramspool.peers.messages import (
     Bundle,
+    Cached,
     Placed,
     Told,
     ToldLoad,
@@ -89,6 +91,7 @@
         self.sought_at = 0.0
         self.transport: asyncio.DatagramTransport | None = None
         choice.on_placed.append(self.note_placed)
+        choice.on_unread.append(self.note_unread)
         directory.on_silent.append(self.forget)
 
     def forget(self, peer: Peer) -> None:
@@ -118,11 +121,15 @@
         """Remember a placement until it is told."""
         self.placed.append(Placed(number_of(engine), as_pairs(parts)))
 
+    def note_unread(self, engine: Engine, parts: tuple[Part, ...]) -> None:
+        """Remember to take back what was told of a placement."""
+        self.placed.append(Placed(number_of(engine), as_pairs(parts), Cached.UNREAD))
+
     def note_listed(self, engine: Engine, parts: tuple[Part, ...]) -> None:
         """Tell what an engine holds, in messages that fit a datagram."""
         for start in range(0, len(parts), PARTS_IN_ONE):
             some = as_pairs(parts[start : start + PARTS_IN_ONE])
-            self.placed.append(Placed(number_of(engine), some, is_listed=True))
+            self.placed.append(Placed(number_of(engine), some, Cached.LISTED))
 
     async def tell_for_ever(self) -> None:
         """Tell the other routers whenever there is something new."""
@@ -265,10 +272,7 @@
         if engine is None:
             return
         parts = tuple(Part(*part) for part in placed.parts)
-        if placed.is_listed:
-            self.choice.note_listed(engine, parts)
-        else:
-            self.choice.note_read(engine, parts)
+        take_cached(self.choice, engine, parts, placed.how)
 
     def loads(self, told: Told):
         """Yield the engines and loads that a router tells of."""
--- a/marjoramspool/platform/daemon.py
+++ b/marjoramspool/platform/daemon.py
@@ -15,6 +15,7 @@
 from marjoramspool.engine_choice import EngineChoice
 from marjoramspool.engine_list import EngineList
 from marjoramspool.events import Event, log
+from marjoramspool.first_state import FirstState
 from marjoramspool.forwarding import Forwarding
 from marjoramspool.json_logs import JsonLines
 from marjoramspool.metrics import Metrics
@@ -66,6 +67,7 @@
         "discovery",
         "engine_follower",
         "engines",
+        "first_state",
         "forwarding",
         "ingress",
         "metrics",
@@ -110,16 +112,18 @@
             self.directory, self.choice, self.state_calls, self.sessions, self.telling.note_listed
         )
         self.discovery = Discovery(self.store, settings.name, self.directory)
-        self.ingress = Ingress(self.forwarding, self.tables)
+        self.first_state = FirstState(lambda: self.is_informed, lambda: self.has_store)
+        self.ingress = Ingress(self.forwarding, self.tables, self.first_state)
+
+    @property
+    def is_informed(self) -> bool:
+        """Tell whether the routes and the engines are known."""
+        return self.tables.table is not None and self.engine_follower.revision is not None
 
     @property
     def is_ready(self) -> bool:
         """Tell whether requests can be served here."""
-        return (
-            not self.ingress.is_stopping
-            and self.tables.table is not None
-            and self.engine_follower.revision is not None
-        )
+        return self.is_informed and not self.ingress.is_stopping
 
     @property
     def has_store(self) -> bool:
@@ -157,7 +161,7 @@
 
     def give_state(self, kind: type) -> State | None:
         """Return a part of the state that another router can take over; None if there is none."""
-        if self.tables.table is None or self.engine_follower.revision is None:
+        if not self.is_informed:
             return None
         if kind is TableState:
             return TableState(self.tables.seen, zlib.compress(self.tables.spec))
@@ -218,7 +222,7 @@
 
     async def join(self) -> None:
         """Learn the caches once the engines are known, then rest."""
-        while self.tables.table is None or self.engine_follower.revision is None:
+        while not self.is_informed:
             await asyncio.sleep(JOIN_CHECK_S)
         await self.joining.learn()
         await asyncio.Event().wait()
--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -9,6 +9,7 @@
 from marjoramspool.clock import now
 from marjoramspool.dispatch import BrokenAnswerError
 from marjoramspool.events import Event, log
+from marjoramspool.first_state import FirstState
 from marjoramspool.forwarding import Forwarding, StreamAnswer, WholeAnswer
 from marjoramspool.outcomes import NotRun, Problem, Unknown
 from marjoramspool.platform.follow import TableFollower
@@ -55,11 +56,20 @@
 class Ingress:
     """Serve clients, and count what is in flight so that a stop can wait for it."""
 
-    __slots__ = ("busy", "forwarding", "is_stopping", "listener", "server", "tables")
+    __slots__ = (
+        "busy",
+        "first_state",
+        "forwarding",
+        "is_stopping",
+        "listener",
+        "server",
+        "tables",
+    )
 
-    def __init__(self, forwarding: Forwarding, tables: TableFollower):
+    def __init__(self, forwarding: Forwarding, tables: TableFollower, first_state: FirstState):
         self.forwarding = forwarding
         self.tables = tables
+        self.first_state = first_state
         self.busy: set[asyncio.Protocol] = set()
         self.is_stopping = False
         self.server: web.Server | None = None
@@ -124,6 +134,7 @@
         """Check a request, forward it and pass its answer back."""
         received = now()
         body = await self.read_body(raw)
+        await self.first_state.wait()
         table = self.tables.table
         if table is None:
             problem = Problem(503, "no routes are known yet", "send it again", NO_TABLE_RETRY_S)
--- a/marjoramspool/prefix_caches.py
+++ b/marjoramspool/prefix_caches.py
@@ -27,14 +27,22 @@
             _, tokens = self.parts.popitem(last=False)
             self.total -= tokens
 
-    def held(self, parts: tuple[Part, ...]) -> int:
-        """Return how many leading tokens of a chain need not be read again."""
-        tokens = 0
+    def drop(self, parts: tuple[Part, ...]) -> None:
+        """Record that an engine does not hold some parts."""
         for part in parts:
+            self.total -= self.parts.pop(part.id, 0)
+
+    def lacking(self, parts: tuple[Part, ...]) -> tuple[Part, ...]:
+        """Return the rest of a chain from the first part that is not held."""
+        for index, part in enumerate(parts):
             if part.id not in self.parts:
-                break
-            tokens += part.tokens
-        return tokens
+                return parts[index:]
+        return ()
+
+    def held(self, parts: tuple[Part, ...]) -> int:
+        """Return how many leading tokens of a chain need not be read again."""
+        leading = parts[: len(parts) - len(self.lacking(parts))]
+        return sum(part.tokens for part in leading)
 
 
 class PrefixCaches:
@@ -57,6 +65,16 @@
         cache = self.caches.get(key)
         return cache.held(parts) if cache else 0
 
+    def lacking(self, key: tuple[str, int], parts: tuple[Part, ...]) -> tuple[Part, ...]:
+        """Return the rest of a chain from the first part that an engine does not hold."""
+        cache = self.caches.get(key)
+        return cache.lacking(parts) if cache else parts
+
+    def drop(self, key: tuple[str, int], parts: tuple[Part, ...]) -> None:
+        """Record that an engine does not hold some parts."""
+        if key in self.caches:
+            self.caches[key].drop(parts)
+
     def forget(self, key: tuple[str, int]) -> None:
         """Forget an engine that is gone or has started anew."""
         self.caches.pop(key, None)
--- a/marjoramspool/tests/test_engine_judgement.py
+++ b/marjoramspool/tests/test_engine_judgement.py
@@ -95,7 +95,7 @@
 def test_when_most_engines_look_bad_all_are_used(clock):
     trust = EngineTrust(clock)
     for name in "abc":
-        trust.note_unreachable(name)
+        trust.note_unreachable(name, is_closed=True)
     assert trust.trusted("abcd") == set("abcd")
 
 
@@ -135,7 +135,7 @@
     trust = EngineTrust(clock)
     trust.tell("x", frozenset("a"))
     trust.tell("y", frozenset("a"))
-    trust.note_unreachable("b")
+    trust.note_unreachable("b", is_closed=True)
     for _ in range(3):
         trust.note_failure("c")
     assert trust.unreachable() == {"b"}
--- /dev/null
+++ b/marjoramspool/tests/test_first_state.py
@@ -0,0 +1,35 @@
+"""Requests that come before a router knows anything."""
+
+import asyncio
+
+from marjoramspool.first_state import LONGEST_WAIT_S, FirstState
+
+
+class Site:
+    def __init__(self):
+        self.now = 0.0
+        self.is_known = False
+        self.has_store = True
+
+    def first_state(self):
+        return FirstState(lambda: self.is_known, lambda: self.has_store, lambda: self.now)
+
+
+async def test_requests_wait_for_the_first_answer_of_the_store():
+    site = Site()
+    waiting = [asyncio.create_task(site.first_state().wait()) for _ in range(20)]
+    await asyncio.sleep(0.05)
+    assert not any(task.done() for task in waiting)
+    site.is_known = True
+    await asyncio.wait_for(asyncio.gather(*waiting), 1.0)
+
+
+def test_nobody_waits_for_a_store_that_is_out_or_too_slow():
+    site = Site()
+    first_state = site.first_state()
+    assert first_state.is_worth_waiting()
+    site.has_store = False
+    assert not first_state.is_worth_waiting()
+    site.has_store = True
+    site.now = LONGEST_WAIT_S
+    assert not first_state.is_worth_waiting()
