Close a connection whose stream outlasts the stop of its router

From the log: SIGTERM at 3.0 s, idle connections closed at 5.3 s; a request came at 7.8 s over a kept connection and was cut at the end of the grace time.

Cause: the head of a stream that began before SIGTERM promised to keep the connection; it was still under way at 5.3 s, and nothing closed the connection when it ended. Ruled out: connections that were idle (closed) and answers begun after SIGTERM (they ask for the close).

Change: after a stream, the connection is closed if the router is stopping. Test: a stream that outlasts the rotation, then a request on its connection; failed before (the request was passed on).

--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -201,6 +201,8 @@
                         await response.prepare(raw)
                     await response.write(event.raw)
             await response.write_eof()
+            # The stop may have begun after the head was sent, with its word to keep the connection.
+            self.finish(response)
             log(Event.REQUEST_SERVED, request=request.id, status=answer.status)
         except (BrokenAnswerError, TimeoutError) as error:
             log(Event.REQUEST_FAILED, request=request.id, why=repr(error))
--- a/marjoramspool/platform/tests/test_stopping.py
+++ b/marjoramspool/platform/tests/test_stopping.py
@@ -139,6 +139,28 @@
     assert await asyncio.wait_for(router.process.wait(), WAIT_S) == 0
 
 
+async def test_a_connection_whose_stream_outlasts_the_rotation_takes_no_more_requests(router):
+    site = router.site
+    await site.add_engine("slow", is_stream=True, pieces=60, piece_s=0.05)
+    await site.configure(
+        route("/order/", "non_idempotent", "desk"),
+        route("/slow/", "streaming", "slow", timeout_ms=9000),
+    )
+    await router.start()
+    async with aiohttp.ClientSession() as kept, aiohttp.ClientSession() as other:
+        first = asyncio.create_task(router.ask("/slow/x", "first", kept))
+        await asyncio.sleep(0.1)
+        router.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.4)
+        longer = asyncio.create_task(router.ask("/slow/x", "longer", other))
+        assert (await first)[2].count(b"id:") == 60
+        with pytest.raises(aiohttp.ClientError):
+            await router.ask("/order/x", "late", kept, "POST")
+        assert not any(arrival.id == "late" for arrival in site.engines[0].arrivals)
+        assert (await longer)[2].count(b"id:") == 60
+    assert await asyncio.wait_for(router.process.wait(), WAIT_S) == 0
+
+
 async def test_idle_connections_end_with_the_stop(router):
     await router.start()
     host, port = router.settings.callers.split(":")
