--- a/marjoramspool/engine_choice.py
+++ b/marjoramspool/engine_choice.py
@@ -128,7 +128,11 @@
         parts = self.shared.worth_keeping(prompt, request.id) if prompt else ()
         tokens = prompt.input_tokens if prompt else 0
         key = hashing.digest(str(prompt.subject) if prompt else request.id)
-        choice = choose_engine([self.candidate(e, parts) for e in by_id.values()], key, tokens)
+        candidates = [self.candidate(e, parts) for e in by_id.values()]
+        most_held = max((c.held_tokens for c in candidates), default=0)
+        for candidate in candidates:
+            candidate.held_elsewhere = most_held - candidate.held_tokens
+        choice = choose_engine(candidates, key, tokens)
         if choice is None:
             return None
         engine = by_id[choice.engine.name]
--- a/marjoramspool/placing.py
+++ b/marjoramspool/placing.py
@@ -16,6 +16,8 @@
 REQUEST_COST_TOKENS = 120
 # Engines whose costs differ by less are alike; the hash order keeps routers agreed on one.
 ALIKE_TOKENS = 400
+# What it weighs more to read or copy what another engine holds than to read something new.
+REPEAT_WEIGHT = 0.5
 MEAN_FACTOR = 1.5
 MEAN_EXTRA = 2
 OTHER_DOMAIN_TOKENS = 30
@@ -29,6 +31,8 @@
     load: Load
     slots: int
     held_tokens: int = 0
+    # Tokens that this engine lacks and another holds.
+    held_elsewhere: int = 0
     is_near: bool = True
 
 
@@ -67,6 +71,7 @@
 def cost_tokens(candidate: Candidate, prompt_tokens: int) -> int:
     """Return what a request costs at an engine, in prompt tokens to read."""
     unread = max(0, prompt_tokens - candidate.held_tokens)
+    unread += int(REPEAT_WEIGHT * candidate.held_elsewhere)
     far = 0 if candidate.is_near else OTHER_DOMAIN_TOKENS
     load = candidate.load
     return unread + load.unread_tokens + REQUEST_COST_TOKENS * load.requests + far
