Let engines take the shortest reading first

Change: each attempt carries a rank for the engine's queue, from the tokens it has yet to read (a prompt four times as long ranks one behind) and the request's urgency (two steps, one rank); a resumed stream comes first.

Open: long prompts that cannot be served in time should be turned away at once.

--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -25,8 +25,9 @@
 from marjoramspool.outcomes import NotRun, Problem, Unknown
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.retries import SharedRetries
+from marjoramspool.waiting import waiting_rank
 
-__all__ = ["EngineAnswer", "EngineClient", "Forwarding", "StreamAnswer", "WholeAnswer"]
+__all__ = ["Attempt", "EngineAnswer", "EngineClient", "Forwarding", "StreamAnswer", "WholeAnswer"]
 
 RETRY_SOON_S = 0.1
 SERVER_ERROR = 500
@@ -59,17 +60,26 @@
     events: AsyncIterator[StreamEvent] = field(default=None)
 
 
+@dataclass(slots=True, frozen=True)
+class Attempt:
+    """Say to which engine a request goes, and how.
+
+    `rank` is its place among those that wait there; the engine may copy the prompt from `source`.
+    """
+
+    engine: Engine
+    rank: int
+    after_event: int | None = None
+    source: Engine | None = None
+
+
 class EngineClient(Protocol):
     """Send one attempt to an engine."""
 
     def open(
-        self,
-        request: RoutedRequest,
-        engine: Engine,
-        after_event: int | None,
-        source: Engine | None,
+        self, request: RoutedRequest, attempt: Attempt
     ) -> AbstractAsyncContextManager[WholeAnswer | StreamAnswer]:
-        """Send an attempt and yield its answer; the engine may copy the prompt from a source.
+        """Send an attempt and yield its answer.
 
         Raise NotSentError, TargetRefusedError or MayHaveRunError.
         """
@@ -178,7 +188,7 @@
         self.note_sending(request, placement, tries)
         try:
             async with asyncio.timeout(self.patience_s(request, placement, tries)):
-                opening = self.client.open(request, engine, after, placement.source)
+                opening = self.client.open(request, attempt_of(request, placement, after))
                 answer = await stack.enter_async_context(opening)
                 if isinstance(answer, StreamAnswer):
                     answer.events = await first_event(answer.events, stack)
@@ -319,6 +329,12 @@
         return outcome.events
 
 
+def attempt_of(request: RoutedRequest, placement: Placement, after: int | None) -> Attempt:
+    """Return how a request goes to the engine where it has its place."""
+    rank = waiting_rank(placement.unread_tokens, request.urgency, after is not None)
+    return Attempt(placement.engine, rank, after, placement.source)
+
+
 async def first_event(
     events: AsyncIterator[StreamEvent], stack: AsyncExitStack
 ) -> AsyncIterator[StreamEvent]:
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -19,7 +19,7 @@
 from marjoramspool.engine_list import Engine
 from marjoramspool.event_stream import EventSplitter, StreamEvent
 from marjoramspool.events import Event, log
-from marjoramspool.forwarding import StreamAnswer, WholeAnswer
+from marjoramspool.forwarding import Attempt, StreamAnswer, WholeAnswer
 from marjoramspool.http import new_session
 from marjoramspool.platform.headers import pass_back
 from marjoramspool.platform.keepalive import keepalive_socket
@@ -67,16 +67,11 @@
         await self.fresh.close()
 
     @asynccontextmanager
-    async def open(
-        self,
-        request: RoutedRequest,
-        engine: Engine,
-        after_event: int | None,
-        source: Engine | None,
-    ):
+    async def open(self, request: RoutedRequest, attempt: Attempt):
         """Send an attempt and yield its answer; raise as forwarding.EngineClient says."""
+        engine = attempt.engine
         context = SimpleNamespace(is_reused=False)
-        headers = request_headers(request, engine, after_event, source)
+        headers = request_headers(request, attempt)
         response = await self.send(request, engine, headers, context)
         try:
             check_head(request, engine, response, context.is_reused)
@@ -134,19 +129,19 @@
         context.trace_request_ctx.is_reused = True
 
 
-def request_headers(
-    request: RoutedRequest, engine: Engine, after_event: int | None, source: Engine | None
-) -> list[tuple[str, str]]:
+def request_headers(request: RoutedRequest, attempt: Attempt) -> list[tuple[str, str]]:
     """Return the headers of an attempt."""
     headers = list(request.headers)
     headers.append(("X-Request-Deadline-Ms", str(max(1, int(request.left_s() * MS)))))
-    headers.append(("X-Expect-Instance", engine.id))
+    headers.append(("X-Expect-Instance", attempt.engine.id))
     if request.account:
         headers.append(("X-Tenant", request.account.name))
-    if after_event is not None:
-        headers.append(("Last-Event-Id", str(after_event)))
-    if source is not None:
-        headers.append(("Kv-Fetch", source.address))
+    if request.prompt:
+        headers.append(("X-Request-Priority", str(attempt.rank)))
+    if attempt.after_event is not None:
+        headers.append(("Last-Event-Id", str(attempt.after_event)))
+    if attempt.source is not None:
+        headers.append(("Kv-Fetch", attempt.source.address))
     return headers
 
 
