Turn long prompts away at once when engines have seconds to read

Cause: with the shortest reading first, long prompts wait behind all others under overload; their callers leave after 4 s without a token, and what was read of them is wasted.

Change: a request that ranks behind the short ones and would wait longer than 0.3 of what its caller waits is told to come back when the engines should have caught up, spread by its id. The pace is learned from answers that had much to read before them. Resumed and repeated attempts are never turned away.

--- a/marjoramspool/engine_choice.py
+++ b/marjoramspool/engine_choice.py
@@ -14,6 +14,8 @@
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import RouteTable
 from marjoramspool.shared_parts import SharedParts
+from marjoramspool.turning_away import OVERTAKEN_FROM_RANK, ReadingPace, TurnedAway, turn_away
+from marjoramspool.waiting import waiting_rank
 
 __all__ = ["EngineChoice", "Placement"]
 
@@ -30,6 +32,7 @@
         "is_read",
         "loads",
         "new_parts",
+        "rank",
         "since",
         "source",
         "unread_tokens",
@@ -41,6 +44,7 @@
         loads: EngineLoads,
         unread_tokens: int,
         choice: Choice,
+        rank: int,
         source: Engine | None = None,
         new_parts: tuple[Part, ...] = (),
     ):
@@ -51,6 +55,7 @@
         self.loads = loads
         self.unread_tokens = unread_tokens
         self.choice = choice
+        self.rank = rank
         self.is_read = False
 
     def __enter__(self):
@@ -78,6 +83,7 @@
         "loads",
         "on_placed",
         "on_unread",
+        "paces",
         "shared",
         "table",
         "trust",
@@ -92,6 +98,7 @@
         self.trust = EngineTrust()
         self.caches = PrefixCaches()
         self.shared = SharedParts()
+        self.paces: dict[str, ReadingPace] = {}
         self.on_placed: list[Callable[[Engine, tuple[Part, ...]], None]] = []
         self.on_unread: list[Callable[[Engine, tuple[Part, ...]], None]] = []
         # Engines whose caches were filled before this router came to know them.
@@ -119,8 +126,11 @@
         self.unlisted.discard((engine.id, engine.started_ms))
         self.note_read(engine, parts)
 
-    def place(self, request: RoutedRequest, exclude: set[str]) -> Placement | None:
-        """Choose an engine for a request and take a place there; None if there is none."""
+    def place(self, request: RoutedRequest, exclude: set[str]) -> Placement | TurnedAway | None:
+        """Choose an engine for a request and take a place there; None if there is none.
+
+        A request that was not tried yet is turned away if it would wait too long there.
+        """
         usable = [e for e in self.engines.usable(request.service) if e.id not in exclude]
         trusted = self.trust.trusted(engine.id for engine in usable)
         by_id = {engine.id: engine for engine in usable if engine.id in trusted}
@@ -137,14 +147,40 @@
             return None
         engine = by_id[choice.engine.name]
         unread = max(0, tokens - choice.engine.held_tokens)
+        rank = waiting_rank(unread, request.urgency)
         if not parts:
-            return Placement(engine, self.loads, unread, choice)
+            return Placement(engine, self.loads, unread, choice, rank)
+        if not exclude and (turned := self.turn_away(request, choice, unread, rank)):
+            return turned
         source = self.source(engine, parts, choice.engine.held_tokens)
         new_parts = self.caches.lacking((engine.id, engine.started_ms), parts)
         self.note_read(engine, parts)
         for call in self.on_placed:
             call(engine, parts)
-        return Placement(engine, self.loads, unread, choice, source, new_parts)
+        return Placement(engine, self.loads, unread, choice, rank, source, new_parts)
+
+    def pace(self, service: str) -> ReadingPace:
+        """Return how fast the engines of a service read."""
+        return self.paces.setdefault(service, ReadingPace())
+
+    def turn_away(
+        self, request: RoutedRequest, choice: Choice, unread: int, rank: int
+    ) -> TurnedAway | None:
+        """Return when a request should come back, if it would wait too long where it is best."""
+        tokens = choice.engine.load.unread_tokens + unread
+        return turn_away(
+            rank,
+            self.pace(request.service).wait_s(tokens),
+            request.route.patience_s,
+            request.left_s(),
+            hashing.fraction(request.id),
+        )
+
+    def note_begun(self, placement: Placement, waited_s: float) -> None:
+        """Learn from how long the first of an answer took."""
+        if placement.source is None and placement.rank >= OVERTAKEN_FROM_RANK:
+            tokens = placement.choice.engine.load.unread_tokens + placement.unread_tokens
+            self.pace(placement.engine.service).note(tokens, waited_s)
 
     def source(self, engine: Engine, parts: tuple[Part, ...], held_tokens: int) -> Engine | None:
         """Return an engine from which another can copy much of a prompt, also a leaving one.
--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -52,6 +52,7 @@
     REQUEST_SERVED = (608, "info", "a request got its whole answer")
     CALLER_LEFT = (609, "info", "a caller closed its connection before its answer was whole")
     ANSWER_BEGUN = (610, "info", "an engine's answer began")
+    REQUEST_TURNED_AWAY = (611, "info", "a request would wait too long and is told to come back")
     CLAIM_RELEASED = (701, "info", "a claim of an attempt that never ran was released")
     CLAIM_UNSETTLED = (702, "warning", "it is not known whether a claim was written")
     LEASE_TAKEN = (801, "info", "this router holds the lease of a service's orders")
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -25,7 +25,8 @@
 from marjoramspool.outcomes import NotRun, Problem, Unknown
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.retries import SharedRetries
-from marjoramspool.waiting import waiting_rank
+from marjoramspool.turning_away import TurnedAway
+from marjoramspool.waiting import RESUMED
 
 __all__ = ["Attempt", "EngineAnswer", "EngineClient", "Forwarding", "StreamAnswer", "WholeAnswer"]
 
@@ -165,6 +166,9 @@
             placement = self.choice.place(request, tries.exclude)
             if placement is None:
                 break
+            if isinstance(placement, TurnedAway):
+                tries.problem = self.turned_away(request, placement)
+                break
             async with AsyncExitStack() as attempt:
                 result = await self.attempt(request, placement, tries, attempt, after)
                 if not isinstance(result, AttemptError):
@@ -174,6 +178,19 @@
                 break
         return Unknown(tries.problem) if tries.runs else NotRun(tries.problem)
 
+    def turned_away(self, request: RoutedRequest, turned: TurnedAway) -> Problem:
+        """Record that a request is told to come back, and return what to tell."""
+        log(
+            Event.REQUEST_TURNED_AWAY,
+            request=request.id,
+            wait_s=round(turned.wait_s, 3),
+            patience_s=request.route.patience_s,
+            return_s=round(turned.return_s, 3),
+            tokens_a_s=round(self.choice.pace(request.service).tokens_a_s),
+        )
+        why = f"the engines have {turned.wait_s:.1f} s of prompts to read"
+        return Problem(503, why, "send it again later", turned.return_s)
+
     async def attempt(
         self,
         request: RoutedRequest,
@@ -188,7 +205,7 @@
         self.note_sending(request, placement, tries)
         try:
             async with asyncio.timeout(self.patience_s(request, placement, tries)):
-                opening = self.client.open(request, attempt_of(request, placement, after))
+                opening = self.client.open(request, attempt_of(placement, after))
                 answer = await stack.enter_async_context(opening)
                 if isinstance(answer, StreamAnswer):
                     answer.events = await first_event(answer.events, stack)
@@ -208,6 +225,7 @@
             waited_s=waited_s,
         )
         self.metrics.observe(f"first_answer_seconds.{request.service}", waited_s)
+        self.choice.note_begun(placement, waited_s)
         if answer.status >= SERVER_ERROR:
             self.choice.note_unread(placement)
             if self.may_repeat(request, tries):
@@ -329,9 +347,9 @@
         return outcome.events
 
 
-def attempt_of(request: RoutedRequest, placement: Placement, after: int | None) -> Attempt:
+def attempt_of(placement: Placement, after: int | None) -> Attempt:
     """Return how a request goes to the engine where it has its place."""
-    rank = waiting_rank(placement.unread_tokens, request.urgency, after is not None)
+    rank = placement.rank if after is None else RESUMED
     return Attempt(placement.engine, rank, after, placement.source)
 
 
--- a/marjoramspool/hashing.py
+++ b/marjoramspool/hashing.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-__all__ = ["digest", "long_digest", "rank", "score"]
+__all__ = ["digest", "fraction", "long_digest", "rank", "score"]
 
 HASH_SPACE = 1 << 64
 
@@ -15,6 +15,11 @@
     return xxhash.xxh3_64_intdigest(encode(text))
 
 
+def fraction(text: str | bytes) -> float:
+    """Return the hash of a text as a number from 0 up to 1."""
+    return digest(text) / HASH_SPACE
+
+
 def long_digest(text: str | bytes) -> str:
     """Return the 128-bit hash of a text in hexadecimal."""
     return xxhash.xxh3_128_hexdigest(encode(text))
--- a/marjoramspool/platform/desired.py
+++ b/marjoramspool/platform/desired.py
@@ -15,6 +15,11 @@
 DEFAULT_TIMEOUT_MS = 15_000.0
 DEFAULT_TARGET_MS = 500.0
 LOWEST_PRIORITY = 9
+DEFAULT_PAUSE_MS = 500.0
+# Clients leave a stream after a gap of the longest of these, also before its first event.
+LEAST_PATIENCE_MS = 2_000.0
+PATIENCE_TARGETS = 4.0
+PATIENCE_PAUSES = 8.0
 
 
 class SplitFields(msgspec.Struct, frozen=True):
@@ -36,6 +41,8 @@
     backends: list[SplitFields] = []
     timeout_ms: float = DEFAULT_TIMEOUT_MS
     target_latency_ms: float = DEFAULT_TARGET_MS
+    # The longest pause between events of an answer that is still on time.
+    gap_aim_ms: float = DEFAULT_PAUSE_MS
     priority: int = LOWEST_PRIORITY
     # Engines that one request may be sent to, not sendings.
     max_attempts: int = 1
@@ -120,6 +127,18 @@
         attempts=fields.max_attempts,
         is_public=fields.public,
         is_resumable=fields.kind == "streaming" and fields.stream_resume,
+        patience_s=patience_ms(fields) / MS,
+    )
+
+
+def patience_ms(fields: RouteFields) -> float:
+    """Return how long clients wait for the first of an answer."""
+    if fields.kind != "streaming":
+        return fields.timeout_ms
+    return max(
+        LEAST_PATIENCE_MS,
+        PATIENCE_TARGETS * fields.target_latency_ms,
+        PATIENCE_PAUSES * fields.gap_aim_ms,
     )
 
 
--- a/marjoramspool/routes.py
+++ b/marjoramspool/routes.py
@@ -16,8 +16,6 @@
     "Split",
 ]
 
-HASH_SPACE = 1 << 64
-
 
 class Kind(enum.Enum):
     """Say what of a request may be repeated."""
@@ -50,6 +48,8 @@
     attempts: int
     is_public: bool
     is_resumable: bool
+    # How long callers wait for the first of an answer.
+    patience_s: float
 
     @property
     def is_repeatable(self) -> bool:
@@ -61,7 +61,7 @@
         if len(self.splits) == 1:
             return self.splits[0].service
         total = sum(split.weight for split in self.splits)
-        draw = hashing.digest(request) / HASH_SPACE * total
+        draw = hashing.fraction(request) * total
         for split in self.splits:
             draw -= split.weight
             if draw < 0:
--- a/marjoramspool/tests/test_cache_sources.py
+++ b/marjoramspool/tests/test_cache_sources.py
@@ -3,6 +3,7 @@
 import pytest
 
 from marjoramspool.cache_sources import Holder, choose_source
+from marjoramspool.clock import now
 from marjoramspool.engine_choice import EngineChoice
 from marjoramspool.engine_list import Engine, EngineList
 from marjoramspool.prompts import Part, Prompt
@@ -11,7 +12,7 @@
 
 SUBJECT = 7
 PROMPT = Prompt("m", 10_600, 100, (Part(1, 500), Part(SUBJECT, 10_000), Part(99, 100)))
-ROUTE = Route("r", "h", "/", Kind.STREAMING, (Split("s", 1.0),), 15, 0.8, 1, 1, False, False)
+ROUTE = Route("r", "h", "/", Kind.STREAMING, (Split("s", 1.0),), 15, 0.8, 1, 1, False, False, 4)
 
 
 def engine(name, domain="z1", leaving=False):
@@ -27,7 +28,10 @@
 
 
 def place(choice, name="q", exclude=()):
-    request = RoutedRequest(name, ROUTE, "s", None, "POST", "/", [], b"", 0.0, 15.0, PROMPT)
+    moment = now()
+    request = RoutedRequest(
+        name, ROUTE, "s", None, "POST", "/", [], b"", moment, moment + 15.0, PROMPT
+    )
     return choice.place(request, set(exclude))
 
 
--- a/marjoramspool/waiting.py
+++ b/marjoramspool/waiting.py
@@ -5,20 +5,18 @@
 the shortest reading first most are on time, and only the longest prompts wait.
 """
 
-__all__ = ["FIRST", "LAST", "waiting_rank"]
+__all__ = ["FIRST", "LAST", "RESUMED", "waiting_rank"]
 
 FIRST = 0
 LAST = 9
-# A caller sees the pause while a stream goes on elsewhere.
+# The rank of a stream that goes on elsewhere, since its caller sees the pause.
 RESUMED = 1
 
 
-def waiting_rank(unread_tokens: int, urgency: int, is_resumed: bool) -> int:
+def waiting_rank(unread_tokens: int, urgency: int) -> int:
     """Return the rank of a request among those that wait at an engine, `FIRST` to `LAST`.
 
     A prompt that is four times as long to read ranks one behind; so does a request whose urgency,
     0 the most urgent, is two steps lower.
     """
-    if is_resumed:
-        return RESUMED
     return max(FIRST, min(LAST, (unread_tokens.bit_length() + urgency) // 2))
