Start of the fault soak: links, observations, promises; one process runner for tests and soak

The runner of the stop tests becomes bench/router_process.py, which both use; the stand-in engine notes when a request came and beside how many.

--- a/marjoramspool/platform/tests/test_stopping.py
+++ b/marjoramspool/platform/tests/test_stopping.py
@@ -4,8 +4,8 @@
 import os
 import signal
 import socket
-import sys
 import time
+from dataclasses import replace
 from pathlib import Path
 
 import aiohttp
@@ -13,43 +13,22 @@
 import pytest
 
 from bench.platform_fleet import HOST, KEY, route
+from bench.router_process import RouterProcess
 
 WAIT_S = 10.0
 
 
-class RouterProcess:
-    """Run the daemon as the platform runs it."""
+class Router(RouterProcess):
+    """Ask one router process as clients and the balancer do."""
 
     def __init__(self, site, path):
+        settings = site.settings("front-1", "127.0.0.31", "zone-a")
+        settings = replace(settings, bounds=replace(settings.bounds, stop_s=4.0))
+        super().__init__(settings, path, path.with_name("log").open("w+b"))
         self.site = site
-        self.path = path
-        self.settings = site.settings("front-1", "127.0.0.31", "zone-a")
-        self.process = None
-        self.log = path.with_name("log").open("w+b")
-
-    def write_settings(self, **changes):
-        fields = {
-            "node_name": self.settings.name,
-            "ip": self.settings.address,
-            "zone": "zone-a",
-            "listen": {"front": self.settings.callers, "readiness": self.settings.readiness},
-            "internal_ports": [self.settings.peers_port, self.settings.peers_port],
-            "platform": {"address": self.settings.store},
-            "bounds": {"grace_s": 4},
-            "unknown": {"ignored": True},
-        }
-        self.path.write_bytes(msgspec.json.encode(fields | changes))
 
     async def start(self, *arguments, ready=True):
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "marjoramspool.platform",
-            *arguments,
-            env={"MARJORAMSPOOL_BOOT": str(self.path), "PATH": "/usr/bin"},
-            stdout=self.log,
-            stderr=self.log,
-        )
+        await self.launch(*arguments)
         if ready:
             await self.wait_ready()
 
@@ -90,12 +69,10 @@
         route("/order/", "non_idempotent", "desk"),
         route("/report/", "streaming", "model", timeout_ms=9000),
     )
-    router = RouterProcess(site, tmp_path / "settings.json")
+    router = Router(site, tmp_path / "settings.json")
     router.write_settings()
     yield router
-    if router.process and router.process.returncode is None:
-        router.process.kill()
-        await router.process.wait()
+    await router.end()
 
 
 async def test_a_stop_finishes_what_is_in_flight_and_answers_what_still_comes(router):
--- /dev/null
+++ b/soak/links.py
@@ -0,0 +1,95 @@
+"""Loopback proxies that delay, hold, reset and refuse connections."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+
+__all__ = ["Link", "Mode"]
+
+CHUNK_BYTES = 65_536
+
+
+class Mode(enum.Enum):
+    """Say what a link does to its connections."""
+
+    OPEN = "open"
+    # Nothing passes; what is held arrives when the link opens again.
+    SILENT = "silent"
+    # What the caller sends is held, answers pass.
+    HOLDS_REQUESTS = "holds requests"
+    # Requests pass, answers are held.
+    HOLDS_ANSWERS = "holds answers"
+    # Connections are reset.
+    REFUSING = "refusing"
+
+
+HOLDS_OUTWARD = (Mode.SILENT, Mode.HOLDS_REQUESTS)
+HOLDS_INWARD = (Mode.SILENT, Mode.HOLDS_ANSWERS)
+
+
+class Link:
+    """Pass connections on to a target; `target` names it anew for each connection."""
+
+    def __init__(self, target: Callable[[], str]):
+        self.target = target
+        self.mode = Mode.OPEN
+        self.delay_s = 0.0
+        self.changed = asyncio.Condition()
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.server: asyncio.Server | None = None
+        self.address = ""
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "{}:{}".format(*self.server.sockets[0].getsockname()[:2])
+        return self
+
+    async def __aexit__(self, *details):
+        self.server.close()
+        self.reset()
+
+    async def set_mode(self, mode: Mode) -> None:
+        """Change what the link does, also to the connections that are open."""
+        async with self.changed:
+            self.mode = mode
+            self.changed.notify_all()
+        if mode is Mode.REFUSING:
+            self.reset()
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Pass one connection on, both ways."""
+        if self.mode is Mode.REFUSING:
+            writer.transport.abort()
+            return
+        host, _, port = self.target().rpartition(":")
+        try:
+            away_reader, away_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        both = {writer, away_writer}
+        self.writers |= both
+        outward = self.pump(reader, away_writer, HOLDS_OUTWARD)
+        inward = self.pump(away_reader, writer, HOLDS_INWARD)
+        await asyncio.gather(outward, inward)
+        self.writers -= both
+
+    async def pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, held: tuple[Mode, ...]
+    ) -> None:
+        """Pass one direction on until it ends."""
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                await asyncio.sleep(self.delay_s)
+                async with self.changed:
+                    await self.changed.wait_for(lambda: self.mode not in held)
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except ConnectionError:
+            writer.transport.abort()
--- /dev/null
+++ b/soak/observed.py
@@ -0,0 +1,80 @@
+"""What callers, engines and the operator have seen in a soak."""
+
+from dataclasses import dataclass, field
+
+from bench.platform_fleet import PlatformFleet
+
+__all__ = ["Broken", "Change", "Disturbance", "Observed", "Sent"]
+
+
+@dataclass(slots=True)
+class Sent:
+    """Hold one request of a caller and what became of it; times on the monotonic clock."""
+
+    id: str
+    kind: str
+    path: str
+    key: str
+    router: int
+    start: int
+    sent: float
+    ended: float = 0.0
+    status: int | None = None
+    body: bytes | None = None
+    is_signed: bool = False
+    has_left: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Disturbance:
+    """State that a router was disturbed, or all of them if it is None; planned stops cut nothing."""
+
+    router: int | None
+    since: float
+    until: float
+    what: str
+    is_planned: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Change:
+    """Hold a desired state: its probe route, its keys and when it was confirmed."""
+
+    version: int
+    probe: str
+    keys: tuple[str, ...]
+    at: float
+
+
+@dataclass(slots=True, frozen=True)
+class Broken:
+    """Name a promise that was broken, and what shows it."""
+
+    promise: str
+    detail: str
+
+
+@dataclass(slots=True)
+class Observed:
+    """Collect what was seen; the engines' own records are read where they are."""
+
+    site: PlatformFleet
+    requests: list[Sent] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
+    changes: list[Change] = field(default_factory=list)
+    leavings: dict[str, float] = field(default_factory=dict)
+    ends: list[str] = field(default_factory=list)
+    calm_from: float = float("inf")
+
+    def disturb(
+        self, router: int | None, since: float, for_s: float, what: str, is_planned: bool = False
+    ) -> None:
+        """Record a disturbance."""
+        self.disturbances.append(Disturbance(router, since, since + for_s, what, is_planned))
+
+    def is_calm(self, router: int, since: float, until: float) -> bool:
+        """Tell whether nothing disturbed a router between two times."""
+        return not any(
+            d.router in (None, router) and d.since <= until and d.until >= since
+            for d in self.disturbances
+        )
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -27,6 +28,9 @@
     body: bytes
     has_run: bool = False
     is_cut: bool = False
+    at: float = field(default_factory=time.monotonic)
+    # Requests under way at the engine when this one came.
+    beside: int = 0
 
 
 @dataclass(slots=True)
@@ -48,6 +52,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     held: list[tuple[str, str, int, str]] = field(default_factory=list)
     lists: int = 0
+    running: int = 0
     server: asyncio.Server | None = None
     address: str = ""
     open: set = field(default_factory=set)
@@ -94,7 +99,13 @@
         self.open.add(writer)
         try:
             while arrival := await read_request(reader):
-                if not await self.answer(arrival, reader, writer):
+                arrival.beside = self.running
+                self.running += 1
+                try:
+                    is_kept = await self.answer(arrival, reader, writer)
+                finally:
+                    self.running -= 1
+                if not is_kept:
                     break
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
