--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -9,7 +9,7 @@
 from bench.local import until
 from bench.ports import free_ports
 from marjoramspool.bounds import Bounds
-from marjoramspool.platform.daemon import PlatformRouter
+from marjoramspool.fleet_router import FleetRouter
 from marjoramspool.platform.settings import HostSettings
 from standins.faults import Fault
 from standins.platform import Entry, PlatformStandin
@@ -47,7 +47,7 @@
         self.store = PlatformStandin()
         self.store_port = 0
         self.engines: list[PlatformEngine] = []
-        self.routers: list[PlatformRouter] = []
+        self.routers: list[FleetRouter] = []
         self.ports = free_ports(3)
         self.version = 0
         self.started = 0
@@ -115,12 +115,12 @@
             bounds=Bounds(stop_s=3.0),
         )
 
-    async def add_router(self, wait: bool = True) -> PlatformRouter:
+    async def add_router(self, wait: bool = True) -> FleetRouter:
         """Start a router on an address of its own."""
         self.started += 1
         number = self.started
         settings = self.settings(f"front-{number}", f"127.0.0.{10 + number}", f"zone-{number % 2}")
-        router = PlatformRouter(settings)
+        router = FleetRouter(settings)
         await router.__aenter__()
         self.routers.append(router)
         if wait:
--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -10,9 +10,9 @@
 from marjoramspool.dispatch import BrokenAnswerError
 from marjoramspool.events import Event, log
 from marjoramspool.first_state import FirstState
+from marjoramspool.following import TableFollower
 from marjoramspool.forwarding import Forwarding, StreamAnswer, WholeAnswer
 from marjoramspool.outcomes import NotRun, Problem, Unknown
-from marjoramspool.platform.follow import TableFollower
 from marjoramspool.platform.headers import pass_on, read_prompt
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import ClientAccount, Kind, RouteTable
--- a/marjoramspool/platform/settings.py
+++ b/marjoramspool/platform/settings.py
@@ -7,7 +7,18 @@
 
 from marjoramspool.bounds import Bounds
 
-__all__ = ["HostSettings", "SettingsError", "read_settings"]
+__all__ = [
+    "LEAVE_ROTATION_S",
+    "READY_PATH",
+    "HostSettings",
+    "SettingsError",
+    "read_settings",
+]
+
+# Where the balancer asks whether a host is ready.
+READY_PATH = "/marjoramspool/readyz"
+# It asks once a second and takes a host out after two misses.
+LEAVE_ROTATION_S = 2.3
 
 
 class SettingsError(Exception):
