--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -29,6 +29,7 @@
 from marjoramspool.platform.ingress import Ingress
 from marjoramspool.platform.settings import LEAVE_ROTATION_S, READY_PATH, HostSettings
 from marjoramspool.platform.store import Store
+from marjoramspool.status import MemberStatus, Status
 
 __all__ = ["FleetRouter", "MetricsAddress"]
 
@@ -97,11 +98,13 @@
             self.take_state,
             self.is_behind,
             self.lag_s,
+            self.status,
         )
         self.joining = Joining(
             self.directory, self.choice, self.state_calls, self.sessions, self.telling.note_listed
         )
-        self.discovery = Discovery(self.store, settings.name, self.directory)
+        operators = f"{settings.address}:{settings.peers_port}"
+        self.discovery = Discovery(self.store, settings.name, self.directory, operators)
         self.first_state = FirstState(lambda: self.is_informed, lambda: self.has_store)
         self.ingress = Ingress(self.forwarding, self.tables, self.first_state)
 
@@ -149,6 +152,34 @@
         is_newer = peer.engines_revision > own.engines_revision
         return is_newer and peer.engines_digest != own.engines_digest
 
+    def status(self) -> Status:
+        """Return what operators see of this router."""
+        heard = {peer.address for peer in self.directory.heard()}
+        return Status(
+            router=self.settings.name,
+            domain=self.settings.failure_domain,
+            is_ready=self.is_ready,
+            is_draining=self.ingress.is_stopping,
+            in_flight=len(self.ingress.busy),
+            versions={"routes": self.tables.table.version if self.tables.table else 0},
+            faults={} if self.has_store else {"store": "it does not answer"},
+            members=[
+                MemberStatus(
+                    peer.address,
+                    peer.address,
+                    "",
+                    peer.domain,
+                    "alive" if peer.address in heard else "silent",
+                )
+                for peer in self.directory.peers.values()
+            ],
+            owned={},
+            leaving=[e.id for e in self.engines.engines.values() if e.is_leaving],
+            control=None,
+            counts=self.metrics.counts,
+            leases={},
+        )
+
     def give_state(self, kind: type) -> State | None:
         """Return a part of the state that another router can take over; None if there is none."""
         if not self.is_informed:
--- a/marjoramspool/operators/client.py
+++ b/marjoramspool/operators/client.py
@@ -13,7 +13,7 @@
 from marjoramspool.document import read_document
 from marjoramspool.explain import Trace
 from marjoramspool.http import new_session
-from marjoramspool.operators.server import Status
+from marjoramspool.status import Status
 from marjoramspool.storage import (
     Platform,
     PlatformError,
--- a/marjoramspool/operators/server.py
+++ b/marjoramspool/operators/server.py
@@ -7,60 +7,17 @@
 from aiohttp import web
 
 from marjoramspool.routers import peers_pb2 as pb
+from marjoramspool.status import CellStatus, ControlStatus, MemberStatus, Status
 
 if TYPE_CHECKING:
     from marjoramspool.router import Router
 
-__all__ = ["OperatorsServer", "Status", "build_status"]
+__all__ = ["OperatorsServer", "build_status"]
 
 EXPLAIN_WAIT_S = 1.0
 JSON = "application/json"
 
 
-class MemberStatus(msgspec.Struct, frozen=True):
-    """Report one router as seen by another."""
-
-    name: str
-    address: str
-    operators: str
-    domain: str
-    state: str
-
-
-class CellStatus(msgspec.Struct, frozen=True):
-    """Report the load of a cell that a router owns, in requests."""
-
-    loads: dict[str, int]
-    waiting: int
-
-
-class ControlStatus(msgspec.Struct, frozen=True):
-    """Report what coordination has cost since the start, both ways."""
-
-    router_bytes: int
-    platform_bytes: int
-    report_bytes: int
-    platform_calls: int
-
-
-class Status(msgspec.Struct, frozen=True):
-    """Report the state of one router."""
-
-    router: str
-    domain: str
-    is_ready: bool
-    is_draining: bool
-    in_flight: int
-    versions: dict[str, int]
-    faults: dict[str, str]
-    members: list[MemberStatus]
-    owned: dict[str, CellStatus]
-    leaving: list[str]
-    control: ControlStatus
-    counts: dict[str, int]
-    leases: dict[str, int]
-
-
 class OperatorsServer:
     """Serve operators."""
 
--- a/marjoramspool/peers/discovery.py
+++ b/marjoramspool/peers/discovery.py
@@ -30,9 +30,10 @@
 class Discovery:
     """Register this router in the store, and introduce the others that are there."""
 
-    __slots__ = ("directory", "is_registered", "name", "store")
+    __slots__ = ("directory", "is_registered", "name", "operators", "store")
 
-    def __init__(self, store: Store, name: str, directory: Directory):
+    def __init__(self, store: Store, name: str, directory: Directory, operators: str = ""):
+        self.operators = operators
         self.store = store
         self.name = name
         self.directory = directory
@@ -59,7 +60,7 @@
         if self.is_registered:
             return
         me = self.directory
-        spec = RouterSpec(me.me, me.domain, link_mbps=me.link_mbps)
+        spec = RouterSpec(me.me, me.domain, self.operators, me.link_mbps)
         listing = await self.store.list_objects(KIND)
         self.introduce(listing.objects)
         mine = next((o for o in listing.objects if o.name == self.name), None)
--- a/marjoramspool/peers/state.py
+++ b/marjoramspool/peers/state.py
@@ -13,6 +13,7 @@
 from marjoramspool.http import new_session
 from marjoramspool.peers.directory import Directory, Peer
 from marjoramspool.peers.messages import CachesState, EnginesState, TableState, encode
+from marjoramspool.status import Status
 
 __all__ = ["State", "StateCalls"]
 
@@ -21,6 +22,7 @@
 TABLE = "/table"
 ENGINES = "/engines"
 CACHES = "/caches"
+STATUS = "/status"
 KINDS: dict[str, type] = {TABLE: TableState, ENGINES: EnginesState, CACHES: CachesState}
 CALL_S = 1.5
 CHECK_PERIOD_S = 0.1
@@ -29,8 +31,8 @@
 class StateCalls:
     """Serve this router's state to others, and fetch theirs when they know more.
 
-    `give` returns a state or None if this router has none; `lag` tells for how long to wait for
-    the store before a peer is asked, in seconds.
+    `give` returns a state or None if this router has none; `lag_s` tells for how long to wait for
+    the store before a peer is asked, in seconds. Operators read the status on the same port.
     """
 
     __slots__ = (
@@ -42,6 +44,7 @@
         "port",
         "runner",
         "session",
+        "status",
         "take",
     )
 
@@ -53,7 +56,9 @@
         take: Callable[[State, str], None],
         is_behind: Callable[[type, Peer], bool],
         lag_s: Callable[[], float],
+        status: Callable[[], Status],
     ):
+        self.status = status
         self.directory = directory
         self.port = port
         self.give = give
@@ -79,7 +84,9 @@
             await self.session.close()
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
-        """Hand out a part of this router's state."""
+        """Hand out a part of this router's state, or its status."""
+        if request.path == STATUS:
+            return web.Response(body=msgspec.json.encode(self.status()))
         kind = KINDS.get(request.path)
         if kind is None:
             return web.Response(status=404)
--- /dev/null
+++ b/marjoramspool/status.py
@@ -0,0 +1,50 @@
+"""What a router tells its operators of itself."""
+
+import msgspec
+
+__all__ = ["CellStatus", "ControlStatus", "MemberStatus", "Status"]
+
+
+class MemberStatus(msgspec.Struct, frozen=True):
+    """Report one router as seen by another."""
+
+    name: str
+    address: str
+    operators: str
+    domain: str
+    state: str
+
+
+class CellStatus(msgspec.Struct, frozen=True):
+    """Report the load of a cell that a router owns, in requests."""
+
+    loads: dict[str, int]
+    waiting: int
+
+
+class ControlStatus(msgspec.Struct, frozen=True):
+    """Report what coordination has cost since the start, both ways."""
+
+    router_bytes: int
+    platform_bytes: int
+    report_bytes: int
+    platform_calls: int
+
+
+class Status(msgspec.Struct, frozen=True):
+    """Report the state of one router."""
+
+    router: str
+    domain: str
+    is_ready: bool
+    is_draining: bool
+    in_flight: int
+    versions: dict[str, int]
+    faults: dict[str, str]
+    members: list[MemberStatus]
+    owned: dict[str, CellStatus]
+    leaving: list[str]
+    # None where the router does not count what coordination costs.
+    control: ControlStatus | None
+    counts: dict[str, int]
+    leases: dict[str, int]
--- a/soak/links.py
+++ b/soak/links.py
@@ -76,7 +76,11 @@
         self.writers |= both
         outward = self.pump(reader, away_writer, HOLDS_OUTWARD)
         inward = self.pump(away_reader, writer, HOLDS_INWARD)
-        await asyncio.gather(outward, inward)
+        try:
+            await asyncio.gather(outward, inward)
+        except asyncio.CancelledError:
+            # The soak ends with connections open.
+            self.reset()
         self.writers -= both
 
     async def pump(
@@ -91,6 +95,5 @@
                 writer.write(data)
                 await writer.drain()
             writer.close()
-        except (ConnectionError, asyncio.CancelledError):
-            # One end is gone, or the soak ends.
+        except ConnectionError:
             writer.transport.abort()
--- /dev/null
+++ b/soak/tests/test_soak.py
@@ -0,0 +1,18 @@
+"""A short soak of one seed, and the draw of the troubles."""
+
+from soak.run import play_seed
+from soak.troubles import KINDS, draw_troubles
+
+SEED = 4
+ROUTERS = 3
+LENGTH_S = 6.0
+
+
+async def test_a_short_soak_holds_every_promise(tmp_path):
+    assert await play_seed(SEED, ROUTERS, LENGTH_S, tmp_path) == []
+
+
+def test_a_seed_draws_the_same_troubles_again_and_many_seeds_draw_all_kinds():
+    assert draw_troubles(SEED, 20.0) == draw_troubles(SEED, 20.0)
+    drawn = {trouble.kind for seed in range(20) for trouble in draw_troubles(seed, 20.0)}
+    assert drawn == set(KINDS)
