Wait a fifth of a client's time for the first state, also while the store is out

Change: a request that comes before the first state waits a fifth of its time for it, for 5 s after the start, instead of being refused as soon as a call to the store has failed. It then has most of its time to come back.

--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -105,7 +105,7 @@
         )
         operators = f"{settings.address}:{settings.peers_port}"
         self.discovery = Discovery(self.store, settings.name, self.directory, operators)
-        self.first_state = FirstState(lambda: self.is_informed, lambda: self.has_store)
+        self.first_state = FirstState(lambda: self.is_informed)
         self.ingress = Ingress(self.forwarding, self.tables, self.first_state)
 
     @property
--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -21,6 +21,8 @@
 
 MS = 1000.0
 NO_TABLE_RETRY_S = 1.0
+# What a client is taken to wait that does not say so, while no routes are known.
+NO_TABLE_WAIT_S = 3.0
 # Clients reuse connections that were idle for most of the limit; none may meet a close.
 KEEPALIVE_S = 300.0
 BACKLOG = 1024
@@ -134,7 +136,7 @@
         """Check a request, forward it and pass its answer back."""
         received = now()
         body = await self.read_body(raw)
-        await self.first_state.wait()
+        await self.first_state.wait(wait_of(raw, NO_TABLE_WAIT_S))
         table = self.tables.table
         if table is None:
             problem = Problem(503, "no routes are known yet", "send it again", NO_TABLE_RETRY_S)
