Let three routers at most ask an engine what its cache holds

Change: the routers ranked first, second and third for an engine ask it in turn, 0.8 s apart, if its list has not come from another. Test: 1, 7 and 71 routers before engines that answer none.

--- a/marjoramspool/peers/joining.py
+++ b/marjoramspool/peers/joining.py
@@ -1,7 +1,8 @@
 """Learning what the engines' caches hold after a start.
 
 A router that starts alone asks the others. When all have started at once nobody knows, so each
-engine is asked for its list by one router, which tells the others.
+engine is asked for its list by one router, which tells the others; if they do not hear of it in
+time, a second one asks, then a third. No more may ask: a list delays the engine's work.
 """
 
 import asyncio
@@ -22,8 +23,9 @@
 # Time for the others to be introduced, and for the first of them to answer.
 INTRODUCTION_S = 0.4
 CHECK_S = 0.02
-# Time for the router that is first for an engine to tell its list.
+# Time for the router whose turn it is to tell an engine's list.
 OTHERS_LIST_S = 0.8
+TURNS = 3
 
 
 class CacheLister(Protocol):
@@ -60,11 +62,11 @@
         if not self.choice.unlisted:
             return
         await self.ask_peers()
-        if not self.choice.unlisted:
-            return
-        await self.ask_engines(is_first=True)
-        await asyncio.sleep(OTHERS_LIST_S)
-        await self.ask_engines(is_first=False)
+        for turn in range(TURNS):
+            if not self.choice.unlisted:
+                return
+            await self.ask_engines(turn)
+            await asyncio.sleep(OTHERS_LIST_S)
 
     async def ask_peers(self) -> None:
         """Take over the state of a router that has been there for longer."""
@@ -78,17 +80,14 @@
                 return
             await self.state_calls.fetch(peer, CACHES)
 
-    async def ask_engines(self, is_first: bool) -> None:
-        """Ask the engines that this router is first for, or all whose caches are unknown."""
+    async def ask_engines(self, turn: int) -> None:
+        """Ask the engines whose caches are unknown and for which it is this router's turn."""
         routers = [self.directory.me, *self.directory.peers]
         asked = [
             engine
             for engine in self.choice.model_engines()
             if (engine.id, engine.started_ms) in self.choice.unlisted
-            and (
-                not is_first
-                or hashing.rank(hashing.digest(engine.id), routers)[0] == self.directory.me
-            )
+            and self.directory.me == in_turn(engine, routers, turn)
         ]
         await asyncio.gather(*[self.ask(engine) for engine in asked])
 
@@ -99,3 +98,8 @@
         if parts is not None:
             self.choice.note_listed(engine, parts)
             self.on_listed(engine, parts)
+
+
+def in_turn(engine: Engine, routers: list[str], turn: int) -> str:
+    """Return which router asks an engine in a turn."""
+    return hashing.rank(hashing.digest(engine.id), routers)[turn % len(routers)]
--- /dev/null
+++ b/marjoramspool/peers/tests/test_joining.py
@@ -0,0 +1,47 @@
+"""Who asks the engines for their caches after all routers have started at once."""
+
+from collections import Counter
+
+import pytest
+
+from marjoramspool.engine_choice import EngineChoice
+from marjoramspool.engine_list import Engine, EngineList
+from marjoramspool.peers import joining
+from marjoramspool.peers.directory import Directory
+from marjoramspool.peers.joining import TURNS, Joining
+from marjoramspool.routes import EngineMemory, RouteTable, Service
+
+ENGINES = [Engine(f"i-{n}", "s", f"1.1.2.{n}:1", "z", 64, False, 1) for n in range(30)]
+
+
+class DeafEngines:
+    """Count the lists that are asked for, and answer none."""
+
+    def __init__(self):
+        self.asked = Counter()
+
+    async def list_cache(self, engine):
+        self.asked[engine.id] += 1
+
+
+class NoState:
+    async def fetch(self, peer, path):
+        return False
+
+
+@pytest.mark.parametrize("count", [1, 7, 71])
+async def test_no_engine_is_asked_by_more_than_a_few_routers(count, monkeypatch):
+    monkeypatch.setattr(joining, "OTHERS_LIST_S", 0.0)
+    monkeypatch.setattr(joining, "INTRODUCTION_S", 0.0)
+    addresses = [f"1.1.1.{n}" for n in range(count)]
+    engines = EngineList()
+    engines.replace_all(ENGINES)
+    table = RouteTable(1, services={"s": Service("s", EngineMemory(64, 600_000))})
+    lister = DeafEngines()
+    for address in addresses:
+        directory = Directory(address, "z", 100)
+        for other in addresses:
+            directory.introduce(other, "z", 100)
+        choice = EngineChoice("z", engines, lambda: table)
+        await Joining(directory, choice, NoState(), lister, lambda *_: None).learn()
+    assert all(lister.asked[engine.id] == TURNS for engine in ENGINES)
