--- a/soak/observed.py
+++ b/soak/observed.py
@@ -34,6 +34,8 @@
     until: float
     what: str
     is_planned: bool = False
+    # A fault of engines alone leaves the routers in touch.
+    is_engines: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -69,12 +71,20 @@
     def disturb(
         self, router: int | None, since: float, for_s: float, what: str, is_planned: bool = False
     ) -> None:
-        """Record a disturbance."""
+        """Record a disturbance of one router, or of all."""
         self.disturbances.append(Disturbance(router, since, since + for_s, what, is_planned))
 
+    def disturb_engines(self, since: float, for_s: float, what: str) -> None:
+        """Record a fault of engines."""
+        disturbance = Disturbance(None, since, since + for_s, what, is_engines=True)
+        self.disturbances.append(disturbance)
+
     def is_calm(self, router: int, since: float, until: float) -> bool:
-        """Tell whether nothing disturbed a router between two times."""
+        """Tell whether nothing disturbed a router itself between two times."""
         return not any(
-            d.router in (None, router) and d.since <= until and d.until >= since
+            d.router in (None, router)
+            and not d.is_engines
+            and d.since <= until
+            and d.until >= since
             for d in self.disturbances
         )
--- a/soak/run.py
+++ b/soak/run.py
@@ -33,7 +33,7 @@
     seed: Annotated[int | None, cappa.Arg(long=True, help="The first seed.")] = None
     count: Annotated[int, cappa.Arg(long=True, help="How many seeds.")] = 1
     routers: Annotated[int, cappa.Arg(long=True, help="Router processes.")] = 5
-    seconds: Annotated[float, cappa.Arg(long=True, help="How long faults come.")] = 20.0
+    seconds: Annotated[float, cappa.Arg(long=True, help="How long faults come.")] = 30.0
     keep: Annotated[str | None, cappa.Arg(long=True, help="A folder that keeps the logs.")] = None
 
 
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -13,12 +13,13 @@
 
 __all__ = ["Trouble", "draw_troubles", "play"]
 
-# Pauses between troubles, in seconds; short ones make them overlap.
-GAPS_S = (0.05, 0.3, 1.0, 2.0)
+# An engine that leaves serves on for longer than routers may send it new work.
+SERVE_ON_S = 4.0
+# Pauses between troubles, in seconds: short ones make them overlap, long ones let calm return.
+GAPS_S = (0.05, 0.3, 1.0, 2.5, 5.0)
 LENGTHS_S = (0.5, 1.5, 3.0)
 ENGINE_FAULTS = ("shed", "error", "reset", "cut", "extra", "foreign", "bare", "unframed-cut")
 STORE_FAULTS = ("outage", "silent", "slow", "lose-reply")
-CRASH_S = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -37,7 +38,7 @@
     draw = random.Random(seed)
     troubles, at = [], 1.0
     while at < length_s:
-        kind = draw.choice(sorted(KINDS))
+        (kind,) = draw.choices(sorted(KINDS), [WEIGHTS.get(kind, 1) for kind in sorted(KINDS)])
         detail = draw.choice(DETAILS.get(kind, ("",)))
         troubles.append(
             Trouble(round(at, 2), kind, draw.choice(LENGTHS_S), draw.randrange(1 << 16), detail)
@@ -102,7 +103,7 @@
     """Spoil the link to an engine."""
     engine = pick_engine(fleet, trouble)
     link = fleet.links[engine.id]
-    fleet.observed.disturb(None, time.monotonic(), trouble.for_s, f"engine {trouble.detail}")
+    fleet.observed.disturb_engines(time.monotonic(), trouble.for_s, f"engine {trouble.detail}")
     await link.set_mode(Mode(trouble.detail))
     await asyncio.sleep(trouble.for_s)
     await link.set_mode(Mode.OPEN)
@@ -111,7 +112,7 @@
 async def delay_engine(fleet: Fleet, trouble: Trouble) -> None:
     """Delay what goes to an engine and comes from it."""
     link = fleet.links[pick_engine(fleet, trouble).id]
-    fleet.observed.disturb(None, time.monotonic(), trouble.for_s, "delay")
+    fleet.observed.disturb_engines(time.monotonic(), trouble.for_s, "delay")
     link.delay_s = 0.15
     await asyncio.sleep(trouble.for_s)
     link.delay_s = 0.0
@@ -119,13 +120,13 @@
 
 async def reset_engine(fleet: Fleet, trouble: Trouble) -> None:
     """Reset all connections to an engine."""
-    fleet.observed.disturb(None, time.monotonic(), 0.5, "reset")
+    fleet.observed.disturb_engines(time.monotonic(), 0.5, "reset")
     fleet.links[pick_engine(fleet, trouble).id].reset()
 
 
 async def fail_engine(fleet: Fleet, trouble: Trouble) -> None:
     """Let an engine spoil some of its next answers."""
-    fleet.observed.disturb(None, time.monotonic(), trouble.for_s, trouble.detail)
+    fleet.observed.disturb_engines(time.monotonic(), trouble.for_s, trouble.detail)
     engine = pick_engine(fleet, trouble)
     engine.faults[trouble.detail] += 3
     await asyncio.sleep(trouble.for_s)
@@ -140,7 +141,7 @@
     await fleet.add_engine(engine.service)
     await fleet.register(engine, state="draining", sequence=2)
     fleet.observed.leavings[engine.id] = time.monotonic()
-    await asyncio.sleep(trouble.for_s + 2.0)
+    await asyncio.sleep(trouble.for_s + SERVE_ON_S)
     await fleet.site.drop("servers", engine.id)
 
 
@@ -201,6 +202,8 @@
     "change state": change_state,
     "revoke key": revoke_key,
 }
+# Each of these has many forms.
+WEIGHTS = {"fail engine": 4, "cut engine": 2, "replace engine": 4}
 MODES = tuple(mode.value for mode in Mode if mode is not Mode.OPEN)
 DETAILS = {
     "cut store": MODES,
