Never turn away a stream that its client resumes

Cause, from reading the diff: a request that carries the number of its last event was taken for new, since no engine had been tried by this router, and could be turned away under overload; its caller has a part of the answer already.

Change: only requests without such a number are turned away. Test: it failed before.

--- a/marjoramspool/engine_choice.py
+++ b/marjoramspool/engine_choice.py
@@ -129,7 +129,7 @@
     def place(self, request: RoutedRequest, exclude: set[str]) -> Placement | TurnedAway | None:
         """Choose an engine for a request and take a place there; None if there is none.
 
-        A request that was not tried yet is turned away if it would wait too long there.
+        A request that has not begun anywhere is turned away if it would wait too long there.
         """
         usable = [e for e in self.engines.usable(request.service) if e.id not in exclude]
         trusted = self.trust.trusted(engine.id for engine in usable)
@@ -150,7 +150,8 @@
         rank = waiting_rank(unread, request.urgency)
         if not parts:
             return Placement(engine, self.loads, unread, choice, rank)
-        if not exclude and (turned := self.turn_away(request, choice, unread, rank)):
+        is_new = not exclude and request.after_event is None
+        if is_new and (turned := self.turn_away(request, choice, unread, rank)):
             return turned
         source = self.source(engine, parts, choice.engine.held_tokens)
         new_parts = self.caches.lacking((engine.id, engine.started_ms), parts)
--- a/marjoramspool/tests/test_cache_sources.py
+++ b/marjoramspool/tests/test_cache_sources.py
@@ -9,6 +9,7 @@
 from marjoramspool.prompts import Part, Prompt
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import EngineMemory, Kind, Route, RouteTable, Service, Split
+from marjoramspool.turning_away import TurnedAway
 
 SUBJECT = 7
 PROMPT = Prompt("m", 10_600, 100, (Part(1, 500), Part(SUBJECT, 10_000), Part(99, 100)))
@@ -27,10 +28,10 @@
     return EngineChoice("z1", engines, lambda: table)
 
 
-def place(choice, name="q", exclude=()):
+def place(choice, name="q", exclude=(), after=None):
     moment = now()
     request = RoutedRequest(
-        name, ROUTE, "s", None, "POST", "/", [], b"", moment, moment + 15.0, PROMPT
+        name, ROUTE, "s", None, "POST", "/", [], b"", moment, moment + 15.0, PROMPT, after
     )
     return choice.place(request, set(exclude))
 
@@ -89,3 +90,13 @@
     assert again.engine.id == first.engine.id
     choice.note_unread(again)
     assert held(choice, first.engine.id) == 10_500
+
+
+def test_a_request_that_has_begun_is_never_turned_away(choice):
+    for name in "abc":
+        choice.loads.begin(name, 10_000_000)
+    assert isinstance(place(choice), TurnedAway)
+    resumed = place(choice, after=5)
+    assert not isinstance(resumed, TurnedAway)
+    choice.note_unread(resumed)
+    assert not isinstance(place(choice, exclude="a"), TurnedAway)
