--- a/soak/run.py
+++ b/soak/run.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import random
+import signal
 import sys
 import tempfile
 import time
+from collections.abc import Awaitable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -62,6 +64,13 @@
         return broken or check(fleet.observed)
 
 
+async def end_cleanly(work: Awaitable[list[Broken]]) -> list[Broken]:
+    """Play a seed, and end every process of it when the soak is asked to stop."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    return await work
+
+
 async def settle(fleet: Fleet) -> None:
     """Wait until every router is ready."""
     async with asyncio.timeout(SETTLE_S * 2):
@@ -96,7 +105,8 @@
         with tempfile.TemporaryDirectory() as scratch:
             folder = Path(soak.keep or scratch) / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
-            broken = asyncio.run(play_seed(seed, soak.routers, soak.seconds, folder))
+            playing = play_seed(seed, soak.routers, soak.seconds, folder)
+            broken = asyncio.run(end_cleanly(playing))
         for one in broken[:5]:
             print(f"seed {seed}: BROKEN {one.promise}: {one.detail}", flush=True)
         if broken:
