Soak: one stack owns every link; callers use the project's own session

Cause: reading the soak as a newcomer: links were closed by hand beside an exit stack, and callers set a private switch that marjoramspool.http sets already.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,11 +8,13 @@
 import aiohttp
 
 from bench.platform_fleet import HOST
+from marjoramspool.http import new_session
 from soak.fleet import Fleet
 from soak.observed import Sent
 
 __all__ = ["call_for_ever"]
 
+CONNECT_S = 1.0
 PAUSE_S = (0.02, 0.25)
 LIMIT_S = 4.0
 KINDS = ("lookup", "order", "report", "digest", "probe")
@@ -32,9 +34,7 @@
     draw = random.Random(seed)
     while True:
         router = draw.choice(fleet.rotation())
-        connector = aiohttp.TCPConnector(limit=1)
-        async with aiohttp.ClientSession(connector=connector) as session:
-            session._retry_connection = False
+        async with new_session(CONNECT_S) as session:
             for _ in range(draw.randint(5, 60)):
                 sent = make(fleet, draw, router)
                 await send(fleet, session, sent, draw)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -58,30 +58,34 @@
         self.tasks: list[asyncio.Task] = []
 
     async def __aenter__(self):
-        async with AsyncExitStack() as stack:
-            await stack.enter_async_context(self.site)
-            stack.push_async_callback(self.end)
-            for service, count in ENGINES:
-                for _ in range(count):
-                    await self.add_engine(service)
-            await self.change()
-            for number in range(self.count):
-                await self.add_router(number, stack)
-            self.tasks.append(asyncio.create_task(keep_running("poll", self.poll, 0.1)))
-            self.stack = stack.pop_all()
+        try:
+            await self.open()
+        except BaseException:
+            await self.stack.aclose()
+            raise
         return self
 
     async def __aexit__(self, *details):
         await self.stack.aclose()
 
+    async def open(self) -> None:
+        """Open every part; the stack closes them in reverse order."""
+        await self.stack.enter_async_context(self.site)
+        self.stack.push_async_callback(self.end)
+        for service, count in ENGINES:
+            for _ in range(count):
+                await self.add_engine(service)
+        await self.change()
+        for number in range(self.count):
+            await self.add_router(number)
+        self.tasks.append(asyncio.create_task(keep_running("poll", self.poll, ROTATION_S)))
+
     async def end(self) -> None:
         """End all tasks and processes."""
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await asyncio.gather(*[router.process.end() for router in self.routers])
-        for link in self.links.values():
-            await link.__aexit__(None, None, None)
 
     async def add_engine(self, service: str) -> PlatformEngine:
         """Start an engine behind a link of its own and register it."""
@@ -90,8 +94,7 @@
             service, register=False, is_stream=is_stream, pieces=EVENTS, piece_s=EVENT_S
         )
         link = Link(lambda: engine.address)
-        await link.__aenter__()
-        self.links[engine.id] = link
+        self.links[engine.id] = await self.stack.enter_async_context(link)
         await self.register(engine)
         return engine
 
@@ -114,14 +117,14 @@
         version = self.site.version
         self.observed.changes.append(Change(version, probe, self.keys, time.monotonic()))
 
-    async def add_router(self, number: int, stack: AsyncExitStack) -> None:
+    async def add_router(self, number: int) -> None:
         """Start a router and keep it running."""
         link = Link(lambda: f"127.0.0.1:{self.site.store_port}")
-        await stack.enter_async_context(link)
+        await self.stack.enter_async_context(link)
         address = f"{SOAK_NETWORK}.{number + 1}"
         settings = self.site.settings(f"front-{number}", address, f"zone-{number % 3}")
         settings = replace(settings, store=link.address, bounds=Bounds(stop_s=GRACE_S))
-        log = stack.enter_context((self.folder / f"front-{number}.log").open("ab"))
+        log = self.stack.enter_context((self.folder / f"front-{number}.log").open("ab"))
         process = RouterProcess(settings, self.folder / f"front-{number}.json", log)
         process.write_settings()
         router = SoakRouter(process, link)
