Pass over relays that say nothing at once; find back hosts that stood still for long

Writing the test for a relay's return showed a second fault: a host that stood still for over 4 s hears nobody, takes itself for its domain's relay, and tells nobody; nobody tells it.

Change: a relay that is not heard directly for 1 s, also from the moment it was chosen, is passed over for 4 s or until heard; a host that has stood still itself judges nobody at once; one that hears nobody of its domain tells all of it once a second. Up to 12 routers nothing changes.

Tests: news within 3 s though a relay and its successor stand still; a relay is taken again; a host that stood still for 6 s is told again.

--- a/marjoramspool/peers/directory.py
+++ b/marjoramspool/peers/directory.py
@@ -27,7 +27,10 @@
     introduced: float
     link_mbps: int = 0
     heard: float | None = None
+    heard_directly: float | None = None
     is_relayed: bool = False
+    # Until when this router is not taken for a relay, since it said nothing as one.
+    mute_until: float = 0.0
     start: int = 0
     number: int = 0
     table_revision: int = 0
@@ -64,6 +67,9 @@
             log(Event.MEMBER_ALIVE, address=address, domain=domain)
         peer.heard = self.clock()
         peer.is_relayed = is_relayed
+        if not is_relayed:
+            peer.heard_directly = peer.heard
+            peer.mute_until = 0.0
         self.silent.discard(address)
         return peer
 
--- a/marjoramspool/peers/relays.py
+++ b/marjoramspool/peers/relays.py
@@ -8,11 +8,24 @@
 from marjoramspool import hashing
 from marjoramspool.peers.directory import Directory, Peer
 
-__all__ = ["DIRECT_UP_TO", "is_direct", "own_domain", "relay_of", "relays", "watchers"]
+__all__ = [
+    "DIRECT_UP_TO",
+    "RelayWatch",
+    "is_direct",
+    "own_domain",
+    "relay_of",
+    "relays",
+    "watchers",
+]
 
 DIRECT_UP_TO = 12
 # Routers that watch the store for the fleet, when not all do.
 WATCHERS = 4
+# A relay gives a sign of life more than twice in this time.
+RELAY_SILENT_S = 1.0
+PASSED_OVER_S = 4.0
+# A host that checks less often than this has been suspended.
+STOOD_STILL_S = 0.6
 
 
 def is_direct(directory: Directory) -> bool:
@@ -22,7 +35,12 @@
 
 def relay_of(directory: Directory, domain: str) -> str | None:
     """Return the address of a failure domain's relay, None if no router of it is present."""
-    links = {p.address: p.link_mbps for p in directory.present() if p.domain == domain}
+    moment = directory.clock()
+    links = {
+        peer.address: peer.link_mbps
+        for peer in directory.present()
+        if peer.domain == domain and peer.mute_until <= moment
+    }
     if domain == directory.domain:
         links[directory.me] = directory.link_mbps
     if not links:
@@ -38,6 +56,34 @@
     return [address for address in found if address is not None]
 
 
+class RelayWatch:
+    """Pass over relays that say nothing, also right after they were chosen.
+
+    What is known of a relay's successor came through that relay and is as old; hosts of one failure
+    domain may stand still together.
+    """
+
+    __slots__ = ("checked_at", "directory", "since")
+
+    def __init__(self, directory: Directory):
+        self.directory = directory
+        self.since: dict[str, float] = {}
+        self.checked_at = directory.clock()
+
+    def expect(self, addresses: list[str]) -> None:
+        """Take in which relays should be heard directly now."""
+        moment = self.directory.clock()
+        if moment - self.checked_at > STOOD_STILL_S:
+            # This host stood still, so that nobody could be heard.
+            self.since.clear()
+        self.checked_at = moment
+        self.since = {address: self.since.get(address, moment) for address in addresses}
+        for address, since in self.since.items():
+            peer = self.directory.peers.get(address)
+            if peer and moment - max(since, peer.heard_directly or since) > RELAY_SILENT_S:
+                peer.mute_until = moment + PASSED_OVER_S
+
+
 def own_domain(directory: Directory) -> list[Peer]:
     """Return the other routers of this one's failure domain."""
     return [peer for peer in directory.present() if peer.domain == directory.domain]
--- a/marjoramspool/peers/telling.py
+++ b/marjoramspool/peers/telling.py
@@ -60,10 +60,12 @@
         "directory",
         "knowledge",
         "last_told",
+        "lost_at",
         "number",
         "passing",
         "placed",
         "port",
+        "relay_watch",
         "sent_at",
         "sought_at",
         "start_number",
@@ -79,6 +81,7 @@
     ):
         self.port = port
         self.directory = directory
+        self.relay_watch = relays.RelayWatch(directory)
         self.choice = choice
         self.knowledge = knowledge
         self.start_number = random.getrandbits(32)
@@ -89,6 +92,7 @@
         self.by_number: dict[int, Engine] = {}
         self.sent_at = 0.0
         self.sought_at = 0.0
+        self.lost_at = 0.0
         self.transport: asyncio.DatagramTransport | None = None
         choice.on_placed.append(self.note_placed)
         choice.on_unread.append(self.note_unread)
@@ -147,7 +151,11 @@
                 self.send(encode(told), self.listeners())
             return
         relay = relays.relay_of(self.directory, self.directory.domain)
-        if relay != self.directory.me:
+        is_relay = relay == self.directory.me
+        self.relay_watch.expect(relays.relays(self.directory) if is_relay else [relay])
+        if told:
+            self.send(encode(told), self.lost())
+        if not is_relay:
             # Another passes these on.
             self.passing.clear()
             if told:
@@ -213,6 +221,19 @@
             with suppress(OSError):
                 self.transport.sendto(message, (address, self.port))
 
+    def lost(self) -> list[str]:
+        """Return the routers of this failure domain if none of them is heard, now and then.
+
+        A host that stood still for longer than silence is borne is told of by nobody, and takes
+        itself for the only one.
+        """
+        moment = self.directory.clock()
+        if moment - self.lost_at < SEEK_PERIOD_S or relays.own_domain(self.directory):
+            return []
+        self.lost_at = moment
+        domain = self.directory.domain
+        return [peer.address for peer in self.directory.peers.values() if peer.domain == domain]
+
     def listeners(self, relay: str | None = None) -> list[str]:
         """Return whom to tell: those heard of or the relay, and now and then the others."""
         moment = self.directory.clock()
--- a/marjoramspool/peers/tests/test_telling.py
+++ b/marjoramspool/peers/tests/test_telling.py
@@ -6,6 +6,7 @@
 
 from bench.local import until
 from bench.platform_fleet import route
+from marjoramspool import hashing
 from marjoramspool.engine_choice import EngineChoice
 from marjoramspool.engine_list import Engine, EngineList
 from marjoramspool.engine_loads import Load
@@ -15,6 +16,9 @@
 from marjoramspool.peers.telling import Knowledge, Telling
 from marjoramspool.prompts import Part
 
+# What a fleet of this size has for a change to be in force, and how often its routers tell.
+IN_FORCE_S = 3.0
+STEP_S = 0.12
 ENGINE = Engine("i-1", "model", "1.1.1.1:1", "zone", 8, False, 1)
 
 
@@ -75,9 +79,9 @@
     return wire, clock, routers
 
 
-def rounds(wire, clock, routers, count=3):
+def rounds(wire, clock, routers, count=3, step_s=0.5):
     for _ in range(count):
-        clock.now += 0.5
+        clock.now += step_s
         for router in routers:
             router.sent_at = 0.0
             router.tell()
@@ -241,3 +245,47 @@
     wire, clock, routers = make_fleet(40)
     rounds(wire, clock, routers, 20)
     assert max(len(router.passing) for router in routers) <= 2 * len(routers)
+
+
+def test_news_reaches_all_in_time_though_a_relay_and_its_successor_stand_still():
+    wire, clock, routers = make_fleet(71)
+    rounds(wire, clock, routers, 20)
+    zone = [router for router in routers if router.directory.domain == "zone-1"]
+    best = max(router.directory.link_mbps for router in zone)
+    names = [r.directory.me for r in zone if r.directory.link_mbps == best]
+    frozen = hashing.rank(hashing.digest("zone-1"), names)[:2]
+    for name in frozen:
+        del wire.ends[name]
+    rest = [router for router in routers if router.directory.me not in frozen]
+    teller = next(router for router in rest if router.directory.domain == "zone-2")
+    teller.choice.loads.begin(ENGINE.id, 700)
+    rounds(wire, clock, rest, round(IN_FORCE_S / STEP_S), STEP_S)
+    near = [router for router in rest if router.directory.domain == "zone-1"]
+    assert all(router.choice.loads.of(ENGINE.id).requests for router in near)
+
+
+def test_a_relay_that_is_passed_over_is_taken_again_once_it_is_heard():
+    wire, clock, routers = make_fleet(40)
+    rounds(wire, clock, routers, 5)
+    relay = relays.relay_of(routers[0].directory, "zone-1")
+    end = wire.ends.pop(relay)
+    rest = [router for router in routers if router.directory.me != relay]
+    rounds(wire, clock, rest, 12, STEP_S)
+    near = [router for router in rest if router.directory.domain == "zone-1"]
+    assert all(relays.relay_of(router.directory, "zone-1") != relay for router in near)
+    wire.ends[relay] = end
+    rounds(wire, clock, routers, 40, STEP_S)
+    assert all(relays.relay_of(router.directory, "zone-1") == relay for router in routers)
+
+
+def test_a_host_that_stood_still_for_long_is_told_again():
+    wire, clock, routers = make_fleet(40)
+    rounds(wire, clock, routers, 5)
+    still = next(r for r in routers if relays.relay_of(r.directory, "zone-1") != r.directory.me)
+    end = wire.ends.pop(still.directory.me)
+    rounds(wire, clock, [router for router in routers if router is not still], 12)
+    wire.ends[still.directory.me] = end
+    teller = next(r for r in routers if r.directory.domain != still.directory.domain)
+    teller.choice.loads.begin(ENGINE.id, 700)
+    rounds(wire, clock, routers, round(IN_FORCE_S / STEP_S), STEP_S)
+    assert still.choice.loads.of(ENGINE.id).requests
