--- a/marjoramspool/background.py
+++ b/marjoramspool/background.py
@@ -5,14 +5,34 @@
 
 from marjoramspool.events import Event, log
 
-__all__ = ["keep_running"]
+__all__ = ["BackgroundTasks"]
 
 
-async def keep_running(name: str, start: Callable[[], Awaitable], pause_s: float) -> None:
-    """Run a task for ever; start it again after `pause_s` seconds if it fails."""
-    while True:
-        try:
-            await start()
-        except Exception as error:
-            log(Event.TASK_FAILED, task=name, error=repr(error))
-        await asyncio.sleep(pause_s)
+class BackgroundTasks:
+    """Own tasks that run until they are stopped; `pause_s` seconds pass before a new start."""
+
+    __slots__ = ("pause_s", "tasks")
+
+    def __init__(self, pause_s: float):
+        self.pause_s = pause_s
+        self.tasks: list[asyncio.Task] = []
+
+    def start(self, work: Callable[[], Awaitable], name: str | None = None) -> None:
+        """Run work for ever, under its own name if it has no other."""
+        name = name or work.__qualname__
+        self.tasks.append(asyncio.create_task(self.keep_running(name, work), name=name))
+
+    async def keep_running(self, name: str, work: Callable[[], Awaitable]) -> None:
+        """Run work for ever; start it again if it fails."""
+        while True:
+            try:
+                await work()
+            except Exception as error:
+                log(Event.TASK_FAILED, task=name, error=repr(error))
+            await asyncio.sleep(self.pause_s)
+
+    async def stop(self) -> None:
+        """Stop all tasks, and wait until they have ended."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from marjoramspool.background import keep_running
+from marjoramspool.background import BackgroundTasks
 from marjoramspool.engine_choice import EngineChoice
 from marjoramspool.engine_list import EngineList
 from marjoramspool.events import Event, log
@@ -79,7 +79,7 @@
         self.metrics_at = metrics_at
         self.metrics = Metrics(None)
         self.stack = AsyncExitStack()
-        self.tasks: list[asyncio.Task] = []
+        self.tasks = BackgroundTasks(RESTART_PAUSE_S)
         self.store = Store(settings.store, STORE_TIMEOUT_S)
         self.engines = EngineList()
         self.tables = follow_table(self.store, self.duty)
@@ -217,17 +217,17 @@
         """Open every part; the stack closes them in reverse order."""
         await stack.enter_async_context(self.store)
         await stack.enter_async_context(self.sessions)
-        stack.push_async_callback(self.stop_tasks)
-        self.start_task(self.tables.follow)
-        self.start_task(self.engine_follower.follow)
+        stack.push_async_callback(self.tasks.stop)
+        self.tasks.start(self.tables.follow)
+        self.tasks.start(self.engine_follower.follow)
         stack.callback(self.telling.close)
         await self.telling.start()
         stack.push_async_callback(self.state_calls.close)
         await self.state_calls.start()
-        self.start_task(self.telling.tell_for_ever)
-        self.start_task(self.state_calls.catch_up_for_ever)
-        self.start_task(self.discovery.follow)
-        self.start_task(self.join)
+        self.tasks.start(self.telling.tell_for_ever)
+        self.tasks.start(self.state_calls.catch_up_for_ever)
+        self.tasks.start(self.discovery.follow)
+        self.tasks.start(self.join)
         stack.push_async_callback(self.ingress.close)
         await self.ingress.start(*endpoint(self.settings.callers))
         await self.serve_page(stack, self.readiness, endpoint(self.settings.readiness))
@@ -248,18 +248,6 @@
         await self.joining.learn()
         await asyncio.Event().wait()
 
-    def start_task(self, work) -> None:
-        """Run a background task, and start it again if it fails."""
-        self.tasks.append(
-            asyncio.create_task(keep_running(work.__qualname__, work, RESTART_PAUSE_S))
-        )
-
-    async def stop_tasks(self) -> None:
-        """Stop the background tasks."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-
     async def serve_page(
         self, stack: AsyncExitStack, handler: Callable, address: tuple[str, int]
     ) -> None:
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import AbstractAsyncContextManager, AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
-from typing import Protocol
 
+from marjoramspool.attempts import Attempt, EngineClient, StreamAnswer, WholeAnswer, first_event
 from marjoramspool.bounds import Bounds
 from marjoramspool.clock import now
 from marjoramspool.dispatch import (
@@ -28,7 +28,7 @@
 from marjoramspool.turning_away import TurnedAway
 from marjoramspool.waiting import RESUMED
 
-__all__ = ["Attempt", "EngineAnswer", "EngineClient", "Forwarding", "StreamAnswer", "WholeAnswer"]
+__all__ = ["Forwarding"]
 
 RETRY_SOON_S = 0.1
 SERVER_ERROR = 500
@@ -39,53 +39,6 @@
 LEAST_LEFT_S = 0.02
 
 
-@dataclass(slots=True)
-class EngineAnswer:
-    """Hold the head of an engine's answer."""
-
-    status: int
-    headers: list[tuple[str, str]]
-
-
-@dataclass(slots=True)
-class WholeAnswer(EngineAnswer):
-    """Hold an answer whose body has come completely."""
-
-    body: bytes = b""
-
-
-@dataclass(slots=True)
-class StreamAnswer(EngineAnswer):
-    """Hold an answer that comes as events; `events` raises AttemptError where it breaks off."""
-
-    events: AsyncIterator[StreamEvent] = field(default=None)
-
-
-@dataclass(slots=True, frozen=True)
-class Attempt:
-    """Say to which engine a request goes, and how.
-
-    `rank` is its place among those that wait there; the engine may copy the prompt from `source`.
-    """
-
-    engine: Engine
-    rank: int
-    after_event: int | None = None
-    source: Engine | None = None
-
-
-class EngineClient(Protocol):
-    """Send one attempt to an engine."""
-
-    def open(
-        self, request: RoutedRequest, attempt: Attempt
-    ) -> AbstractAsyncContextManager[WholeAnswer | StreamAnswer]:
-        """Send an attempt and yield its answer.
-
-        Raise NotSentError, TargetRefusedError or MayHaveRunError.
-        """
-
-
 @dataclass(slots=True)
 class Tries:
     """Track the attempts of one request."""
@@ -351,26 +304,3 @@
     """Return how a request goes to the engine where it has its place."""
     rank = placement.rank if after is None else RESUMED
     return Attempt(placement.engine, rank, after, placement.source)
-
-
-async def first_event(
-    events: AsyncIterator[StreamEvent], stack: AsyncExitStack
-) -> AsyncIterator[StreamEvent]:
-    """Wait for the first event; return all events with it."""
-    stack.push_async_callback(events.aclose)
-    try:
-        first = await anext(events)
-    except StopAsyncIteration:
-        raise MayHaveRunError("the stream ended without an event") from None
-    rest = prepend(first, events)
-    stack.push_async_callback(rest.aclose)
-    return rest
-
-
-async def prepend(
-    first: StreamEvent, events: AsyncIterator[StreamEvent]
-) -> AsyncIterator[StreamEvent]:
-    """Yield one event, then the others."""
-    yield first
-    async for event in events:
-        yield event
--- a/marjoramspool/peers/telling.py
+++ b/marjoramspool/peers/telling.py
@@ -153,8 +153,8 @@
         relay = relays.relay_of(self.directory, self.directory.domain)
         is_relay = relay == self.directory.me
         self.relay_watch.expect(relays.relays(self.directory) if is_relay else [relay])
-        if told:
-            self.send(encode(told), self.lost())
+        if told and (lost := self.lost()):
+            self.send(encode(told), lost)
         if not is_relay:
             # Another passes these on.
             self.passing.clear()
--- a/marjoramspool/platform/daemon.py
+++ b/marjoramspool/platform/daemon.py
@@ -38,7 +38,7 @@
     async with FleetRouter(settings, metrics_at) as router:
         reload = Reload(path, read_settings, router.adopt, SettingsError)
         loop.add_signal_handler(signal.SIGHUP, reload.read)
-        router.start_task(reload.follow)
+        router.tasks.start(reload.follow)
         await stopping.wait()
         await router.shut_down()
 
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -9,6 +9,7 @@
 import msgspec
 from yarl import URL
 
+from marjoramspool.attempts import Attempt, StreamAnswer, WholeAnswer
 from marjoramspool.dispatch import (
     DisplacedError,
     MayHaveRunError,
@@ -19,7 +20,6 @@
 from marjoramspool.engine_list import Engine
 from marjoramspool.event_stream import EventSplitter, StreamEvent
 from marjoramspool.events import Event, log
-from marjoramspool.forwarding import Attempt, StreamAnswer, WholeAnswer
 from marjoramspool.http import new_session
 from marjoramspool.platform.headers import pass_back
 from marjoramspool.platform.keepalive import keepalive_socket
--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -6,12 +6,13 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from marjoramspool.attempts import StreamAnswer, WholeAnswer
 from marjoramspool.clock import now
 from marjoramspool.dispatch import BrokenAnswerError
 from marjoramspool.events import Event, log
 from marjoramspool.first_state import FirstState
 from marjoramspool.following import TableFollower
-from marjoramspool.forwarding import Forwarding, StreamAnswer, WholeAnswer
+from marjoramspool.forwarding import Forwarding
 from marjoramspool.outcomes import NotRun, Problem, Unknown
 from marjoramspool.platform.headers import pass_on, read_prompt
 from marjoramspool.requests import RoutedRequest
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -10,7 +10,7 @@
 from marjoramspool import partition
 from marjoramspool.admissions import Admissions
 from marjoramspool.audit import Audit
-from marjoramspool.background import keep_running
+from marjoramspool.background import BackgroundTasks
 from marjoramspool.callers.server import CallersServer
 from marjoramspool.claims import Claims, preferred_router
 from marjoramspool.configuration import Configuration
@@ -74,7 +74,7 @@
         timings = settings.timings
         self.settings = settings
         self.stack = AsyncExitStack()
-        self.tasks: list[asyncio.Task] = []
+        self.tasks = BackgroundTasks(RESTART_PAUSE_S)
         self.metrics = Metrics(settings.statsd)
         self.targets = Targets()
         self.configuration = Configuration()
@@ -195,7 +195,7 @@
         await self.callers.start(settings.address, settings.callers_port, settings.callers_tls)
         stack.push_async_callback(self.operators.close)
         await self.operators.start(settings.address, settings.operators_port)
-        stack.push_async_callback(self.stop_tasks)
+        stack.push_async_callback(self.tasks.stop)
         self.start_tasks()
         log(Event.ROUTER_STARTED, router=settings.name, domain=settings.failure_domain)
 
@@ -219,15 +219,7 @@
             ),
         }
         for name, start in work.items():
-            self.tasks.append(
-                asyncio.create_task(keep_running(name, start, RESTART_PAUSE_S), name=name)
-            )
-
-    async def stop_tasks(self) -> None:
-        """Stop the background tasks."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+            self.tasks.start(start, name)
 
     async def follow_reports(self) -> None:
         """Read the load reports of the engines of owned cells, for ever."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,7 +11,7 @@
 
 from bench.platform_fleet import PlatformFleet, route
 from bench.router_process import RouterProcess
-from marjoramspool.background import keep_running
+from marjoramspool.background import BackgroundTasks
 from marjoramspool.bounds import Bounds
 from soak.links import Link
 from soak.observed import Change, Observed
@@ -55,7 +55,7 @@
         self.keys: tuple[str, ...] = ("key-0", "key-1", "key-2")
         # Keys that callers still use, also some that were taken away.
         self.keys_in_use: tuple[str, ...] = self.keys
-        self.tasks: list[asyncio.Task] = []
+        self.tasks = BackgroundTasks(ROTATION_S)
 
     async def __aenter__(self):
         try:
@@ -78,13 +78,11 @@
         await self.change()
         for number in range(self.count):
             await self.add_router(number)
-        self.tasks.append(asyncio.create_task(keep_running("poll", self.poll, ROTATION_S)))
+        self.tasks.start(self.poll)
 
     async def end(self) -> None:
         """End all tasks and processes."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.tasks.stop()
         await asyncio.gather(*[router.process.end() for router in self.routers])
 
     async def add_engine(self, service: str) -> PlatformEngine:
@@ -129,7 +127,7 @@
         process.write_settings()
         router = SoakRouter(process, link)
         self.routers.append(router)
-        self.tasks.append(asyncio.create_task(self.keep_up(number, router)))
+        self.tasks.start(lambda: self.keep_up(number, router), router.process.settings.name)
 
     async def keep_up(self, number: int, router: SoakRouter) -> None:
         """Start a router again whenever it ends, for ever; record ends of its own."""
