A crowd for one subject fills its best engine to the bound, then the next

Cause: found by playing the burst test with a hot subject: with 30 of 100 requests about one subject that one engine holds, 16 to 24 of 100 requests met an engine over twice the mean, since within the 0.25 s that loads are late all of them go to the holder, and the spread by work does not see it. Change: every router counts placements by shared part, its own and the told ones (decaying over 0.3 s); what was sent in twice the lag is taken as unseen, and a request passes over as many engines, in its order of choice, as these fill to the bound, by a draw from its id. Tried: an estimate from a router's own requests times the others (first one of each router always goes to the holder; 9 of 100 still over), a memory of 1 s (6 to 10 of 100 in the first second).

--- a/marjoramspool/engine_choice.py
+++ b/marjoramspool/engine_choice.py
@@ -8,13 +8,19 @@
 from marjoramspool.engine_list import Engine, EngineList
 from marjoramspool.engine_loads import EngineLoads
 from marjoramspool.engine_trust import EngineTrust
-from marjoramspool.placing import REQUEST_COST_TOKENS, Candidate, Choice, choose_engine
+from marjoramspool.placing import (
+    REQUEST_COST_TOKENS,
+    Candidate,
+    Choice,
+    Unseen,
+    choose_engine,
+)
 from marjoramspool.prefix_caches import PrefixCaches
 from marjoramspool.prompts import Part
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import RouteTable
 from marjoramspool.shared_parts import SharedParts
-from marjoramspool.spreading import SentWork
+from marjoramspool.spreading import Crowds, SentWork
 from marjoramspool.turning_away import OVERTAKEN_FROM_RANK, ReadingPace, TurnedAway, turn_away
 from marjoramspool.waiting import waiting_rank
 
@@ -22,6 +28,8 @@
 
 # The rest of an engine's memory is taken by the requests that it runs.
 CACHE_SHARE = 0.7
+# How many requests a crowd sends is known as late as the loads that it makes.
+CROWD_LAGS = 2
 
 
 class Placement:
@@ -79,18 +87,20 @@
 
     __slots__ = (
         "caches",
+        "crowds",
         "domain",
         "engines",
+        "lag_s",
         "loads",
         "on_placed",
         "on_unread",
+        "others",
         "paces",
         "sent",
         "shared",
         "table",
         "trust",
         "unlisted",
-        "unseen_s",
     )
 
     def __init__(self, domain: str, engines: EngineList, table: Callable[[], RouteTable | None]):
@@ -103,8 +113,10 @@
         self.shared = SharedParts()
         self.paces: dict[str, ReadingPace] = {}
         self.sent: dict[str, SentWork] = {}
-        # For how long all other routers' requests are not seen here, summed up over them.
-        self.unseen_s: Callable[[], float] = lambda: 0.0
+        self.crowds = Crowds()
+        # How late this router hears of the requests of the others, and how many those are.
+        self.lag_s: Callable[[], float] = lambda: 0.0
+        self.others: Callable[[], int] = lambda: 0
         self.on_placed: list[Callable[[Engine, tuple[Part, ...]], None]] = []
         self.on_unread: list[Callable[[Engine, tuple[Part, ...]], None]] = []
         # Engines whose caches were filled before this router came to know them.
@@ -148,14 +160,12 @@
         most_held = max((c.held_tokens for c in candidates), default=0)
         for candidate in candidates:
             candidate.held_elsewhere = most_held - candidate.held_tokens
-        sent = self.sent.setdefault(request.service, SentWork())
-        unseen = sent.tokens_a_s() * self.unseen_s()
-        choice = choose_engine(candidates, key, tokens, unseen)
+        choice = choose_engine(candidates, key, tokens, self.unseen(request))
         if choice is None:
             return None
         engine = by_id[choice.engine.name]
         unread = max(0, tokens - choice.engine.held_tokens)
-        sent.note(unread + REQUEST_COST_TOKENS)
+        self.sent[request.service].note(unread + REQUEST_COST_TOKENS)
         rank = waiting_rank(unread, request.urgency)
         if not parts:
             return Placement(engine, self.loads, unread, choice, rank)
@@ -165,10 +175,23 @@
         source = self.source(engine, parts, choice.engine.held_tokens)
         new_parts = self.caches.lacking((engine.id, engine.started_ms), parts)
         self.note_read(engine, parts)
+        self.note_crowd(parts)
         for call in self.on_placed:
             call(engine, parts)
         return Placement(engine, self.loads, unread, choice, rank, source, new_parts)
 
+    def unseen(self, request: RoutedRequest) -> Unseen:
+        """Return what the other routers have sent unseen, if they send as much as this one."""
+        sent = self.sent.setdefault(request.service, SentWork())
+        crowd = self.crowds.a_second(request.prompt.subject) if request.prompt else 0.0
+        lag_s = self.lag_s()
+        draw = hashing.fraction(request.id)
+        return Unseen(sent.a_second() * self.others() * lag_s, crowd * CROWD_LAGS * lag_s, draw)
+
+    def note_crowd(self, parts: tuple[Part, ...]) -> None:
+        """Take in which parts a request has that any router sends."""
+        self.crowds.note(part.id for part in parts)
+
     def pace(self, service: str) -> ReadingPace:
         """Return how fast the engines of a service read."""
         return self.paces.setdefault(service, ReadingPace())
--- a/marjoramspool/peers/exchange.py
+++ b/marjoramspool/peers/exchange.py
@@ -71,6 +71,7 @@
     match how:
         case Cached.READ:
             choice.note_read(engine, parts)
+            choice.note_crowd(parts)
         case Cached.LISTED:
             choice.note_listed(engine, parts)
         case Cached.UNREAD:
--- a/marjoramspool/peers/telling.py
+++ b/marjoramspool/peers/telling.py
@@ -97,15 +97,19 @@
         self.sought_at = 0.0
         self.lost_at = 0.0
         self.transport: asyncio.DatagramTransport | None = None
-        choice.unseen_s = self.unseen_s
+        choice.lag_s = self.lag_s
+        choice.others = self.others
         choice.on_placed.append(self.note_placed)
         choice.on_unread.append(self.note_unread)
         directory.on_silent.append(self.forget)
 
-    def unseen_s(self) -> float:
-        """Return for how long the requests of the others are not seen here, summed up over them."""
-        lag_s = DIRECT_LAG_S if relays.is_direct(self.directory) else RELAYED_LAG_S
-        return lag_s * len(self.directory.heard())
+    def lag_s(self) -> float:
+        """Return how old the loads of the others are on the mean, in seconds."""
+        return DIRECT_LAG_S if relays.is_direct(self.directory) else RELAYED_LAG_S
+
+    def others(self) -> int:
+        """Return how many other routers are heard of."""
+        return len(self.directory.heard())
 
     def forget(self, peer: Peer) -> None:
         """Drop what a router told that is no longer heard of."""
--- a/marjoramspool/placing.py
+++ b/marjoramspool/placing.py
@@ -9,9 +9,9 @@
 
 from marjoramspool import hashing
 from marjoramspool.engine_loads import Load
-from marjoramspool.spreading import water_level
+from marjoramspool.spreading import pass_over_full, water_level
 
-__all__ = ["Candidate", "Choice", "choose_engine"]
+__all__ = ["Candidate", "Choice", "Unseen", "choose_engine"]
 
 # What one more running request costs the others, as prompt tokens read.
 REQUEST_COST_TOKENS = 120
@@ -19,7 +19,6 @@
 ALIKE_TOKENS = 400
 # What it weighs more to read or copy what another engine holds than to read something new.
 REPEAT_WEIGHT = 0.5
-NO_SCORE = (-1.0, "")
 MEAN_FACTOR = 1.5
 MEAN_EXTRA = 2
 OTHER_DOMAIN_TOKENS = 30
@@ -46,36 +45,58 @@
     cost: int
 
 
+@dataclass(slots=True, frozen=True)
+class Unseen:
+    """Say what other routers have sent since they last told of it.
+
+    `tokens` is all their work for the service, `requests` are those for the subject at hand; `draw`
+    from 0 to 1 differs between the requests for one subject.
+    """
+
+    tokens: float = 0.0
+    requests: float = 0.0
+    draw: float = 0.0
+
+
+NOTHING = Unseen()
+
+
 def choose_engine(
-    candidates: list[Candidate], key: int, prompt_tokens: int, unseen_tokens: float = 0.0
+    candidates: list[Candidate], key: int, prompt_tokens: int, unseen: Unseen = NOTHING
 ) -> Choice | None:
     """Return the engine where a request costs least; None if there is none.
 
-    `key` is the hash of what the request shares with others, `unseen_tokens` the work that other
-    routers have sent since they last told of it.
+    `key` is the hash of what the request shares with others.
     """
-    open_to = below_bound(candidates)
+    bound = requests_bound(candidates)
+    open_to = [candidate for candidate in candidates if candidate.load.requests <= bound]
     if not open_to:
         return None
     costs = {candidate.name: cost_tokens(candidate, prompt_tokens) for candidate in open_to}
-    level = water_level(list(costs.values()), unseen_tokens)
+    level = water_level(list(costs.values()), unseen.tokens)
     level = max(level, min(costs.values()) + ALIKE_TOKENS)
-    scores = {
-        candidate.name: (hashing.score(key, candidate.name, level - cost), candidate.name)
-        for candidate in open_to
-        if (cost := costs[candidate.name]) < level
-    }
-    best = max(open_to, key=lambda candidate: scores.get(candidate.name, NO_SCORE))
+    ranked = sorted(open_to, key=lambda c: preference(key, c.name, costs[c.name], level))
+    rooms = [bound + 1 - candidate.load.requests for candidate in ranked]
+    best = ranked[pass_over_full(rooms, unseen.requests, unseen.draw)]
     return Choice(best, costs[best.name])
 
 
-def below_bound(candidates: list[Candidate]) -> list[Candidate]:
-    """Return the engines whose load is not far above the mean."""
+def preference(key: int, name: str, cost: int, level: float) -> tuple[float, str]:
+    """Return the place of an engine in the order of choice, the least first.
+
+    Below the level they are drawn in proportion to their room, above it the cheapest is next.
+    """
+    if cost < level:
+        return (-hashing.score(key, name, level - cost), name)
+    return (cost, name)
+
+
+def requests_bound(candidates: list[Candidate]) -> float:
+    """Return how many requests an engine may have so that its load is not far above the mean."""
     if not candidates:
-        return []
+        return 0.0
     mean = sum(candidate.load.requests for candidate in candidates) / len(candidates)
-    bound = MEAN_FACTOR * mean + MEAN_EXTRA
-    return [candidate for candidate in candidates if candidate.load.requests <= bound]
+    return MEAN_FACTOR * mean + MEAN_EXTRA
 
 
 def cost_tokens(candidate: Candidate, prompt_tokens: int) -> int:
--- a/marjoramspool/spreading.py
+++ b/marjoramspool/spreading.py
@@ -6,37 +6,71 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from marjoramspool.clock import now
 
-__all__ = ["SentWork", "water_level"]
+__all__ = ["Crowds", "SentWork", "pass_over_full", "water_level"]
 
-MEMORY_S = 1.0
+WORK_MEMORY_S = 1.0
+# All routers together ask often enough to be judged by less, and a crowd comes suddenly.
+CROWD_MEMORY_S = 0.3
+PARTS_KEPT = 1024
+FEWEST_REQUESTS = 0.05
 
 
 class SentWork:
-    """Learn how much work a router sends, in prompt tokens a second."""
+    """Learn how much work a router sends a second, in prompt tokens or requests."""
 
-    __slots__ = ("at", "clock", "tokens")
+    __slots__ = ("at", "clock", "memory_s", "work")
 
-    def __init__(self, clock: Callable[[], float] = now):
+    def __init__(self, clock: Callable[[], float] = now, memory_s: float = WORK_MEMORY_S):
         self.clock = clock
+        self.memory_s = memory_s
         self.at = clock()
-        self.tokens = 0.0
+        self.work = 0.0
 
-    def note(self, tokens: int) -> None:
+    def note(self, work: float) -> None:
         """Take in a request that was sent."""
-        self.tokens = self.remembered() + tokens
+        self.work = self.remembered() + work
         self.at = self.clock()
 
-    def tokens_a_s(self) -> float:
-        """Return how much is sent now, in prompt tokens a second."""
-        return self.remembered() / MEMORY_S
+    def a_second(self) -> float:
+        """Return how much is sent a second now."""
+        return self.remembered() / self.memory_s
 
     def remembered(self) -> float:
-        """Return the tokens sent of late; older ones count less."""
-        return self.tokens * math.exp((self.at - self.clock()) / MEMORY_S)
+        """Return what was sent of late; older work counts less."""
+        return self.work * math.exp((self.at - self.clock()) / self.memory_s)
+
+
+class Crowds:
+    """Learn how many requests all routers send for each shared part of prompts, a second."""
+
+    __slots__ = ("clock", "parts")
+
+    def __init__(self, clock: Callable[[], float] = now):
+        self.clock = clock
+        self.parts: dict[int, SentWork] = {}
+
+    def note(self, parts: Iterable[int]) -> None:
+        """Take in a request whose prompt has these parts."""
+        for part in parts:
+            if part not in self.parts:
+                self.prune()
+                self.parts[part] = SentWork(self.clock, CROWD_MEMORY_S)
+            self.parts[part].note(1.0)
+
+    def a_second(self, part: int) -> float:
+        """Return how many requests with a part are sent a second now."""
+        sent = self.parts.get(part)
+        return sent.a_second() if sent else 0.0
+
+    def prune(self) -> None:
+        """Forget the parts that are asked for no longer, once there are many."""
+        if len(self.parts) >= PARTS_KEPT:
+            kept = {p: w for p, w in self.parts.items() if w.remembered() > FEWEST_REQUESTS}
+            self.parts = kept if len(kept) < PARTS_KEPT else {}
 
 
 def water_level(costs: list[float], tokens: float) -> float:
@@ -52,3 +86,17 @@
         if count == len(ascending) or level <= ascending[count]:
             return level
     return math.inf
+
+
+def pass_over_full(rooms: list[float], unseen: float, draw: float) -> int:
+    """Return how many engines to pass over, since unseen requests for one subject fill them.
+
+    `rooms` says how many requests each engine takes before it is full, in the order in which they
+    are chosen. A request with the draw 0 stands first among the unseen ones, with 1 last.
+    """
+    before = unseen * draw
+    for count, room in enumerate(rooms):
+        before -= room
+        if before < 0.0:
+            return count
+    return 0
--- a/marjoramspool/tests/test_placing.py
+++ b/marjoramspool/tests/test_placing.py
@@ -1,16 +1,16 @@
 """Placement under the load patterns that it answers."""
 
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import replace
 from heapq import heappop, heappush
 from random import Random
 
 from marjoramspool.engine_loads import EngineLoads, Load
-from marjoramspool.placing import REQUEST_COST_TOKENS, Candidate, choose_engine
+from marjoramspool.placing import REQUEST_COST_TOKENS, Candidate, Unseen, choose_engine
 from marjoramspool.prefix_caches import EngineCache
 from marjoramspool.prompts import Part, Prompt
 from marjoramspool.shared_parts import SharedParts
-from marjoramspool.spreading import SentWork, water_level
+from marjoramspool.spreading import Crowds, SentWork, pass_over_full, water_level
 
 CHAIN = (Part(1, 500), Part(2, 10_000))
 
@@ -137,7 +137,9 @@
 
     ROUTERS, ENGINES, RATE, SECONDS, TELL_S = 71, 30, 1500, 1.5, 0.17
 
-    def __init__(self, unseen_s):
+    def __init__(self, unseen_s, crowd_s=0.0, hot_share=0.0):
+        self.crowd_s = crowd_s
+        self.hot_share = hot_share
         self.random = Random(5)
         self.unseen_s = unseen_s * (self.ROUTERS - 1)
         self.clock = 0.0
@@ -145,11 +147,15 @@
         self.held = EngineLoads()
         self.shown = [EngineLoads() for _ in range(self.ROUTERS)]
         self.sent = [SentWork(lambda: self.clock) for _ in range(self.ROUTERS)]
+        self.crowds = Crowds(lambda: self.clock)
+        self.asked = deque()
         self.ends = []
         self.tells = [(self.random.random() * self.TELL_S, r, {}) for r in range(self.ROUTERS)]
 
-    def share_over_bound(self):
+    def share_over_bound(self, after_s=0.0):
         """Return the share of requests that meet an engine far above the mean."""
+        for _ in range(int(self.RATE * after_s)):
+            self.request()
         count = int(self.RATE * self.SECONDS)
         return sum(self.request() for _ in range(count)) / count
 
@@ -172,10 +178,20 @@
 
     def place(self, router):
         loads, sent = self.shown[router], self.sent[router]
-        candidates = [Candidate(name, loads.of(name), 32) for name in self.names]
-        unseen = sent.tokens_a_s() * self.unseen_s
+        subject = 7 if self.random.random() < self.hot_share else self.random.getrandbits(60)
+        # One engine holds the hot subject.
+        tokens = 3000 if subject == 7 else 500
+        candidates = [
+            Candidate(name, loads.of(name), 32, tokens - 500 if name == "engine-3" else 0)
+            for name in self.names
+        ]
+        self.asked.append((self.clock, subject))
+        while self.asked[0][0] < self.clock - self.TELL_S:
+            self.crowds.note([self.asked.popleft()[1]])
+        crowd = self.crowds.a_second(subject) * self.crowd_s
+        unseen = Unseen(sent.a_second() * self.unseen_s, crowd, self.random.random())
         sent.note(500 + REQUEST_COST_TOKENS)
-        return choose_engine(candidates, self.random.getrandbits(60), 500, unseen).engine.name
+        return choose_engine(candidates, subject, tokens, unseen).engine.name
 
     def tell(self, router, loads):
         for other, shown in enumerate(self.shown):
@@ -191,6 +207,29 @@
     assert Burst(unseen_s=0.0).share_over_bound() > 0.03, "the naive way would be seen"
 
 
+def test_a_crowd_for_one_subject_spreads_over_the_engines_next_to_its_holder():
+    crowd = {"unseen_s": 0.25, "hot_share": 0.3}
+    assert Burst(**crowd, crowd_s=0.5).share_over_bound(after_s=0.7) < 0.03
+    assert Burst(**crowd).share_over_bound(after_s=0.7) > 0.03, "the naive way would be seen"
+
+
+def test_unseen_requests_fill_the_first_engines_up_to_their_bound():
+    assert pass_over_full([2.0, 3.0], unseen=0.0, draw=0.9) == 0
+    assert pass_over_full([2.0, 3.0], unseen=4.0, draw=0.4) == 0
+    assert pass_over_full([2.0, 3.0], unseen=4.0, draw=0.6) == 1
+    assert pass_over_full([2.0, 3.0], unseen=9.0, draw=0.9) == 0, "all are full alike"
+
+
+def test_subjects_that_are_asked_for_no_longer_are_forgotten():
+    clock = [0.0]
+    crowds = Crowds(lambda: clock[0])
+    for part in range(4000):
+        clock[0] += 0.01
+        crowds.note([part, 1])
+    assert crowds.a_second(1) > 50
+    assert len(crowds.parts) <= 1024
+
+
 def test_work_fills_the_cheapest_engines_first():
     assert water_level([10.0, 20.0, 100.0], 0.0) == 10.0
     assert water_level([10.0, 20.0, 100.0], 30.0) == 30.0
@@ -204,6 +243,6 @@
     for _ in range(100):
         clock[0] += 0.1
         sent.note(100)
-    assert 900 < sent.tokens_a_s() < 1100
+    assert 900 < sent.a_second() < 1100
     clock[0] += 10.0
-    assert sent.tokens_a_s() < 1
+    assert sent.a_second() < 1
