A model of the fleet in virtual time

Change: model/ plays the real EngineChoice, Telling, Directory and relays before modelled engines; it prints shares in target, tokens read again, copies, requests far above the mean, bytes told and heard by size of fleet. Left out: repeats of attempts, engines that preempt, thin links, faults.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON = $(VENV)/bin/python
 SEED ?= 1
 
-.PHONY: setup test lint demo soak bench proto
+.PHONY: setup test lint demo soak model bench proto
 
 setup: $(VENV)/.ready
 
@@ -24,6 +24,9 @@
 soak: setup
 	$(PYTHON) -m soak.run --seed $(SEED) --count $(or $(COUNT),1)
 
+model: setup
+	$(PYTHON) -m model.run --hosts $(or $(HOSTS),7 30 71) --factor $(or $(FACTOR),1) --seed $(SEED)
+
 bench: setup
 	$(PYTHON) -m bench.measure --out bench-results
 
--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""A model of the fleet in virtual time: the product's own decisions before modelled engines."""
