Clients' limits on the platform: headers too long, heads that trickle

Change: 431 above max_header_bytes; a head has header_timeout from its first byte, then 408 and the end of the connection. Bodies (413, 408) as before. Left: a connection on which nothing was ever sent, and idle ones, stay 300 s; ending them at the limit may meet a request on its way.

--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -1,6 +1,7 @@
 """Serving clients: requests in, answers out."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import aclosing
 
 from aiohttp import web
@@ -16,7 +17,7 @@
 from marjoramspool.outcomes import NotRun, Problem, Unknown
 from marjoramspool.platform.headers import pass_on, read_prompt
 from marjoramspool.requests import RoutedRequest
-from marjoramspool.routes import ClientAccount, Kind, RouteTable
+from marjoramspool.routes import ClientAccount, ClientLimits, Kind, RouteTable
 
 __all__ = ["Ingress"]
 
@@ -27,10 +28,12 @@
 # Clients reuse connections that were idle for most of the limit; none may meet a close.
 KEEPALIVE_S = 300.0
 BACKLOG = 1024
-BODY_WAIT_S = 15.0
 CLOSE_S = 0.1
 FINISH_CHECK_S = 0.05
 LARGEST_HEADERS_BYTES = 65_536
+# A name, a colon, a space, a value, and the end of the line.
+HEADER_EXTRA_BYTES = 4
+HEAD_TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
 class RejectedError(Exception):
@@ -42,19 +45,44 @@
 
 
 class ClientConnection(web.RequestHandler):
-    """Know whether bytes of a request have come that are not answered yet."""
+    """Know whether bytes of a request have come that are not answered yet, and bound its head."""
 
-    __slots__ = ("has_request",)
+    __slots__ = ("has_request", "head_s", "head_timer")
 
-    def __init__(self, *args, **kwargs):
+    def __init__(self, *args, head_s: Callable[[], float], **kwargs):
         super().__init__(*args, **kwargs)
+        self.head_s = head_s
         self.has_request = False
+        self.head_timer: asyncio.TimerHandle | None = None
 
     def data_received(self, data: bytes) -> None:
-        """Note that a request has begun."""
-        self.has_request = True
+        """Note that a request has begun; its head must come within its time."""
+        if not self.has_request:
+            self.has_request = True
+            wait_s = self.head_s()
+            self.head_timer = self._loop.call_later(wait_s, self.cut_head, wait_s)
         super().data_received(data)
 
+    def head_has_come(self) -> None:
+        """Note that the head of a request is complete, also of one sent behind another."""
+        self.has_request = True
+        self.head_timer.cancel()
+
+    def cut_head(self, wait_s: float) -> None:
+        """Turn a client away whose head did not come in time."""
+        log(
+            Event.REQUEST_REJECTED, request="", status=408, why=f"no whole head within {wait_s:g} s"
+        )
+        if self.transport:
+            self.transport.write(HEAD_TOO_SLOW)
+            self.transport.close()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop the clock of a head that will not come."""
+        if self.head_timer:
+            self.head_timer.cancel()
+        super().connection_lost(exc)
+
 
 class Ingress:
     """Serve clients, and count what is in flight so that a stop can wait for it."""
@@ -91,11 +119,21 @@
             loop=asyncio.get_running_loop(),
             auto_decompress=False,
             access_log=None,
+            head_s=self.head_s,
             keepalive_timeout=KEEPALIVE_S,
             max_line_size=LARGEST_HEADERS_BYTES,
             max_field_size=LARGEST_HEADERS_BYTES,
         )
 
+    def head_s(self) -> float:
+        """Return how long a client may take for the head of a request, in seconds."""
+        return self.limits.header_timeout_s
+
+    @property
+    def limits(self) -> ClientLimits:
+        """Return what bounds clients now."""
+        return self.tables.table.limits if self.tables.table else ClientLimits()
+
     def refuse_connections(self) -> None:
         """Take no new connections, and close those on which no request has begun."""
         self.listener.close()
@@ -136,6 +174,8 @@
     async def serve(self, raw: web.BaseRequest, name: str) -> web.StreamResponse:
         """Check a request, forward it and pass its answer back."""
         received = now()
+        raw.protocol.head_has_come()
+        check_head(raw, self.limits.header_bytes)
         body = await self.read_body(raw)
         await self.first_state.wait(wait_of(raw, NO_TABLE_WAIT_S))
         table = self.tables.table
@@ -159,9 +199,8 @@
         """Read a client's body within its bounds of size and time."""
         if not raw.can_read_body:
             return b""
-        limits = self.tables.table.limits if self.tables.table else None
-        most = limits.body_bytes if limits else 1 << 22
-        wait_s = limits.idle_timeout_s if limits else BODY_WAIT_S
+        most = self.limits.body_bytes
+        wait_s = self.limits.idle_timeout_s
         parts = []
         size = 0
         try:
@@ -247,6 +286,13 @@
     )
 
 
+def check_head(raw: web.BaseRequest, most: int) -> None:
+    """Raise RejectedError if the headers of a request are longer than `most` bytes."""
+    size = sum(len(name) + len(value) + HEADER_EXTRA_BYTES for name, value in raw.raw_headers)
+    if size > most:
+        raise RejectedError(431, f"the headers have {size} bytes, more than {most}")
+
+
 def account_of(raw: web.BaseRequest, table: RouteTable, is_public: bool) -> ClientAccount | None:
     """Return the account of a request's key; raise RejectedError if it has none."""
     if table.accounts is None:
--- /dev/null
+++ b/marjoramspool/platform/tests/test_client_limits.py
@@ -0,0 +1,80 @@
+"""What clients may send, and how long they may take."""
+
+import asyncio
+
+import pytest
+
+from bench.local import until
+from bench.platform_fleet import HOST, KEY, PlatformFleet, route
+
+LIMITS = {
+    "max_header_bytes": 4_000,
+    "max_body_bytes": 50_000,
+    "header_timeout_ms": 400,
+    "idle_timeout_ms": 800,
+}
+
+
+@pytest.fixture
+async def fleet():
+    async with PlatformFleet() as fleet:
+        await fleet.add_engine("desk")
+        await fleet.configure(route("/lookup/", "idempotent", "desk"), limits=LIMITS)
+        await fleet.add_router()
+        yield fleet
+
+
+async def dial(fleet):
+    host, port = fleet.routers[0].settings.callers.split(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def test_a_body_and_headers_within_the_limits_pass(fleet):
+    headers = {"X-Long": "h" * 3_000}
+    status, _, _ = await fleet.ask("/lookup/a", "r1", data=b"b" * 50_000, headers=headers)
+    assert status == 200
+
+
+async def test_what_is_longer_is_turned_away_and_never_runs(fleet):
+    assert (await fleet.ask("/lookup/a", "r1", data=b"b" * 50_001))[0] == 413
+    assert (await fleet.ask("/lookup/a", "r2", headers={"X-Long": "h" * 4_000}))[0] == 431
+    assert not fleet.engines[0].arrivals
+    assert (await fleet.ask("/lookup/a", "r3"))[0] == 200
+
+
+async def test_a_head_that_trickles_is_cut_off(fleet):
+    reader, writer = await dial(fleet)
+    writer.write(b"GET /lookup/a HTTP/1.1\r\nHost: ")
+    async with asyncio.timeout(5.0):
+        answer = await reader.read()
+    assert answer.startswith(b"HTTP/1.1 408")
+    writer.close()
+    router = fleet.routers[0]
+    await until(lambda: not any(c.has_request for c in router.ingress.server.connections), "it is")
+
+
+async def test_a_head_in_pieces_is_served_and_the_connection_stays(fleet):
+    reader, writer = await dial(fleet)
+    head = f"GET /lookup/a HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\nX-Request-Id: r%d\r\n\r\n"
+    for number in range(2):
+        # The second comes after an idle time that clients may take.
+        await asyncio.sleep(0.6 * number)
+        text = (head % number).encode()
+        writer.write(text[:30])
+        await asyncio.sleep(0.1)
+        writer.write(text[30:])
+        async with asyncio.timeout(5.0):
+            assert b" 200 " in await reader.readline()
+            while (await reader.readline()).strip():
+                pass
+            await reader.read(65_536)
+        await asyncio.sleep(0.5)
+    writer.close()
+
+
+async def test_a_body_that_does_not_come_is_told_so(fleet):
+    reader, writer = await dial(fleet)
+    writer.write(f"POST /lookup/a HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 9\r\n\r\n".encode())
+    async with asyncio.timeout(5.0):
+        assert b" 408 " in await reader.readline()
+    writer.close()
