--- a/marjoramspool/attempts.py
+++ b/marjoramspool/attempts.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from marjoramspool.dispatch import MayHaveRunError
 from marjoramspool.engine_list import Engine
 from marjoramspool.event_stream import StreamEvent
+from marjoramspool.failures import MayHaveRunError
 from marjoramspool.requests import RoutedRequest
 
 __all__ = [
--- a/marjoramspool/callers/server.py
+++ b/marjoramspool/callers/server.py
@@ -20,7 +20,8 @@
     service_request,
 )
 from marjoramspool.configuration import Configuration
-from marjoramspool.dispatch import Answer, BrokenAnswerError, Request
+from marjoramspool.dispatch import Answer, Request
+from marjoramspool.failures import BrokenAnswerError
 from marjoramspool.metrics import Metrics
 from marjoramspool.outcomes import NotRun, Problem, Unknown
 from marjoramspool.routing import Routing
--- a/marjoramspool/engines/client.py
+++ b/marjoramspool/engines/client.py
@@ -8,16 +8,7 @@
 import aiohttp
 import msgspec
 
-from marjoramspool.dispatch import (
-    Answer,
-    BrokenAnswerError,
-    MayHaveRunError,
-    NotSentError,
-    Request,
-    SilentConnectionError,
-    TargetRefusedError,
-    single,
-)
+from marjoramspool.dispatch import Answer, Request, single
 from marjoramspool.document import Target
 from marjoramspool.engines.stream import (
     CutError,
@@ -29,6 +20,13 @@
 )
 from marjoramspool.events import Event as LogEvent
 from marjoramspool.events import log
+from marjoramspool.failures import (
+    BrokenAnswerError,
+    MayHaveRunError,
+    NotSentError,
+    SilentConnectionError,
+    TargetRefusedError,
+)
 from marjoramspool.http import Sessions
 from marjoramspool.targets import LoadReport
 
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -8,7 +8,11 @@
 from marjoramspool.attempts import Attempt, EngineClient, StreamAnswer, WholeAnswer, first_event
 from marjoramspool.bounds import Bounds
 from marjoramspool.clock import now
-from marjoramspool.dispatch import (
+from marjoramspool.engine_choice import EngineChoice, Placement
+from marjoramspool.engine_list import Engine
+from marjoramspool.event_stream import StreamEvent
+from marjoramspool.events import Event, log
+from marjoramspool.failures import (
     AttemptError,
     BrokenAnswerError,
     DisplacedError,
@@ -17,10 +21,6 @@
     ResetError,
     TargetRefusedError,
 )
-from marjoramspool.engine_choice import EngineChoice, Placement
-from marjoramspool.engine_list import Engine
-from marjoramspool.event_stream import StreamEvent
-from marjoramspool.events import Event, log
 from marjoramspool.metrics import Metrics
 from marjoramspool.outcomes import NotRun, Problem, Unknown
 from marjoramspool.requests import RoutedRequest
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -10,16 +10,16 @@
 from yarl import URL
 
 from marjoramspool.attempts import Attempt, StreamAnswer, WholeAnswer
-from marjoramspool.dispatch import (
+from marjoramspool.engine_list import Engine
+from marjoramspool.event_stream import EventSplitter, StreamEvent
+from marjoramspool.events import Event, log
+from marjoramspool.failures import (
     DisplacedError,
     MayHaveRunError,
     NotSentError,
     ResetError,
     TargetRefusedError,
 )
-from marjoramspool.engine_list import Engine
-from marjoramspool.event_stream import EventSplitter, StreamEvent
-from marjoramspool.events import Event, log
 from marjoramspool.http import new_session
 from marjoramspool.platform.headers import pass_back
 from marjoramspool.platform.keepalive import keepalive_socket
--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -9,8 +9,8 @@
 
 from marjoramspool.attempts import StreamAnswer, WholeAnswer
 from marjoramspool.clock import now
-from marjoramspool.dispatch import BrokenAnswerError
 from marjoramspool.events import Event, log
+from marjoramspool.failures import BrokenAnswerError
 from marjoramspool.first_state import FirstState
 from marjoramspool.following import TableFollower
 from marjoramspool.forwarding import Forwarding
--- a/marjoramspool/routing.py
+++ b/marjoramspool/routing.py
@@ -11,20 +11,17 @@
 from marjoramspool.admission import URGENT_AT_MOST, Ask, Refused
 from marjoramspool.admissions import Admissions, Grant
 from marjoramspool.claims import Claims
-from marjoramspool.dispatch import (
-    Answer,
+from marjoramspool.dispatch import Answer, Dispatcher, Request, single
+from marjoramspool.document import Target
+from marjoramspool.events import Event, log
+from marjoramspool.explain import Trace, Traces
+from marjoramspool.failures import (
     AttemptError,
     BrokenAnswerError,
-    Dispatcher,
     NotSentError,
-    Request,
     SilentConnectionError,
     TargetRefusedError,
-    single,
 )
-from marjoramspool.document import Target
-from marjoramspool.events import Event, log
-from marjoramspool.explain import Trace, Traces
 from marjoramspool.metrics import Metrics
 from marjoramspool.outcomes import NotRun, Problem, Unknown
 from marjoramspool.placement import Holder
--- a/marjoramspool/services/client.py
+++ b/marjoramspool/services/client.py
@@ -7,16 +7,10 @@
 import aiohttp
 from yarl import URL
 
-from marjoramspool.dispatch import (
-    Answer,
-    MayHaveRunError,
-    NotSentError,
-    Request,
-    SilentConnectionError,
-    single,
-)
+from marjoramspool.dispatch import Answer, Request, single
 from marjoramspool.document import Target
 from marjoramspool.events import Event, log
+from marjoramspool.failures import MayHaveRunError, NotSentError, SilentConnectionError
 from marjoramspool.http import Sessions
 
 __all__ = ["Services"]
