Fleets above 100 routers tell less often

Cause: the model shows what a relay sends: 0.84 MB/s at 87 hosts, 2.5 at 150, 10.2 MB/s at 300 (four domains, calm traffic), 81 of the 100 Mbit/s of its link; a burst would not fit. Change: the period through relays grows with the fleet, 0.12 s up to 100 routers, 0.36 s at most (a relay is given up after 1 s of silence); how late loads are taken to be follows from the period. Up to 100 routers nothing changes but the direct lag, 0.02 -> 0.025 s. Ruled out for now: shorter messages (35 of 82 bytes are a message's fixed part), a second level of relays in a domain (1.5 MB/s by count; needs its own way of noticing silence).

--- a/marjoramspool/peers/telling.py
+++ b/marjoramspool/peers/telling.py
@@ -32,9 +32,14 @@
 PERIOD_S = 0.03
 # On the way through relays, messages wait for company.
 RELAYED_PERIOD_S = 0.12
-# How old what is told of loads is on the mean when it comes.
-DIRECT_LAG_S = 0.02
-RELAYED_LAG_S = 0.25
+# A fleet larger than this tells less often, so that its relays' links bear it.
+ROUTERS_AT_RELAYED_PERIOD = 100
+# Signs of life come more often than relays are given up.
+LONGEST_PERIOD_S = 0.36
+# How many periods old what is told of loads is on the mean when it comes, and how long it travels.
+DIRECT_PERIODS = 0.5
+RELAYED_PERIODS = 2
+TRAVEL_S = 0.01
 # With nothing new, a sign of life goes out this often.
 QUIET_PERIOD_S = 0.4
 # A router that is not heard of is told this often.
@@ -105,7 +110,16 @@
 
     def lag_s(self) -> float:
         """Return how old the loads of the others are on the mean, in seconds."""
-        return DIRECT_LAG_S if relays.is_direct(self.directory) else RELAYED_LAG_S
+        periods = DIRECT_PERIODS if relays.is_direct(self.directory) else RELAYED_PERIODS
+        return periods * self.period_s() + TRAVEL_S
+
+    def period_s(self) -> float:
+        """Return how often this router tells, in seconds."""
+        if relays.is_direct(self.directory):
+            return PERIOD_S
+        routers = len(self.directory.peers) + 1
+        longer = max(1.0, routers / ROUTERS_AT_RELAYED_PERIOD)
+        return min(LONGEST_PERIOD_S, RELAYED_PERIOD_S * longer)
 
     def others(self) -> int:
         """Return how many other routers are heard of."""
@@ -151,8 +165,7 @@
     async def tell_for_ever(self) -> None:
         """Tell the other routers whenever there is something new."""
         while True:
-            is_direct = relays.is_direct(self.directory)
-            await asyncio.sleep(PERIOD_S if is_direct else RELAYED_PERIOD_S)
+            await asyncio.sleep(self.period_s())
             self.directory.expire()
             self.tell()
 
--- a/model/fleet.py
+++ b/model/fleet.py
@@ -8,9 +8,8 @@
 from marjoramspool.engine_choice import EngineChoice, Placement
 from marjoramspool.engine_list import Engine, EngineList
 from marjoramspool.engine_trust import EngineTrust
-from marjoramspool.peers import relays
 from marjoramspool.peers.directory import Directory
-from marjoramspool.peers.telling import PERIOD_S, RELAYED_PERIOD_S, Knowledge, Telling
+from marjoramspool.peers.telling import Knowledge, Telling
 from marjoramspool.placing import MEAN_EXTRA
 from marjoramspool.prompts import Part, Prompt
 from marjoramspool.requests import RoutedRequest
@@ -105,14 +104,14 @@
                 router.telling.directory.introduce(
                     directory.me, directory.domain, directory.link_mbps
                 )
-            self.time.after(self.random.random() * RELAYED_PERIOD_S, self.teller(router.telling))
+            first_s = self.random.random() * router.telling.period_s()
+            self.time.after(first_s, self.teller(router.telling))
 
     def teller(self, telling: Telling) -> Callable[[], None]:
         """Return a call that tells now and again and again."""
 
         def tell() -> None:
-            is_direct = relays.is_direct(telling.directory)
-            self.time.after(PERIOD_S if is_direct else RELAYED_PERIOD_S, tell)
+            self.time.after(telling.period_s(), tell)
             telling.directory.expire()
             telling.tell()
 
