--- a/marjoramspool/engine_choice.py
+++ b/marjoramspool/engine_choice.py
@@ -165,13 +165,13 @@
             return None
         engine = by_id[choice.engine.name]
         unread = max(0, tokens - choice.engine.held_tokens)
-        self.sent[request.service].note(unread + REQUEST_COST_TOKENS)
         rank = waiting_rank(unread, request.urgency)
-        if not parts:
-            return Placement(engine, self.loads, unread, choice, rank)
         is_new = not exclude and request.after_event is None
-        if is_new and (turned := self.turn_away(request, choice, unread, rank)):
+        if parts and is_new and (turned := self.turn_away(request, choice, unread, rank)):
             return turned
+        self.sent[request.service].note(unread + REQUEST_COST_TOKENS)
+        if not parts:
+            return Placement(engine, self.loads, unread, choice, rank)
         source = self.source(engine, parts, choice.engine.held_tokens)
         new_parts = self.caches.lacking((engine.id, engine.started_ms), parts)
         self.note_read(engine, parts)
