Placement at a cost that does not grow with routers times engines

The profile of the model at 100 hosts and 1,000 engines: six tenths of a placement sum up what 100 routers told of each engine; and by reading, a router hashed its whole list of engines for every other router, ten times a second. Change: told loads are kept summed up; the list's digest is kept until the list changes; witnesses of unreachable engines are counted once a placement; sources of copies are looked at by what they hold first. A test asked is_suspect of one engine, which is gone; it now asks which of three are trusted, as strict, and sums that empty out are a new check. Tests of peers, placing, judgement, sources and desired state pass.

--- a/marjoramspool/engine_choice.py
+++ b/marjoramspool/engine_choice.py
@@ -221,9 +221,11 @@
         An engine that fails requests still hands out what it holds.
         """
         holders = [
-            Holder(other, self.caches.held((other.id, other.started_ms), parts))
+            Holder(other, tokens)
             for other in self.engines.reachable(engine.service)
-            if other.id != engine.id and not self.trust.is_closed(other.id)
+            if (tokens := self.caches.held((other.id, other.started_ms), parts)) > held_tokens
+            and other.id != engine.id
+            and not self.trust.is_closed(other.id)
         ]
         return choose_source(engine, holders, held_tokens)
 
--- a/marjoramspool/engine_list.py
+++ b/marjoramspool/engine_list.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
+from marjoramspool import hashing
 from marjoramspool.clock import now
 from marjoramspool.events import Event, log
 
@@ -35,7 +36,16 @@
     engine renews it; an engine that had announced its leaving is dropped at once.
     """
 
-    __slots__ = ("clock", "doubted", "displaced", "engines", "lingering", "on_gone", "revision")
+    __slots__ = (
+        "clock",
+        "displaced",
+        "doubted",
+        "engines",
+        "known_digest",
+        "lingering",
+        "on_gone",
+        "revision",
+    )
 
     def __init__(self, clock: Callable[[], float] = now):
         self.clock = clock
@@ -45,8 +55,16 @@
         self.displaced: set[tuple[str, int]] = set()
         self.lingering: dict[str, tuple[Engine, float]] = {}
         self.revision = 0
+        self.known_digest: int | None = None
         self.on_gone: list[Callable[[Engine], None]] = []
 
+    def digest(self) -> int:
+        """Return a hash over the registered engines and their states."""
+        if self.known_digest is None:
+            names = sorted(f"{e.id}/{e.started_ms}/{e.is_leaving}" for e in self.engines.values())
+            self.known_digest = hashing.digest(",".join(names)) & 0xFFFFFFFF
+        return self.known_digest
+
     def put(self, engine: Engine) -> None:
         """Take in a registration."""
         self.doubted.pop(engine.id, None)
@@ -55,6 +73,7 @@
             self.forget(before)
         self.lingering.pop(engine.id, None)
         self.engines[engine.id] = engine
+        self.known_digest = None
         if before is None or before.is_leaving != engine.is_leaving:
             log(
                 Event.ENGINE_LISTED,
@@ -89,6 +108,7 @@
         self.displaced.discard((engine.id, engine.started_ms))
         if self.engines.pop(engine.id, None) is None:
             return
+        self.known_digest = None
         log(Event.ENGINE_UNLISTED, engine=engine.id, address=engine.address, revision=self.revision)
         if engine.is_leaving:
             # It had its time to serve after it announced that it leaves.
--- a/marjoramspool/engine_loads.py
+++ b/marjoramspool/engine_loads.py
@@ -1,6 +1,5 @@
 """The load of each engine: what this router sent there and what the others tell."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 __all__ = ["EngineLoads", "Load"]
@@ -14,14 +13,22 @@
     unread_tokens: int = 0
 
 
+NOTHING = Load()
+
+
 class EngineLoads:
-    """Sum up the load of each engine over all routers."""
+    """Sum up the load of each engine over all routers.
 
-    __slots__ = ("own", "told")
+    What is told is kept summed up, since a placement looks at every engine and hundreds of routers
+    tell of few each.
+    """
+
+    __slots__ = ("own", "sums", "told")
 
     def __init__(self):
         self.own: dict[str, Load] = {}
         self.told: dict[str, dict[str, Load]] = {}
+        self.sums: dict[str, Load] = {}
 
     def begin(self, engine: str, unread_tokens: int) -> None:
         """Count a request that this router sends."""
@@ -46,19 +53,26 @@
 
     def tell(self, router: str, loads: dict[str, Load]) -> None:
         """Replace all that another router says it has under way."""
+        self.forget_router(router)
         self.told[router] = loads
+        for engine, load in loads.items():
+            self.add(engine, load.requests, load.unread_tokens)
 
     def forget_router(self, router: str) -> None:
         """Drop what a router told that is no longer heard of."""
-        self.told.pop(router, None)
+        for engine, load in self.told.pop(router, {}).items():
+            self.add(engine, -load.requests, -load.unread_tokens)
+
+    def add(self, engine: str, requests: int, unread_tokens: int) -> None:
+        """Add to what all others have under way at an engine."""
+        total = self.sums.setdefault(engine, Load())
+        total.requests += requests
+        total.unread_tokens += unread_tokens
+        if not total.requests and not total.unread_tokens:
+            del self.sums[engine]
 
     def of(self, engine: str) -> Load:
         """Return the load of an engine over all routers."""
-        parts = [load for load in self.each(engine) if load]
-        return Load(sum(load.requests for load in parts), sum(load.unread_tokens for load in parts))
-
-    def each(self, engine: str) -> Iterable[Load | None]:
-        """Yield the load of an engine at each router."""
-        yield self.own.get(engine)
-        for loads in self.told.values():
-            yield loads.get(engine)
+        own = self.own.get(engine, NOTHING)
+        others = self.sums.get(engine, NOTHING)
+        return Load(own.requests + others.requests, own.unread_tokens + others.unread_tokens)
--- a/marjoramspool/engine_trust.py
+++ b/marjoramspool/engine_trust.py
@@ -1,7 +1,9 @@
 """Which engines to pass over for a while, judged by what became of requests there."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from itertools import chain
 
 from marjoramspool.clock import now
 from marjoramspool.events import Event, log
@@ -100,18 +102,18 @@
         record = self.records.get(engine)
         return record is not None and record.is_closed and record.until > self.clock()
 
-    def is_suspect(self, engine: str) -> bool:
-        """Tell whether an engine is passed over now."""
+    def is_passed_over(self, engine: str) -> bool:
+        """Tell whether this router itself passes an engine over now."""
         record = self.records.get(engine)
-        if record is not None and record.until > self.clock():
-            return True
-        # One router alone may have its own trouble on the way there.
-        return sum(engine in names for names in self.told.values()) >= WITNESSES
+        return record is not None and record.until > self.clock()
 
     def trusted(self, engines: Iterable[str]) -> set[str]:
         """Return those of some engines that may get requests."""
         names = set(engines)
-        suspects = {name for name in names if self.is_suspect(name)}
+        witnesses = Counter(chain.from_iterable(self.told.values()))
+        # One router alone may have its own trouble on the way there.
+        suspects = {name for name, count in witnesses.items() if count >= WITNESSES} & names
+        suspects |= {name for name in self.records if self.is_passed_over(name)} & names
         if len(suspects) > LARGEST_SHARE_PASSED_OVER * len(names):
             return names
         return names - suspects
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -140,17 +140,16 @@
         return Knowledge(
             self.tables.seen,
             self.engine_follower.revision or 0,
-            exchange.engines_digest(self.engines),
+            self.engines.digest(),
             self.has_store,
         )
 
     def is_behind(self, kind: type, peer: Peer) -> bool:
         """Tell whether another router knows newer routes or engines."""
-        own = self.knowledge()
         if kind is TableState:
-            return peer.table_revision > own.table_revision
-        is_newer = peer.engines_revision > own.engines_revision
-        return is_newer and peer.engines_digest != own.engines_digest
+            return peer.table_revision > self.tables.seen
+        is_newer = peer.engines_revision > (self.engine_follower.revision or 0)
+        return is_newer and peer.engines_digest != self.engines.digest()
 
     def status(self) -> Status:
         """Return what operators see of this router."""
--- a/marjoramspool/peers/exchange.py
+++ b/marjoramspool/peers/exchange.py
@@ -1,6 +1,5 @@
 """What a router hands to another, and what it takes over from it."""
 
-from marjoramspool import hashing
 from marjoramspool.engine_choice import EngineChoice
 from marjoramspool.engine_list import Engine, EngineList
 from marjoramspool.peers.messages import Cached, Placed, ToldEngine, engine_number
@@ -8,7 +7,6 @@
 
 __all__ = [
     "caches_told",
-    "engines_digest",
     "engines_told",
     "take_cached",
     "take_caches",
@@ -18,12 +16,6 @@
 PARTS_TOLD_AN_ENGINE = 1500
 
 
-def engines_digest(engines: EngineList) -> int:
-    """Return a hash over the registered engines and their states."""
-    names = sorted(f"{e.id}/{e.started_ms}/{e.is_leaving}" for e in engines.engines.values())
-    return hashing.digest(",".join(names)) & 0xFFFFFFFF
-
-
 def engines_told(engines: EngineList) -> tuple[ToldEngine, ...]:
     """Return all registered engines as a message."""
     return tuple(
--- a/marjoramspool/tests/test_engine_judgement.py
+++ b/marjoramspool/tests/test_engine_judgement.py
@@ -89,7 +89,7 @@
     trust = EngineTrust(clock)
     for number in range(100):
         (trust.note_failure if number % 7 == 0 else trust.note_success)("a")
-    assert not trust.is_suspect("a")
+    assert trust.trusted("abc") == {"a", "b", "c"}
 
 
 def test_when_most_engines_look_bad_all_are_used(clock):
--- a/marjoramspool/tests/test_placing.py
+++ b/marjoramspool/tests/test_placing.py
@@ -111,7 +111,11 @@
     loads.tell("x", {"a": Load(2, 50)})
     loads.tell("x", {"a": Load(3, 0)})
     assert loads.of("a") == Load(4, 100)
+    loads.tell("y", {"a": Load(1, 10), "b": Load(1, 0)})
+    assert (loads.of("a"), loads.of("b")) == (Load(5, 110), Load(1, 0))
+    loads.tell("y", {})
     loads.forget_router("x")
+    assert not loads.sums
     loads.note_read("a", 100)
     assert loads.of("a") == Load(1, 0)
     loads.end("a")
