What is left of a body that was turned away is no new head

Found in the reading of the diff. Cause: the limit on heads takes the first bytes after an answer for a new request. After 413 (or 431 with a body) the rest of the body comes next, so 3 s later an idle, healthy connection got a second answer, 408, and was closed. Ruled out: 401 and 404, which read the body first; chunks of a body in flight. Change: a request counts as there until its body is at its end, as it did before heads had a limit; no timer starts meanwhile. Test: the rest of a refused body in two pieces, over the limit of heads; it got 408 before, nothing now.

In the same reading, behaviour as it was: Router and FleetRouter opened and closed alike, now Lifecycle does for both; how many routers send unseen work is the number that told loads, so the second callback and its list of peers made for each placement are gone; Candidate.slots was read by nobody (the tests' constructors lose that argument, their assertions are the same).

--- a/marjoramspool/engine_choice.py
+++ b/marjoramspool/engine_choice.py
@@ -94,7 +94,6 @@
         "loads",
         "on_placed",
         "on_unread",
-        "others",
         "paces",
         "sent",
         "shared",
@@ -114,9 +113,8 @@
         self.paces: dict[str, ReadingPace] = {}
         self.sent: dict[str, SentWork] = {}
         self.crowds = Crowds()
-        # How late this router hears of the requests of the others, and how many those are.
+        # How late this router hears of the requests of the others, in seconds.
         self.lag_s: Callable[[], float] = lambda: 0.0
-        self.others: Callable[[], int] = lambda: 0
         self.on_placed: list[Callable[[Engine, tuple[Part, ...]], None]] = []
         self.on_unread: list[Callable[[Engine, tuple[Part, ...]], None]] = []
         # Engines whose caches were filled before this router came to know them.
@@ -186,7 +184,8 @@
         crowd = self.crowds.a_second(request.prompt.subject) if request.prompt else 0.0
         lag_s = self.lag_s()
         draw = hashing.fraction(request.id)
-        return Unseen(sent.a_second() * self.others() * lag_s, crowd * CROWD_LAGS * lag_s, draw)
+        others = len(self.loads.told)
+        return Unseen(sent.a_second() * others * lag_s, crowd * CROWD_LAGS * lag_s, draw)
 
     def note_crowd(self, parts: tuple[Part, ...]) -> None:
         """Take in which parts a request has that any router sends."""
@@ -234,7 +233,6 @@
         return Candidate(
             name=engine.id,
             load=self.loads.of(engine.id),
-            slots=engine.slots,
             held_tokens=self.caches.held((engine.id, engine.started_ms), parts),
             is_near=engine.failure_domain == self.domain,
         )
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -8,13 +8,13 @@
 
 from aiohttp import web
 
-from marjoramspool.background import BackgroundTasks
 from marjoramspool.engine_choice import EngineChoice
 from marjoramspool.engine_list import EngineList
 from marjoramspool.events import Event, log
 from marjoramspool.first_state import FirstState
 from marjoramspool.following import Duty
 from marjoramspool.forwarding import Forwarding
+from marjoramspool.lifecycle import Lifecycle
 from marjoramspool.metrics import Metrics
 from marjoramspool.metrics_page import render_page
 from marjoramspool.peers import exchange, relays
@@ -49,7 +49,7 @@
     path: str
 
 
-class FleetRouter:
+class FleetRouter(Lifecycle):
     """Own every part of one router; use as an async context manager."""
 
     __slots__ = (
@@ -66,20 +66,17 @@
         "joining",
         "sessions",
         "settings",
-        "stack",
         "state_calls",
         "store",
         "tables",
-        "tasks",
         "telling",
     )
 
     def __init__(self, settings: HostSettings, metrics_at: MetricsAddress | None = None):
+        super().__init__(settings.name, RESTART_PAUSE_S)
         self.settings = settings
         self.metrics_at = metrics_at
         self.metrics = Metrics(None)
-        self.stack = AsyncExitStack()
-        self.tasks = BackgroundTasks(RESTART_PAUSE_S)
         self.store = Store(settings.store, STORE_TIMEOUT_S)
         self.engines = EngineList()
         self.tables = follow_table(self.store, self.duty)
@@ -202,16 +199,6 @@
             case CachesState(caches):
                 exchange.take_caches(self.choice, caches)
 
-    async def __aenter__(self):
-        async with AsyncExitStack() as stack:
-            await self.open(stack)
-            self.stack = stack.pop_all()
-        return self
-
-    async def __aexit__(self, *details):
-        await self.stack.aclose()
-        log(Event.ROUTER_STOPPED, router=self.settings.name)
-
     async def open(self, stack: AsyncExitStack) -> None:
         """Open every part; the stack closes them in reverse order."""
         await stack.enter_async_context(self.store)
--- a/marjoramspool/peers/telling.py
+++ b/marjoramspool/peers/telling.py
@@ -103,7 +103,6 @@
         self.lost_at = 0.0
         self.transport: asyncio.DatagramTransport | None = None
         choice.lag_s = self.lag_s
-        choice.others = self.others
         choice.on_placed.append(self.note_placed)
         choice.on_unread.append(self.note_unread)
         directory.on_silent.append(self.forget)
@@ -121,10 +120,6 @@
         longer = max(1.0, routers / ROUTERS_AT_RELAYED_PERIOD)
         return min(LONGEST_PERIOD_S, RELAYED_PERIOD_S * longer)
 
-    def others(self) -> int:
-        """Return how many other routers are heard of."""
-        return len(self.directory.heard())
-
     def forget(self, peer: Peer) -> None:
         """Drop what a router told that is no longer heard of."""
         self.choice.loads.forget_router(peer.address)
--- a/marjoramspool/placing.py
+++ b/marjoramspool/placing.py
@@ -30,7 +30,6 @@
 
     name: str
     load: Load
-    slots: int
     held_tokens: int = 0
     # Tokens that this engine lacks and another holds.
     held_elsewhere: int = 0
--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -119,16 +119,12 @@
             loop=asyncio.get_running_loop(),
             auto_decompress=False,
             access_log=None,
-            head_s=self.head_s,
+            head_s=lambda: self.limits.header_timeout_s,
             keepalive_timeout=KEEPALIVE_S,
             max_line_size=LARGEST_HEADERS_BYTES,
             max_field_size=LARGEST_HEADERS_BYTES,
         )
 
-    def head_s(self) -> float:
-        """Return how long a client may take for the head of a request, in seconds."""
-        return self.limits.header_timeout_s
-
     @property
     def limits(self) -> ClientLimits:
         """Return what bounds clients now."""
@@ -169,7 +165,8 @@
             raise
         finally:
             self.busy.discard(raw.protocol)
-            raw.protocol.has_request = False
+            # What is left of a body that was turned away is no new request.
+            raw.protocol.has_request = not raw.content.is_eof()
 
     async def serve(self, raw: web.BaseRequest, name: str) -> web.StreamResponse:
         """Check a request, forward it and pass its answer back."""
--- a/marjoramspool/platform/tests/test_client_limits.py
+++ b/marjoramspool/platform/tests/test_client_limits.py
@@ -1,6 +1,7 @@
 """What clients may send, and how long they may take."""
 
 import asyncio
+from contextlib import suppress
 
 import pytest
 
@@ -53,6 +54,21 @@
     await until(lambda: not any(c.has_request for c in router.ingress.server.connections), "it is")
 
 
+async def test_what_is_left_of_a_body_that_was_turned_away_is_no_new_head(fleet):
+    reader, writer = await dial(fleet)
+    head = f"POST /lookup/a HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 90000\r\n\r\n"
+    writer.write(head.encode() + b"b" * 60_000)
+    async with asyncio.timeout(5.0):
+        assert b" 413 " in await reader.readline()
+    writer.write(b"b" * 10_000)
+    await asyncio.sleep(1.0)
+    writer.write(b"b" * 20_000)
+    with suppress(ConnectionError):
+        async with asyncio.timeout(0.5):
+            assert b"408" not in await reader.read(65_536)
+    writer.close()
+
+
 async def test_a_head_in_pieces_is_served_and_the_connection_stays(fleet):
     reader, writer = await dial(fleet)
     head = f"GET /lookup/a HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\nX-Request-Id: r%d\r\n\r\n"
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -10,7 +10,6 @@
 from marjoramspool import partition
 from marjoramspool.admissions import Admissions
 from marjoramspool.audit import Audit
-from marjoramspool.background import BackgroundTasks
 from marjoramspool.callers.server import CallersServer
 from marjoramspool.claims import Claims, preferred_router
 from marjoramspool.configuration import Configuration
@@ -20,6 +19,7 @@
 from marjoramspool.events import Event, log
 from marjoramspool.explain import Traces
 from marjoramspool.http import Sessions
+from marjoramspool.lifecycle import Lifecycle
 from marjoramspool.membership import Member, Membership
 from marjoramspool.metrics import Metrics
 from marjoramspool.operators.server import OperatorsServer
@@ -41,7 +41,7 @@
 HOLDINGS_PERIOD_S = 5.0
 
 
-class Router:
+class Router(Lifecycle):
     """Own every part of one router; use as an async context manager."""
 
     __slots__ = (
@@ -63,18 +63,15 @@
         "servicer",
         "sessions",
         "settings",
-        "stack",
         "targets",
-        "tasks",
         "traces",
         "watcher",
     )
 
     def __init__(self, settings: Settings):
         timings = settings.timings
+        super().__init__(settings.name, RESTART_PAUSE_S)
         self.settings = settings
-        self.stack = AsyncExitStack()
-        self.tasks = BackgroundTasks(RESTART_PAUSE_S)
         self.metrics = Metrics(settings.statsd)
         self.targets = Targets()
         self.configuration = Configuration()
@@ -167,16 +164,6 @@
         trace = self.traces.get(request)
         return msgspec.json.encode(trace) if trace else b""
 
-    async def __aenter__(self):
-        async with AsyncExitStack() as stack:
-            await self.open(stack)
-            self.stack = stack.pop_all()
-        return self
-
-    async def __aexit__(self, *details):
-        await self.stack.aclose()
-        log(Event.ROUTER_STOPPED, router=self.settings.name)
-
     async def open(self, stack: AsyncExitStack) -> None:
         """Open every part; the stack closes them in reverse order."""
         settings = self.settings
--- a/marjoramspool/tests/test_placing.py
+++ b/marjoramspool/tests/test_placing.py
@@ -16,7 +16,7 @@
 
 
 def candidate(name, requests=0, unread=0, held=0, **options):
-    return Candidate(name, Load(requests, unread), 64, held, **options)
+    return Candidate(name, Load(requests, unread), held, **options)
 
 
 def test_a_subject_stays_where_it_is_held():
@@ -49,9 +49,7 @@
     loads = EngineLoads()
     names = [f"e{number}" for number in range(5)]
     for _ in range(100):
-        engines = [
-            Candidate(name, loads.of(name), 64, 10_500 if name == "e0" else 0) for name in names
-        ]
+        engines = [Candidate(name, loads.of(name), 10_500 if name == "e0" else 0) for name in names]
         chosen = choose_engine(engines, 7, 11_000)
         loads.begin(chosen.engine.name, 0)
         mean = sum(loads.of(name).requests for name in names) / len(names)
@@ -186,7 +184,7 @@
         # One engine holds the hot subject.
         tokens = 3000 if subject == 7 else 500
         candidates = [
-            Candidate(name, loads.of(name), 32, tokens - 500 if name == "engine-3" else 0)
+            Candidate(name, loads.of(name), tokens - 500 if name == "engine-3" else 0)
             for name in self.names
         ]
         self.asked.append((self.clock, subject))
