Model: count what was asked while counting, and give back each place once

Cause: shares went above 1 (1.04 at 7 hosts), since answers to the warm-up counted and what was still waiting at the end did not; a caller that left while its prompt was read gave its place back twice, which made the router's own load too small. Change: requests count by when they were asked, a run settles before it is summed up (bytes only while asking), an exit stack owns the place; counters start anew by methods instead of __init__ called again.

--- a/model/engines.py
+++ b/model/engines.py
@@ -39,6 +39,10 @@
     copies: int = 0
     known: set[int] = field(default_factory=set)
 
+    def clear(self) -> None:
+        """Count anew; what was read once stays known."""
+        self.read = self.again = self.found = self.copied = self.copies = 0
+
 
 class ModelEngine:
     """Serve jobs in the order of their ranks."""
@@ -96,9 +100,7 @@
     def read(self, job: Job) -> None:
         """Read what is not held of a prompt, after a copy of what another engine holds."""
         tokens = own_tokens(job.prompt)
-        self.running += 1
-        self.running_tokens += tokens
-        self.cache.capacity = max(0, self.shape.memory_tokens - self.running_tokens)
+        self.hold(1, tokens)
         seconds = self.copy(job)
         shared = job.prompt.parts[:-1]
         lacking = self.cache.lacking(shared)
@@ -109,6 +111,12 @@
         self.reads_until = self.time() + seconds
         self.time.after(seconds, lambda: self.begin(job, tokens))
 
+    def hold(self, requests: int, tokens: int) -> None:
+        """Take or give back memory of running requests; the cache has what is left."""
+        self.running += requests
+        self.running_tokens += tokens
+        self.cache.capacity = max(0, self.shape.memory_tokens - self.running_tokens)
+
     def count(self, lacking, unread: int, tokens: int) -> None:
         """Count what is read."""
         reading = self.reading
@@ -145,9 +153,7 @@
 
     def end(self, job: Job, tokens: int) -> None:
         """Hand out the last of an answer."""
-        self.running -= 1
-        self.running_tokens -= tokens
-        self.cache.capacity = max(0, self.shape.memory_tokens - self.running_tokens)
+        self.hold(-1, -tokens)
         job.on_ended()
         self.begin_next()
 
--- a/model/fleet.py
+++ b/model/fleet.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 
 from marjoramspool import hashing
@@ -73,6 +74,7 @@
         self.random = random.Random(seed)
         self.time = VirtualTime()
         self.outcomes = Outcomes()
+        self.counted_from_s = 0.0
         self.reading = Reading()
         self.routes = {kind.name: route_of(kind) for kind in shape.kinds}
         memory = EngineMemory(shape.engine.slots, shape.engine.memory_tokens)
@@ -130,6 +132,18 @@
         arrive()
         self.time.run(end)
 
+    def start_counting(self) -> None:
+        """Count from here on only what is asked, read and told from now on."""
+        self.outcomes = Outcomes()
+        self.counted_from_s = self.time()
+        self.reading.clear()
+        self.wire.clear()
+
+    def settle(self) -> None:
+        """Let all that was asked begin, or be left by its caller."""
+        longest_s = max(kind.patience_s for kind in self.shape.kinds)
+        self.time.run(self.time() + DEADLINE_FACTOR * longest_s)
+
     def ask(self) -> None:
         """Send one new request to a router."""
         kinds = self.shape.kinds
@@ -168,10 +182,10 @@
         router = self.random.choice(self.routers)
         match router.choice.place(request, set()):
             case None:
-                self.outcomes.left += 1
+                self.outcomes.left += self.is_counted(request)
             case TurnedAway(return_s=return_s):
                 if is_again:
-                    self.outcomes.turned_away += 1
+                    self.outcomes.turned_away += self.is_counted(request)
                 else:
                     self.time.after(return_s, lambda: self.send(request, is_again=True))
             case placement:
@@ -181,28 +195,33 @@
         """Pass a request to the engine where it has its place."""
         engine = self.engines[placement.engine.id]
         self.note_load(engine)
-        placement.__enter__()
+        place = ExitStack()
+        place.enter_context(placement)
         source = self.engines[placement.source.id] if placement.source else None
 
         def begun() -> None:
             placement.note_read()
-            self.note_first(request)
-
-        job = Job(
-            request.prompt, placement.rank, source, begun, lambda: placement.__exit__(None, None)
-        )
-        engine.take(job)
+            if not job.is_left:
+                self.note_first(request)
 
         def leave() -> None:
             if not job.has_begun:
                 job.is_left = True
-                self.outcomes.left += 1
-                placement.__exit__(None, None)
+                self.outcomes.left += self.is_counted(request)
+                place.close()
 
+        job = Job(request.prompt, placement.rank, source, begun, place.close)
+        engine.take(job)
         self.time.after(request.route.patience_s, leave)
 
+    def is_counted(self, request: RoutedRequest) -> bool:
+        """Tell whether a request was asked since counting started."""
+        return request.received >= self.counted_from_s
+
     def note_first(self, request: RoutedRequest) -> None:
         """Count the first of an answer."""
+        if not self.is_counted(request):
+            return
         waited_s = self.time() - request.received
         self.outcomes.first_s.append(waited_s)
         if waited_s <= request.route.latency_target_s:
--- a/model/run.py
+++ b/model/run.py
@@ -2,7 +2,8 @@
 
 import json
 import sys
-from dataclasses import dataclass, field
+from collections import Counter
+from dataclasses import asdict, dataclass, field, fields
 from pathlib import Path
 from typing import Annotated
 
@@ -65,22 +66,19 @@
     shape = FleetShape(hosts, engines, min(DOMAINS, hosts), rate, LONG_AND_SHORT, ENGINES)
     fleet = Fleet(shape, seed)
     fleet.play(WARM_UP_S)
-    fleet.outcomes.__init__()
-    known = fleet.reading.known
-    fleet.reading.__init__(known=known)
-    fleet.wire.sent.clear()
-    fleet.wire.received.clear()
+    fleet.start_counting()
     fleet.play(seconds, factor)
-    return figures(fleet, factor, seconds)
+    told, heard = Counter(fleet.wire.sent), Counter(fleet.wire.received)
+    fleet.settle()
+    return figures(fleet, factor, seconds, told, heard)
 
 
-def figures(fleet: Fleet, factor: float, seconds: float) -> Figures:
+def figures(fleet: Fleet, factor: float, seconds: float, told: Counter, heard: Counter) -> Figures:
     """Return what a played fleet showed."""
     outcomes, reading = fleet.outcomes, fleet.reading
     asked = max(1, outcomes.asked)
     first = sorted(outcomes.first_s) or [0.0]
     count = fleet.shape.routers
-    sent, received = fleet.wire.sent, fleet.wire.received
     return Figures(
         hosts=count,
         engines=fleet.shape.engines,
@@ -96,16 +94,16 @@
         found=reading.found / max(1, reading.found + reading.read),
         copies_a_request=reading.copies / asked,
         far_above=outcomes.far_above / max(1, outcomes.placed),
-        told_mean=sent.total() / count / seconds,
-        told_most=max(sent.values(), default=0) / seconds,
-        heard_mean=received.total() / count / seconds,
-        heard_most=max(received.values(), default=0) / seconds,
+        told_mean=told.total() / count / seconds,
+        told_most=max(told.values(), default=0) / seconds,
+        heard_mean=heard.total() / count / seconds,
+        heard_most=max(heard.values(), default=0) / seconds,
     )
 
 
 def show(results: list[Figures]) -> None:
     """Print a table of runs, and a bar for each of what grows with the fleet."""
-    for name in Figures.__slots__:
+    for name in (one.name for one in fields(Figures)):
         row = [getattr(result, name) for result in results]
         most = max(row) or 1
         print(f"{name:22}" + "".join(f"{value:12.4g}" for value in row))
@@ -124,8 +122,7 @@
             print(f"played {hosts} hosts", file=sys.stderr)
     show(results)
     if run.out:
-        rows = [{n: getattr(r, n) for n in Figures.__slots__} for r in results]
-        run.out.write_text(json.dumps(rows, indent=1))
+        run.out.write_text(json.dumps([asdict(result) for result in results], indent=1))
 
 
 if __name__ == "__main__":
--- a/model/wire.py
+++ b/model/wire.py
@@ -23,6 +23,11 @@
         telling.transport = Transport(self, telling)
         self.ends[telling.directory.me] = telling
 
+    def clear(self) -> None:
+        """Count bytes anew."""
+        self.sent.clear()
+        self.received.clear()
+
     def carry(self, sender, address: str, message: bytes) -> None:
         """Deliver a datagram after its delay."""
         receiver = self.ends.get(address)
