Do not blame an owner for a pause of this process

Ruled out: a longer timeout, which a longer pause exceeds again and which keeps callers waiting for a dead owner. Change: the wait counts only time in which the loop runs, in slices of 50 ms.

--- a/marjoramspool/routers/link.py
+++ b/marjoramspool/routers/link.py
@@ -11,6 +11,7 @@
 from marjoramspool.routers import peers_pb2 as pb
 from marjoramspool.routers import peers_pb2_grpc as rpc
 from marjoramspool.routers.convert import decode_admission, encode_admission_request, encode_grants
+from marjoramspool.waits import wait_for_first
 
 __all__ = ["FRAME_OVERHEAD_BYTES", "MAX_MESSAGE_BYTES", "Link", "channel_options"]
 
@@ -161,13 +162,11 @@
         """Wait for a decision; a queued request may take its whole queue wait in addition."""
         queued_wait = asyncio.ensure_future(queued.wait())
         try:
-            await asyncio.wait(
-                [future, queued_wait], timeout=answer_timeout_s, return_when="FIRST_COMPLETED"
-            )
+            await wait_for_first([future, queued_wait], answer_timeout_s)
         finally:
             queued_wait.cancel()
         if not future.done() and queued.is_set():
-            await asyncio.wait([future], timeout=queue_wait_s + QUEUE_WAIT_MARGIN_S)
+            await wait_for_first([future], queue_wait_s + QUEUE_WAIT_MARGIN_S)
         if not future.done():
             raise OwnerUnavailableError(
                 f"no decision from the owner (answer timeout {answer_timeout_s:g} s, "
