Stay within a share of the slots without the owner

Cause: a router whose owner did not answer granted all slots of each engine by its own counts, while the owner and other routers did the same. Ruled out: refusing outright, since the owner may be dead and not known to be. Change: while a live router that ranks first is unresponsive, the slots of each engine are divided among the live routers, the rest by rank, so that the shares add up to the slots. A truly dead owner costs throughput until the membership says so. Not bounded: the owner itself goes on with all slots, as it may not know.

--- a/marjoramspool/admission_control.py
+++ b/marjoramspool/admission_control.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from marjoramspool import partition
+from marjoramspool import hashing, partition
 from marjoramspool.admission_messages import Admission, AdmissionRequest, EngineView, Refused
 from marjoramspool.bounded_placement import BoundedLoad, HashOnly, Policy, TwoChoices
 from marjoramspool.cell import Cell
@@ -133,16 +133,37 @@
             return []
         engines = partition.engines_of(document, name)
         usable = self.targets.usable(document, engines)
+        sharing = self.routers_sharing(name)
         return [
             EngineView(
                 engine,
                 self.targets.incarnation(document.targets[engine].address),
-                document.targets[engine].slots,
+                self.slot_share(engine, document.targets[engine].slots, sharing),
             )
             for engine in engines
             if engine in usable
         ]
 
+    def routers_sharing(self, cell: str) -> list[str]:
+        """Return the routers that divide the slots of a cell's engines; only this one as its owner.
+
+        Load pattern: the owner answers late, and goes on admitting requests. A router that decides
+        in its stead with all slots, by its own counts, doubles the load of an engine that is full.
+        """
+        live = {member.name for member in self.membership.live_members()} | {self.local_name}
+        if self.placement == "quota" or live == self.membership.responsive_names():
+            return [self.local_name]
+        owner = hashing.rank(partition.cell_key(cell), live)[0]
+        return [self.local_name] if owner == self.local_name else sorted(live)
+
+    def slot_share(self, engine: str, slots: int, routers: list[str]) -> int:
+        """Return the slots of an engine that this router may use; the shares add up to all."""
+        share, rest = divmod(slots, len(routers))
+        if not rest:
+            return share
+        order = hashing.rank(hashing.digest(engine), routers)
+        return share + (order.index(self.local_name) < rest)
+
     def owner_order(self, cell: str) -> list[str]:
         """Return the routers in the order to ask them, the current owner first."""
         if self.placement == "quota":
--- a/marjoramspool/cell.py
+++ b/marjoramspool/cell.py
@@ -115,7 +115,7 @@
         """Return the load below which an engine may be granted to a request of this urgency."""
         if request.is_urgent:
             return engine.slots
-        return max(1, math.floor(engine.slots * (1.0 - self.urgent_reserve)))
+        return min(engine.slots, max(1, math.floor(engine.slots * (1.0 - self.urgent_reserve))))
 
     def admit_now(self, request: AdmissionRequest, session: str) -> Admission | None:
         """Grant or refuse without waiting; return None if the request has to be queued."""
--- a/marjoramspool/tests/test_admission_control.py
+++ b/marjoramspool/tests/test_admission_control.py
@@ -47,6 +47,24 @@
         assert (await fleet.chat(f"question {number}", requester))[0] == 200
 
 
+async def test_routers_without_their_owner_stay_within_the_slots_together(fleet, monkeypatch):
+    await fleet.add_engines(2)
+    await fleet.add_routers(3)
+    await fleet.apply_model(slots=4, queue_wait="1s", urgent_reserve="0")
+    await fleet.wait_for_peers()
+    owner = next(i for i, r in enumerate(fleet.routers) if r.admission_controller.owned_cells())
+    others = [i for i in range(3) if i != owner]
+
+    async def unavailable(self, owner, request):
+        raise OwnerUnavailableError("no owner answers")
+
+    monkeypatch.setattr(Links, "request_admission", unavailable)
+    chats = [fleet.chat(f"chat {n}", others[n % 2], max_tokens=40) for n in range(40)]
+    statuses = [status for status, _, _ in await asyncio.gather(*chats)]
+    assert statuses.count(200) > 4
+    assert max(engine.peak for engine in fleet.engines) <= 4
+
+
 async def test_all_grants_are_released_after_the_owner_is_briefly_unavailable(fleet, monkeypatch):
     owner, requester = await start_fleet(fleet)
     real = Links.request_admission
