Measure a rolling replacement in turns, not in the machine's speed

Cause: the test asked for more than 20 turns in whatever time the replacements took; a busy machine made 18 (KNOWN-RED). No turn was incomplete. Change: each replacement waits until seven more turns have ended, so all of them take place under traffic and the total stays above 20; this asks more than before, since the turns could all fall into one phase.

--- a/marjoramspool/tests/test_fleet_membership.py
+++ b/marjoramspool/tests/test_fleet_membership.py
@@ -103,6 +103,9 @@
         await wait_until(
             lambda: fleet.routers[-1].configuration.is_complete, "the new router is ready"
         )
+        # Each replacement takes place under traffic, however fast the machine is.
+        target = 7 * (number + 1)
+        await wait_until(lambda t=target: len(turns) >= t, "turns end between replacements")
         old = fleet.routers.pop(0)
         await old.shut_down()
         await old.__aexit__(None, None, None)
