Order what the store says by its epoch, and list caches once discovery has settled

The landed code compared revisions: a router stayed on its table until the counter had caught up, watched on from a revision of other contents, wrote under a revision given out twice, and sent work to engines whose departure the copy forgot. Ruled out: a pair of epoch and revision in all messages (routers of the earlier release compare integers); ordering tables by revision (a copy offers an old table under a new one). Change: store_versions packs epoch and revision into one rising number; the store's client drops answers of an earlier epoch, refuses revisions of another one and treats a write over the change as uncertain. Tables are ordered by the operator's version, which reports carry in a new last field. Engines that drained stay drained; those unlisted within a minute get no work for 6 s after they reappear; registrations that are missing have 2.2 s to return. Routers register again. The cache bootstrap waits until the routers that start together are known. The listing test with a store that answers 0.5 s late failed with the old wait and passes.

--- a/marjoramspool/engine_list.py
+++ b/marjoramspool/engine_list.py
@@ -15,6 +15,10 @@
 RENEWAL_GRACE_S = 2.2
 # Announcements outlast registrations, which may return; the oldest are dropped beyond this number.
 MAX_ANNOUNCEMENTS = 1024
+# A restored copy of the store may list engines again that were unlisted this recently.
+MAX_COPY_AGE_S = 60.0
+# The store removes the registration of an engine that has gone within this time of its return.
+STALE_REGISTRATION_S = 6.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,11 +50,13 @@
         "cached_digest",
         "clock",
         "engines",
+        "departures",
         "in_grace_period",
         "on_removed",
         "pending_renewal",
         "reassigned",
         "revision",
+        "stale_until",
     )
 
     def __init__(self, clock: Callable[[], float] = now):
@@ -61,6 +67,10 @@
         self.reassigned: set[tuple[str, int]] = set()
         # Incarnations that announced their departure, and whether this router heard it itself.
         self.announced: dict[tuple[str, int], bool] = {}
+        # Time at which each incarnation was unlisted, in that order.
+        self.departures: dict[tuple[str, int], float] = {}
+        # Incarnations whose registration, back from a copy, says nothing before a time.
+        self.stale_until: dict[tuple[str, int], float] = {}
         self.in_grace_period: dict[str, tuple[Engine, float]] = {}
         self.revision = 0
         self.cached_digest: int | None = None
@@ -117,6 +127,7 @@
         if self.engines.pop(engine.id, None) is None:
             return
         self.cached_digest = None
+        self.record_departure(engine)
         log(Event.ENGINE_UNLISTED, engine=engine.id, address=engine.address, revision=self.revision)
         if engine.is_draining:
             # It has already served its drain period.
@@ -124,6 +135,35 @@
         else:
             self.in_grace_period[engine.id] = (engine, self.clock() + UNLISTED_GRACE_S)
 
+    def record_departure(self, engine: Engine) -> None:
+        """Record when an engine was unlisted, and forget departures older than any copy."""
+        now_s = self.clock()
+        self.departures[(engine.id, engine.started_ms)] = now_s
+        for key, unlisted_at in list(self.departures.items()):
+            if now_s - unlisted_at <= MAX_COPY_AGE_S:
+                break
+            del self.departures[key]
+
+    def record_restored(self) -> None:
+        """Hold on to departures that the store, restored from a copy, may have forgotten.
+
+        A draining engine stays draining. One that was unlisted gets no requests until the store
+        has had the time to remove it again.
+        """
+        now_s = self.clock()
+        for engine in self.engines.values():
+            if engine.is_draining:
+                self.record_announcement(engine, "earlier epoch of the store")
+        self.stale_until = {
+            key: now_s + STALE_REGISTRATION_S
+            for key, unlisted_at in self.departures.items()
+            if now_s - unlisted_at <= MAX_COPY_AGE_S
+        }
+
+    def is_stale(self, engine: Engine) -> bool:
+        """Return whether the registration of an engine may be one that a copy brought back."""
+        return self.stale_until.get((engine.id, engine.started_ms), 0.0) > self.clock()
+
     def notify_removed(self, engine: Engine) -> None:
         """Call the callbacks that drop the state kept for an engine's incarnation."""
         for call in self.on_removed:
@@ -184,5 +224,6 @@
             for engine in self.engines.values()
             if engine.service == service
             and not self.is_draining(engine)
+            and not self.is_stale(engine)
             and (engine.id, engine.started_ms) not in self.reassigned
         ]
--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -26,6 +26,11 @@
     PLATFORM_OUT = (301, "warning", "the platform does not respond; routing uses soft state")
     PLATFORM_BACK = (302, "info", "the platform responds again")
     PLATFORM_BUDGET = (303, "warning", "a platform call was refused by this router's call budget")
+    PLATFORM_RESTORED = (
+        304,
+        "warning",
+        "the store was restored from a copy; it lost recent writes",
+    )
     MEMBER_ALIVE = (401, "info", "a router joined the fleet or is reachable again")
     MEMBER_SUSPECT = (402, "info", "a router did not answer a probe and is suspected to be dead")
     MEMBER_DEAD = (403, "warning", "a router is considered dead")
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -29,6 +29,7 @@
 from marjoramspool.platform.watchers import new_engine_watcher, new_table_watcher
 from marjoramspool.startup_wait import StartupWait
 from marjoramspool.status import MemberStatus, Status
+from marjoramspool.store_versions import epoch_of
 from marjoramspool.store_watchers import WatchRole
 
 __all__ = ["FleetRouter", "MetricsAddress"]
@@ -103,15 +104,16 @@
             self.peer_fetch_delay_s,
             self.status,
         )
+        operators = f"{settings.address}:{settings.peers_port}"
+        self.discovery = Discovery(self.store, settings.name, self.directory, operators)
         self.cache_bootstrap = CacheBootstrap(
             self.directory,
             self.selector,
             self.state_sync,
             self.sessions,
             self.load_broadcast.queue_listing,
+            lambda: self.discovery.is_settled,
         )
-        operators = f"{settings.address}:{settings.peers_port}"
-        self.discovery = Discovery(self.store, settings.name, self.directory, operators)
         self.startup_wait = StartupWait(lambda: self.has_initial_state)
         self.ingress = Ingress(self.forwarding, self.table_watcher, self.startup_wait)
 
@@ -151,11 +153,15 @@
             self.engine_watcher.revision or 0,
             self.engines.digest(),
             self.is_store_available,
+            self.table_watcher.table_version,
         )
 
     def is_behind(self, state_type: type, peer: Peer) -> bool:
         """Return whether a peer has a newer route table or engine list."""
         if state_type is TableState:
+            if peer.table_version:
+                return peer.table_version > self.table_watcher.table_version
+            # A router of an earlier release reports only the revision.
             return peer.table_revision > self.table_watcher.table_revision
         is_newer = peer.engines_revision > (self.engine_watcher.revision or 0)
         return is_newer and peer.engines_digest != self.engines.digest()
@@ -210,7 +216,10 @@
                 self.table_watcher.apply_if_newer(revision, zlib.decompress(table), address)
             case EnginesState(revision, engines):
                 if revision > (self.engine_watcher.revision or 0):
-                    state_transfer.import_engines(self.engines, engines, revision)
+                    self.store.advance_epoch(epoch_of(revision))
+                    self.engine_watcher.record_epoch(revision)
+                    renewals_until = self.engine_watcher.renewal_deadline()
+                    state_transfer.import_engines(self.engines, engines, revision, renewals_until)
                     self.engine_watcher.revision = revision
             case CachesState(caches):
                 state_transfer.import_caches(self.selector, caches)
--- a/marjoramspool/peers/cache_bootstrap.py
+++ b/marjoramspool/peers/cache_bootstrap.py
@@ -21,8 +21,8 @@
 __all__ = ["CacheBootstrap", "CacheLister"]
 
 MAX_PEERS_QUERIED = 3
-# Time for the discovery to find peers and for the first of them to answer.
-DISCOVERY_WAIT_S = 0.4
+# Time for the discovery to find the routers that start together, if the store answers slowly.
+DISCOVERY_WAIT_S = 3.0
 CHECK_PERIOD_S = 0.02
 # Time for the assigned router to list an engine and broadcast the result.
 ROUND_WAIT_S = 0.8
@@ -39,7 +39,14 @@
 class CacheBootstrap:
     """Collects the cache contents of engines that were registered before this router started."""
 
-    __slots__ = ("directory", "lister", "on_listed", "selector", "state_sync")
+    __slots__ = (
+        "directory",
+        "is_discovery_settled",
+        "lister",
+        "on_listed",
+        "selector",
+        "state_sync",
+    )
 
     def __init__(
         self,
@@ -48,12 +55,14 @@
         state_sync: StateSync,
         lister: CacheLister,
         on_listed: Callable[[Engine, tuple[Part, ...]], None],
+        is_discovery_settled: Callable[[], bool],
     ):
         self.directory = directory
         self.selector = selector
         self.state_sync = state_sync
         self.lister = lister
         self.on_listed = on_listed
+        self.is_discovery_settled = is_discovery_settled
 
     async def run(self) -> None:
         """Fetch cache contents from peers; list engines that remain unknown."""
@@ -70,9 +79,13 @@
             await asyncio.sleep(ROUND_WAIT_S)
 
     async def fetch_from_peers(self) -> None:
-        """Fetch cache contents from a few peers; those without a heartbeat come last."""
+        """Fetch cache contents from a few peers; those without a heartbeat come last.
+
+        Load pattern: all routers start while the store answers slowly. One that does not know the
+        others yet would list every engine itself.
+        """
         waited_s = 0.0
-        while not self.directory.peers and waited_s < DISCOVERY_WAIT_S:
+        while not self.is_discovery_settled() and waited_s < DISCOVERY_WAIT_S:
             await asyncio.sleep(CHECK_PERIOD_S)
             waited_s += CHECK_PERIOD_S
         candidates = sorted(self.directory.peers.values(), key=lambda peer: peer.last_seen is None)
--- a/marjoramspool/peers/directory.py
+++ b/marjoramspool/peers/directory.py
@@ -34,6 +34,7 @@
     boot_id: int = 0
     sequence_number: int = 0
     table_revision: int = 0
+    table_version: int = 0
     engines_revision: int = 0
     engines_digest: int = 0
     has_store: bool = True
--- a/marjoramspool/peers/discovery.py
+++ b/marjoramspool/peers/discovery.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import random
+from contextlib import suppress
 
 import msgspec
 
+from marjoramspool.clock import now
+from marjoramspool.engine_list import MAX_COPY_AGE_S
 from marjoramspool.peers.directory import Directory
 from marjoramspool.platform.store import PlatformError, Store, StoredObject
 
@@ -16,6 +19,7 @@
 # Routers that start later send reports to those they find, so listing is only a fallback.
 LIST_PERIOD_S = 20.0
 REGISTRATION_SETTLE_S = 1.5
+REGISTRATION_CHECK_PERIOD_S = 0.5
 
 
 class RouterSpec(msgspec.Struct, frozen=True):
@@ -28,9 +32,21 @@
 
 
 class Discovery:
-    """Registers this router in the store and adds the registered routers to the directory."""
-
-    __slots__ = ("directory", "is_registered", "name", "operators", "store")
+    """Registers this router in the store and adds the registered routers to the directory.
+
+    A store that is restored from a copy may have lost a recent registration, which is then written
+    again.
+    """
+
+    __slots__ = (
+        "directory",
+        "is_registered",
+        "is_settled",
+        "name",
+        "operators",
+        "registered_at",
+        "store",
+    )
 
     def __init__(self, store: Store, name: str, directory: Directory, operators: str = ""):
         self.operators = operators
@@ -38,6 +54,15 @@
         self.name = name
         self.directory = directory
         self.is_registered = False
+        self.registered_at = 0.0
+        # Whether the routers that started together with this one are known.
+        self.is_settled = False
+        store.on_restored.append(self.handle_restored)
+
+    def handle_restored(self) -> None:
+        """Register again if the copy may be older than the registration."""
+        if now() - self.registered_at <= MAX_COPY_AGE_S:
+            self.is_registered = False
 
     async def run(self) -> None:
         """Register once, then list the routers periodically."""
@@ -47,14 +72,22 @@
                 await self.register()
                 # Hosts that start together register at about the same time.
                 await asyncio.sleep(REGISTRATION_SETTLE_S * random.uniform(0.8, 1.2))
-                while True:
+                while self.is_registered:
                     listing = await self.store.list_objects(KIND, is_stale_allowed=True)
                     self.add_peers(listing.objects)
-                    await asyncio.sleep(LIST_PERIOD_S * random.uniform(0.8, 1.2))
+                    self.is_settled = True
+                    await self.wait_while_registered(LIST_PERIOD_S * random.uniform(0.8, 1.2))
             except PlatformError:
                 await asyncio.sleep(backoff_s * random.uniform(0.5, 1.5))
                 backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
 
+    async def wait_while_registered(self, period_s: float) -> None:
+        """Wait for a period, or until the registration may be lost."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(period_s):
+                while self.is_registered:
+                    await asyncio.sleep(REGISTRATION_CHECK_PERIOD_S * random.uniform(0.5, 1.5))
+
     async def register(self) -> None:
         """Write the registration of this router, unless it is up to date."""
         if self.is_registered:
@@ -66,9 +99,12 @@
         listing = await self.store.list_objects(KIND)
         self.add_peers(listing.objects)
         registered = next((o for o in listing.objects if o.name == self.name), None)
+        # A fleet that restarts is registered from its earlier run.
+        self.is_settled = self.is_settled or registered is not None
         if registered is None or read_spec(registered) != spec:
             await self.store.write(KIND, self.name, spec, registered.revision if registered else 0)
         self.is_registered = True
+        self.registered_at = now()
 
     def add_peers(self, objects: list[StoredObject]) -> None:
         """Add the routers of a listing to the directory."""
--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -57,6 +57,7 @@
     engines_revision: int
     engines_digest: int
     has_store: bool
+    table_version: int = 0
 
 
 class LoadBroadcast(asyncio.DatagramProtocol):
@@ -230,6 +231,7 @@
             cache_updates,
             unreachable,
             leaving,
+            state_versions.table_version,
         )
 
     def forward_reports(self, report: RouterReport | None) -> None:
@@ -333,6 +335,7 @@
         peer.domain = report.domain
         peer.link_mbps = report.link_mbps
         peer.table_revision = report.table_revision
+        peer.table_version = report.table_version
         peer.engines_revision = report.engines_revision
         peer.engines_digest = report.engines_digest
         peer.has_store = report.has_store
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -78,6 +78,8 @@
     unreachable: tuple[int, ...] = ()
     # Engines that announced their departure to the reporting router.
     leaving: tuple[int, ...] = ()
+    # Version that the operator gave the route table.
+    table_version: int = 0
 
 
 class ReportBatch(msgspec.Struct, array_like=True, frozen=True, tag=1):
--- a/marjoramspool/peers/state_transfer.py
+++ b/marjoramspool/peers/state_transfer.py
@@ -26,13 +26,19 @@
     )
 
 
-def import_engines(engines: EngineList, entries: tuple[EngineEntry, ...], revision: int) -> None:
-    """Replace the engine list by that of another router."""
+def import_engines(
+    engines: EngineList,
+    entries: tuple[EngineEntry, ...],
+    revision: int,
+    renewals_until: float | None = None,
+) -> None:
+    """Replace the engine list by that of another router, as `EngineList.replace_all` does."""
     engines.revision = revision
-    engines.replace_all(
+    listed = (
         Engine(e.id, e.service, e.address, e.failure_domain, e.slots, e.is_draining, e.started_ms)
         for e in entries
     )
+    engines.replace_all(listed, renewals_until)
 
 
 def export_caches(selector: EngineSelector) -> tuple[CacheUpdate, ...]:
--- a/marjoramspool/peers/tests/test_cache_bootstrap.py
+++ b/marjoramspool/peers/tests/test_cache_bootstrap.py
@@ -46,5 +46,7 @@
         for other in addresses:
             directory.add_peer(other, "z", 100)
         selector = EngineSelector("z", engines, lambda: table)
-        await CacheBootstrap(directory, selector, UnreachablePeers(), lister, lambda *_: None).run()
+        await CacheBootstrap(
+            directory, selector, UnreachablePeers(), lister, lambda *_: None, lambda: True
+        ).run()
     assert all(lister.asked[engine.id] == LISTING_ROUNDS for engine in ENGINES)
--- a/marjoramspool/peers/tests/test_load_broadcast.py
+++ b/marjoramspool/peers/tests/test_load_broadcast.py
@@ -227,7 +227,8 @@
     )
 
 
-async def test_routers_starting_together_list_each_engine_at_most_twice(site):
+@pytest.mark.parametrize("store_delay_s", [0.0, 0.5])
+async def test_routers_starting_together_list_each_engine_at_most_twice(site, store_delay_s):
     for number in range(3):
         engine = await site.add_engine("model", is_stream=True)
         engine.cached_blocks = [("", f"{number + 1:x}", 700, "m")]
@@ -238,6 +239,9 @@
     for engine in site.engines:
         engine.lists = 0
     site.started = 0
+    if store_delay_s:
+        path = "/marjoramspool/objects/marjoramspool-routers"
+        site.arm("slow", times=-1, path=path, seconds=store_delay_s)
     routers = await asyncio.gather(*[site.add_router(wait=False) for _ in range(3)])
     await wait_until(
         lambda: all(not r.selector.unknown_caches for r in routers), "all caches are known"
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -22,8 +22,8 @@
     TargetRefusedError,
 )
 from marjoramspool.http import new_session
+from marjoramspool.keepalive import keepalive_socket
 from marjoramspool.platform.headers import filter_answer_headers
-from marjoramspool.platform.keepalive import keepalive_socket
 from marjoramspool.prompts import Part
 from marjoramspool.requests import RoutedRequest
 
--- a/marjoramspool/platform/store.py
+++ b/marjoramspool/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from urllib.parse import quote
@@ -11,7 +12,8 @@
 
 from marjoramspool.events import Event, log
 from marjoramspool.http import new_session
-from marjoramspool.platform.keepalive import keepalive_socket
+from marjoramspool.keepalive import keepalive_socket
+from marjoramspool.store_versions import combine, epoch_of, revision_of
 
 __all__ = [
     "Conflict",
@@ -50,7 +52,7 @@
 
 
 class HistoryGoneError(PlatformError):
-    """Raised if the store no longer keeps the changes since a revision; list again."""
+    """Raised if the changes since a revision are gone or not comparable; list again."""
 
 
 class MetadataFields(msgspec.Struct, frozen=True):
@@ -131,16 +133,41 @@
     object: StoredObject | None
 
 
-class Store:
-    """Client of the store; use as an async context manager."""
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """Answer to a call, and the epoch of the store that gave it."""
+
+    status: int
+    body: bytes
+    epoch: int
 
-    __slots__ = ("address", "available", "bytes", "calls", "outage_started", "session", "timeout_s")
+
+class Store:
+    """Client of the store; use as an async context manager.
+
+    All revisions are versions as in `store_versions`. `epoch` is the highest epoch known; when it
+    rises, because the store was restored from a copy, `on_restored` is called.
+    """
+
+    __slots__ = (
+        "address",
+        "available",
+        "bytes",
+        "calls",
+        "epoch",
+        "on_restored",
+        "outage_started",
+        "session",
+        "timeout_s",
+    )
 
     def __init__(self, address: str, timeout_s: float):
         self.address = address
         self.timeout_s = timeout_s
         self.calls = 0
         self.bytes = 0
+        self.epoch = 0
+        self.on_restored: list[Callable[[], None]] = []
         self.outage_started: float | None = None
         self.available = asyncio.Event()
         self.session: aiohttp.ClientSession | None = None
@@ -161,11 +188,13 @@
         stale = "allow_stale=1" if is_stale_allowed else ""
         query = stale
         while True:
-            _, body = await self.call("GET", f"{PATH}/{kind}" + (f"?{query}" if query else ""))
-            page = decode(ListFields, body)
-            objects.extend(read_objects(page.items))
+            reply = await self.call("GET", f"{PATH}/{kind}" + (f"?{query}" if query else ""))
+            if objects and reply.epoch != epoch_of(objects[0].revision):
+                raise PlatformError(f"the store was restored while {kind} was listed; list again")
+            page = decode(ListFields, reply.body)
+            objects.extend(read_objects(page.items, reply.epoch))
             if not page.more or not objects:
-                return Listing(objects, page.at)
+                return Listing(objects, combine(reply.epoch, page.at))
             query = f"since_revision={quote(objects[-1].name, safe='')}&{stale}".rstrip("&")
 
     async def watch(
@@ -175,22 +204,27 @@
 
         Raise HistoryGoneError if the store no longer keeps them, else PlatformError.
         """
-        path = f"{PATH}/{kind}?watch={revision}&wait_ms={int(wait_s * MS_PER_S)}"
-        status, body = await self.call("GET", path, wait_s)
-        if status == HTTP_GONE:
-            raise HistoryGoneError(
-                f"the platform no longer keeps the changes of {kind} since revision {revision}"
-            )
-        fields = decode(WatchFields, body)
+        gone = HistoryGoneError(
+            f"the platform no longer keeps the changes of {kind} since revision {revision}"
+        )
+        epoch = epoch_of(revision)
+        if epoch != self.epoch:
+            raise gone
+        query = f"watch={revision_of(revision)}&wait_ms={int(wait_s * MS_PER_S)}"
+        reply = await self.call("GET", f"{PATH}/{kind}?{query}", wait_s)
+        if reply.status == HTTP_GONE or reply.epoch != epoch:
+            raise gone
+        fields = decode(WatchFields, reply.body)
         changes = []
         for event in fields.events:
-            changes += [ObjectChange(o, event.removed) for o in read_objects([event.object])]
-        return changes, fields.at
+            objects = read_objects([event.object], epoch)
+            changes += [ObjectChange(o, event.removed) for o in objects]
+        return changes, combine(epoch, fields.at)
 
     async def read(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None if it does not exist; raise PlatformError."""
-        status, body = await self.call("GET", f"{PATH}/{kind}/{quote(name, safe='')}")
-        return None if status == HTTP_NOT_FOUND else read_object(body)
+        reply = await self.call("GET", f"{PATH}/{kind}/{quote(name, safe='')}")
+        return None if reply.status == HTTP_NOT_FOUND else read_object(reply.body, reply.epoch)
 
     async def write(
         self, kind: str, name: str, spec: object, expected_revision: int
@@ -203,33 +237,46 @@
         metadata = {"name": name}
         path = f"{PATH}/{kind}"
         if expected_revision:
-            metadata["revision"] = expected_revision
+            metadata["revision"] = revision_of(expected_revision)
             path += f"/{quote(name, safe='')}"
         body = msgspec.json.encode({"metadata": metadata, "spec": spec})
-        return await self.change("PUT" if expected_revision else "POST", path, body)
+        method = "PUT" if expected_revision else "POST"
+        return await self.change(method, path, body, expected_revision)
 
     async def delete(self, kind: str, name: str, expected_revision: int) -> Written | Conflict:
         """Remove an object if it has the expected revision; raise as `write` does."""
-        path = f"{PATH}/{kind}/{quote(name, safe='')}?revision={expected_revision}"
-        return await self.change("DELETE", path, None)
+        path = f"{PATH}/{kind}/{quote(name, safe='')}?revision={revision_of(expected_revision)}"
+        return await self.change("DELETE", path, None, expected_revision)
+
+    async def change(
+        self, method: str, path: str, data: bytes | None, expected_revision: int
+    ) -> Written | Conflict:
+        """Make a call that writes; raise as `write` does.
 
-    async def change(self, method: str, path: str, data: bytes | None) -> Written | Conflict:
-        """Make a call that writes; raise as `write` does."""
+        A revision of an earlier epoch is a conflict, since its number may stand for other contents
+        now. If the epoch changed during the call, a write that took effect is uncertain.
+        """
+        if expected_revision and epoch_of(expected_revision) != self.epoch:
+            return Conflict(None)
         try:
-            status, body = await self.call(method, path, data=data)
+            reply = await self.call(method, path, data=data)
         except PlatformUnavailableError:
             raise
         except PlatformError as error:
             raise WriteUncertainError(str(error)) from error
-        if status == HTTP_NOT_FOUND:
+        if reply.status == HTTP_NOT_FOUND:
             return Conflict(None)
-        stored = read_object(body)
-        return Conflict(stored) if status == HTTP_CONFLICT else Written(stored)
+        stored = read_object(reply.body, reply.epoch)
+        if reply.status == HTTP_CONFLICT:
+            return Conflict(stored)
+        if expected_revision and reply.epoch != epoch_of(expected_revision):
+            raise WriteUncertainError(f"the store was restored before {method} {path} took effect")
+        return Written(stored)
 
     async def call(
         self, method: str, path: str, wait_s: float = 0.0, data: bytes | None = None
-    ) -> tuple[int, bytes]:
-        """Make a call and return the status and the body; raise PlatformError."""
+    ) -> Reply:
+        """Make a call and return its reply; raise PlatformError."""
         self.calls += 1
         timeout = aiohttp.ClientTimeout(total=self.timeout_s + wait_s, sock_connect=self.timeout_s)
         headers = {"Content-Type": "application/json"} if data is not None else None
@@ -245,13 +292,36 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             self.record_outage(f"no answer: {error!r}")
             raise PlatformError(f"the platform did not answer: {error!r}") from error
+        epoch = self.read_epoch(response)
         if response.status in (HTTP_TOO_MANY, HTTP_UNAVAILABLE):
             self.record_outage(f"status {response.status}")
             raise PlatformUnavailableError(f"the platform answered {response.status}")
         if response.status not in (HTTP_OK, 201, HTTP_NOT_FOUND, HTTP_CONFLICT, HTTP_GONE):
             raise PlatformError(f"the platform answered {response.status} to {method} {path}")
         self.record_recovery()
-        return response.status, body
+        return Reply(response.status, body, epoch)
+
+    def read_epoch(self, response: aiohttp.ClientResponse) -> int:
+        """Return the epoch of an answer, the present one if it names none.
+
+        Raise PlatformError if it is from before the store was restored.
+        """
+        text = response.headers.get("Store-Era", "")
+        epoch = int(text) if text.isdigit() else self.epoch
+        if epoch < self.epoch:
+            raise PlatformError(f"answer of epoch {epoch}, the store is at epoch {self.epoch}")
+        self.advance_epoch(epoch)
+        return epoch
+
+    def advance_epoch(self, epoch: int) -> None:
+        """Take note of an epoch that the store or another router names."""
+        if epoch <= self.epoch:
+            return
+        previous, self.epoch = self.epoch, epoch
+        if previous:
+            log(Event.PLATFORM_RESTORED, address=self.address, epoch=epoch, previous=previous)
+            for call in self.on_restored:
+                call()
 
     def count_bytes(self, path: str, data: bytes | None, response, body: bytes) -> None:
         """Add the bytes sent and received in one call."""
@@ -289,16 +359,17 @@
         raise PlatformError(f"malformed body from the platform: {error}") from error
 
 
-def read_object(body: bytes) -> StoredObject:
-    """Decode an object; raise PlatformError if it is malformed."""
+def read_object(body: bytes, epoch: int) -> StoredObject:
+    """Decode an object of an epoch; raise PlatformError if it is malformed."""
     fields = decode(ObjectFields, body)
-    return StoredObject(fields.metadata.name, fields.metadata.revision, fields.spec, fields.status)
+    revision = combine(epoch, fields.metadata.revision)
+    return StoredObject(fields.metadata.name, revision, fields.spec, fields.status)
 
 
-def read_objects(items: list[msgspec.Raw]):
+def read_objects(items: list[msgspec.Raw], epoch: int):
     """Yield the well-formed objects; log the others."""
     for item in items:
         try:
-            yield read_object(item)
+            yield read_object(item, epoch)
         except PlatformError as error:
             log(Event.REGISTRATION_UNREADABLE, engine="?", fault=str(error))
--- /dev/null
+++ b/marjoramspool/store_versions.py
@@ -0,0 +1,26 @@
+"""Versions of the store's contents, which rise even if the store is restored from an older copy.
+
+Fault: the store comes back from a copy that is some seconds old. Its revision numbers go back and
+are given out a second time, for other contents. The store counts its restorations as an epoch; a
+version combines both, so that comparing two versions is right across restorations.
+"""
+
+__all__ = ["combine", "epoch_of", "revision_of"]
+
+# Versions below 8,192 epochs remain exact in JSON, where numbers have 53 bits.
+REVISION_BITS = 40
+
+
+def combine(epoch: int, revision: int) -> int:
+    """Return the version of a revision that the store gave out in an epoch."""
+    return (epoch << REVISION_BITS) | revision
+
+
+def epoch_of(version: int) -> int:
+    """Return the epoch of a version."""
+    return version >> REVISION_BITS
+
+
+def revision_of(version: int) -> int:
+    """Return the store's own revision number of a version."""
+    return version & ((1 << REVISION_BITS) - 1)
--- a/marjoramspool/store_watchers.py
+++ b/marjoramspool/store_watchers.py
@@ -18,6 +18,7 @@
     StoredObject,
 )
 from marjoramspool.routes import RouteTable
+from marjoramspool.store_versions import epoch_of
 
 __all__ = ["EngineWatcher", "RouteTableWatcher", "StoreWatcher", "WatchRole"]
 
@@ -125,8 +126,10 @@
 
 
 class RouteTableWatcher(StoreWatcher):
-    """Watcher of the route table, whose revision never decreases.
+    """Watcher of the route table, whose version never decreases.
 
+    Tables are ordered by the version that the operator gives them and not by the store's revision:
+    a store that is restored from a copy offers an older table under a newer revision.
     The table is the object `name` of `kind`; `decode` raises msgspec.MsgspecError if the object
     is malformed.
     """
@@ -148,6 +151,11 @@
         self.table_revision = 0
         self.spec = b""
 
+    @property
+    def table_version(self) -> int:
+        """Return the version of the current table, 0 if there is none."""
+        return self.table.version if self.table else 0
+
     def apply_listing(self, objects: list[StoredObject], revision: int) -> None:
         """Apply the route table of a listing."""
         for stored in objects:
@@ -161,13 +169,16 @@
 
     def apply_if_newer(self, revision: int, spec: bytes, source: str) -> bool:
         """Apply a route table if it is newer and valid; return whether it was applied."""
-        if revision <= self.table_revision:
+        if spec == self.spec:
+            self.table_revision = max(revision, self.table_revision)
             return False
         try:
             table = self.decode(msgspec.Raw(spec))
         except msgspec.MsgspecError as error:
             log(Event.ROUTES_INVALID, revision=revision, source=source, fault=str(error))
             return False
+        if table.version <= self.table_version:
+            return False
         self.table_revision = revision
         self.spec = spec
         self.table = table
@@ -204,8 +215,15 @@
             return None
         return self.recovered_at + RENEWAL_GRACE_S
 
+    def record_epoch(self, revision: int) -> None:
+        """Expect lost registrations if a revision is of a later epoch than the present list."""
+        if self.engines.revision and epoch_of(revision) > epoch_of(self.engines.revision):
+            self.recovered_at = now()
+            self.engines.record_restored()
+
     def apply_listing(self, objects: list[StoredObject], revision: int) -> None:
         """Apply a full listing of the registrations."""
+        self.record_epoch(revision)
         self.engines.revision = revision
         engines = filter(None, map(self.decode, objects))
         self.engines.replace_all(engines, self.renewal_deadline())
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's store: objects by kind and name, with watches and faults."""
 
 import asyncio
+import copy
 import time
 from collections import deque
 from dataclasses import dataclass
@@ -53,12 +54,24 @@
     is_removed: bool
 
 
+@dataclass(slots=True)
+class Snapshot:
+    """Copy of the store, from which it may be restored later."""
+
+    objects: dict[str, dict[str, Entry]]
+    revision: int
+
+
 class PlatformStandin:
-    """Object store with one revision counter for all kinds."""
+    """Object store with one revision counter for all kinds.
+
+    `era` counts the times that the store was restored from a copy; every response names it.
+    """
 
     def __init__(self, writes_per_s: float = 1e9):
         self.objects: dict[str, dict[str, Entry]] = {}
         self.revision = 1
+        self.era = 1
         self.history: list[Change] = []
         self.compacted_revision = 0
         self.changed = asyncio.Condition()
@@ -73,7 +86,8 @@
     def app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application(
-            client_max_size=MAX_VALUE_BYTES + 4096, middlewares=[self.apply_faults]
+            client_max_size=MAX_VALUE_BYTES + 4096,
+            middlewares=[self.name_era, self.apply_faults],
         )
         app.router.add_get(OBJECTS_PATH + "/{kind}", self.list_or_watch)
         app.router.add_post(OBJECTS_PATH + "/{kind}", self.create)
@@ -85,6 +99,28 @@
         self.faults.add_routes(app)
         return app
 
+    @web.middleware
+    async def name_era(self, request: web.Request, handler):
+        """Name the era in a response; one that is under way during a restoration keeps its own."""
+        era = self.era
+        response = await handler(request)
+        response.headers["Store-Era"] = str(era)
+        return response
+
+    def snapshot(self) -> Snapshot:
+        """Return a copy of the present contents."""
+        return Snapshot(copy.deepcopy(self.objects), self.revision)
+
+    async def restore(self, snapshot: Snapshot) -> None:
+        """Return to the contents of a copy; what was written since is gone."""
+        self.objects = copy.deepcopy(snapshot.objects)
+        self.revision = snapshot.revision
+        self.history = [c for c in self.history if c.revision <= snapshot.revision]
+        self.previous.clear()
+        self.era += 1
+        async with self.changed:
+            self.changed.notify_all()
+
     @web.middleware
     async def apply_faults(self, request: web.Request, handler):
         """Apply the armed faults; those for watches have a path that starts with /watch."""
@@ -146,15 +182,16 @@
         """Wait for changes of a kind."""
         self.calls["watch"] += 1
         kind, after = request.match_info["kind"], int(request.query["watch"])
-        if after < self.compacted_revision:
+        if after < self.compacted_revision or after > self.revision:
             return web.Response(status=410)
+        era = self.era
         wait_s = float(request.query.get("wait_ms", 0)) / 1000.0
         try:
             async with asyncio.timeout(wait_s), self.changed:
-                await self.changed.wait_for(lambda: self.changes(kind, after))
+                await self.changed.wait_for(lambda: self.era != era or self.changes(kind, after))
         except TimeoutError:
             pass
-        if after < self.compacted_revision:
+        if after < self.compacted_revision or self.era != era:
             return web.Response(status=410)
         events = [{"object": c.body, "removed": c.is_removed} for c in self.changes(kind, after)]
         return reply({"events": events, "at": self.revision})
