Keep documents, claims, leases and audit over a store that is restored

Cause: the product's own objects are in the same store, which may come back from an older copy: an accepted document reverted, a key claimed in the lost seconds was granted and run a second time, the holder of a lease before the last one took it back at once, and audit records were gone. Change: routers tell each other the epoch in probes (a new field). Documents whose history is a part of the active one's are not activated, and the active one is written again. A lease of an earlier epoch is not held until it is renewed; others wait for its whole duration. Audit batches are queued again. Not promised, and to be said in DESIGN: claims of a router that is gone by then; a write under a number given out twice whose sender does not know of the restoration.

--- a/marjoramspool/audit.py
+++ b/marjoramspool/audit.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from marjoramspool.engine_list import MAX_COPY_AGE_S
 from marjoramspool.storage import Platform, PlatformError, Written
 
 __all__ = ["KIND", "AuditLog", "Record", "Trail"]
@@ -30,14 +31,24 @@
 
 
 class AuditLog:
-    """Buffer of decisions, written in batches to bound the stored size and the write rate."""
+    """Buffer of decisions, written in batches to bound the stored size and the write rate.
 
-    __slots__ = ("pending", "platform", "router")
+    Recent batches are written again if the store is restored from a copy that may lack them.
+    """
+
+    __slots__ = ("pending", "platform", "recent", "router")
 
     def __init__(self, router: str, platform: Platform):
         self.router = router
         self.platform = platform
         self.pending: list[Record] = []
+        self.recent: list[Record] = []
+        platform.store.on_restored.append(self.handle_restored)
+
+    def handle_restored(self) -> None:
+        """Queue the records again that the store may have lost."""
+        oldest = time.time() - MAX_COPY_AGE_S - FLUSH_PERIOD_S
+        self.pending = [r for r in self.recent if r.when >= oldest] + self.pending
 
     def record(self, what: str, **details) -> None:
         """Add a decision to the next batch; drop the oldest if too many are pending."""
@@ -58,10 +69,12 @@
         try:
             stored = await self.platform.read(KIND, self.router)
             trail = msgspec.json.decode(stored.value, type=Trail) if stored.value else Trail([])
-            trail.records = (trail.records + batch)[-MAX_RECORDS:]
+            missing = [record for record in batch if record not in trail.records]
+            trail.records = (trail.records + missing)[-MAX_RECORDS:]
             text = msgspec.json.encode(trail).decode()
             written = await self.platform.write(KIND, self.router, text, stored.version)
         except PlatformError:
             return
         if isinstance(written, Written):
             del self.pending[: len(batch)]
+            self.recent = (self.recent + batch)[-MAX_RECORDS:]
--- a/marjoramspool/claims.py
+++ b/marjoramspool/claims.py
@@ -4,7 +4,7 @@
 import random
 import time
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -12,7 +12,17 @@
 
 from marjoramspool import hashing, ledger
 from marjoramspool.events import Event, log
-from marjoramspool.ledger import Entry, Operation, Release, Result, Segment, Shard, Take, Unsettled
+from marjoramspool.ledger import (
+    Entry,
+    Operation,
+    Release,
+    Result,
+    Segment,
+    Shard,
+    Take,
+    Unsettled,
+)
+from marjoramspool.recent_claims import RecentClaims
 from marjoramspool.storage import (
     Platform,
     PlatformError,
@@ -38,11 +48,19 @@
 
 @dataclass(slots=True)
 class PendingOperation:
-    """One operation that waits for its commit; `deadline` is a time of the event loop."""
+    """One operation that waits for its commit; `deadline` is a time of the event loop.
+
+    A claim that was requested in an earlier epoch of the store is not granted in a later one.
+    """
 
     operation: Operation
     deadline: float
     result: asyncio.Future
+    epoch: int = 0
+
+    def is_outdated(self, epoch: int) -> bool:
+        """Return whether this is a claim that the store's restoration has overtaken."""
+        return isinstance(self.operation, Take) and self.epoch not in (0, epoch)
 
 
 class ShardWriter:
@@ -76,7 +94,9 @@
     async def submit(self, operation: Operation, timeout_s: float) -> Result:
         """Commit one operation; return Unsettled if it is not confirmed within `timeout_s`."""
         loop = asyncio.get_running_loop()
-        pending = PendingOperation(operation, loop.time() + timeout_s, loop.create_future())
+        deadline = loop.time() + timeout_s
+        epoch = self.platform.epoch
+        pending = PendingOperation(operation, deadline, loop.create_future(), epoch)
         self.pending.append(pending)
         if isinstance(operation, Take):
             self.claim_pending.set()
@@ -164,6 +184,8 @@
         elif not is_fresh:
             return False
         for pending, result in zip(batch, results, strict=True):
+            if pending.is_outdated(self.platform.epoch):
+                result = Unsettled("the store was restored from an older copy meanwhile")
             resolve_all([pending], result)
         return True
 
@@ -239,6 +261,7 @@
         "forward",
         "platform",
         "preferred_router",
+        "recent",
         "retention_s",
         "shard_count",
         "writers",
@@ -259,23 +282,51 @@
         self.retention_s = retention_s
         self.writers: dict[str, ShardWriter] = {}
         self.background_tasks: set[asyncio.Task] = set()
+        self.recent = RecentClaims()
+        platform.store.on_restored.append(self.write_again)
+
+    def write_again(self) -> None:
+        """Write the recent claims of this router again, which the restored store may have lost."""
+        for operation in self.recent.begin_restoration():
+            self.start_background(self.commit_again(operation))
+
+    async def commit_again(self, operation: Operation) -> None:
+        """Commit an operation again, ahead of new claims; the local writer retries."""
+        result = await self.writer(operation.key).submit(operation, BACKGROUND_COMMIT_TIMEOUT_S)
+        if isinstance(result, Unsettled):
+            log(Event.CLAIM_UNSETTLED, key=operation.key, attempt=operation.attempt)
+
+    def writer(self, key: str) -> ShardWriter:
+        """Return the local writer of the shard that stores a key."""
+        name = self.shard_name(key)
+        if name not in self.writers:
+            self.writers[name] = ShardWriter(name, self.platform, self.retention_s)
+        return self.writers[name]
 
     def shard_name(self, key: str) -> str:
         """Return the name of the shard that stores a key."""
         return f"shard-{ledger.shard_index(key, self.shard_count)}"
 
     async def commit_locally(self, operation: Operation, timeout_s: float) -> Result:
-        """Commit an operation through the local shard writer."""
-        name = self.shard_name(operation.key)
-        if name not in self.writers:
-            self.writers[name] = ShardWriter(name, self.platform, self.retention_s)
-        return await self.writers[name].submit(operation, timeout_s)
+        """Commit an operation through the local shard writer.
+
+        No key is claimed until all routers have had the time to write their recent claims again.
+        """
+        if isinstance(operation, Take) and self.recent.is_restoring():
+            return Unsettled("the store was restored from an older copy; claims are written again")
+        return await self.writer(operation.key).submit(operation, timeout_s)
 
     async def commit(self, operation: Operation, timeout_s: float = COMMIT_TIMEOUT_S) -> Result:
         """Commit an operation through the preferred router, or locally if that cannot answer.
 
         Half of the timeout is reserved for the local commit.
         """
+        result = await self.commit_anywhere(operation, timeout_s)
+        self.recent.record(operation, result)
+        return result
+
+    async def commit_anywhere(self, operation: Operation, timeout_s: float) -> Result:
+        """Commit an operation as `commit` does, without keeping it in memory."""
         router = self.preferred_router(self.shard_name(operation.key))
         if router is not None:
             result = await self.forward(router, operation, timeout_s / 2)
@@ -290,7 +341,11 @@
 
     def commit_in_background(self, operation: Operation, delay_s: float = 0.0) -> None:
         """Commit an operation in a background task that retries through platform outages."""
-        task = asyncio.create_task(self.commit_with_retries(operation, delay_s))
+        self.start_background(self.commit_with_retries(operation, delay_s))
+
+    def start_background(self, work: Coroutine) -> None:
+        """Start work in the background, which `wait_for_background_tasks` includes."""
+        task = asyncio.create_task(work)
         self.background_tasks.add(task)
         task.add_done_callback(self.background_tasks.discard)
 
--- a/marjoramspool/configuration.py
+++ b/marjoramspool/configuration.py
@@ -9,6 +9,7 @@
 from marjoramspool import hashing
 from marjoramspool.document import Document, InvalidFileError, read_document
 from marjoramspool.events import Event, log
+from marjoramspool.store_versions import epoch_of
 
 __all__ = ["ActiveDocument", "Change", "Configuration", "DocumentBody", "encode_body"]
 
@@ -52,9 +53,13 @@
 
     Versions come from the store or from other routers. One that is not newer than every version
     seen before, valid or not, is ignored.
+
+    Fault: the store is restored from a copy that lacks the last changes. A document whose history
+    is a part of the active one's is such a copy: it is not activated, and `lost` keeps its version,
+    0 if the document is missing, so that the active document is written again.
     """
 
-    __slots__ = ("active", "changes", "faults", "is_complete", "seen_versions")
+    __slots__ = ("active", "changes", "faults", "is_complete", "lost", "seen_versions")
 
     def __init__(self):
         self.active: dict[str, ActiveDocument] = {}
@@ -62,6 +67,7 @@
         self.faults: dict[str, str] = {}
         self.changes: Subject = Subject()
         self.is_complete = False
+        self.lost: dict[str, int] = {}
 
     def document(self, name: str) -> Document | None:
         """Return the active document of a service, or None if it has none."""
@@ -79,6 +85,10 @@
         """
         if version <= self.seen_versions.get(name, 0):
             return False
+        if self.is_older_copy(name, version, body):
+            self.lost[name] = version if body is not None else 0
+            return False
+        self.lost.pop(name, None)
         self.seen_versions[name] = version
         document = None
         if body is not None:
@@ -92,6 +102,23 @@
         self.changes.on_next(name)
         return True
 
+    def is_older_copy(self, name: str, version: int, body: bytes | None) -> bool:
+        """Return whether a version of a later epoch lacks changes of the active document."""
+        active = self.active.get(name)
+        if active is None or active.document is None:
+            return False
+        if epoch_of(version) <= epoch_of(active.version):
+            return False
+        if body is None:
+            return True
+        try:
+            changes = msgspec.json.decode(body, type=DocumentBody).changes
+        except msgspec.MsgspecError:
+            # Whoever wrote this did so after the restoration; `validate` reports it.
+            return False
+        known = msgspec.json.decode(active.body, type=DocumentBody).changes
+        return len(changes) < len(known) and known[: len(changes)] == changes
+
     def validate(self, name: str, version: int, body: bytes) -> Document | None:
         """Return the document if it is valid, else record and log the error and return None."""
         try:
--- a/marjoramspool/document_watcher.py
+++ b/marjoramspool/document_watcher.py
@@ -6,9 +6,10 @@
 
 from marjoramspool import hashing
 from marjoramspool.configuration import KIND, Configuration
+from marjoramspool.events import Event, log
 from marjoramspool.membership import Membership
 from marjoramspool.peers.discovery import RouterSpec
-from marjoramspool.storage import Listing, Platform, PlatformError
+from marjoramspool.storage import Listing, Platform, PlatformError, Written
 
 __all__ = ["Watcher"]
 
@@ -89,6 +90,18 @@
             self.apply_deletions(listing)
         self.store_version = max(self.store_version, listing.version)
         self.configuration.is_complete = True
+        await self.write_lost_documents()
+
+    async def write_lost_documents(self) -> None:
+        """Write the active documents again that the store lost; raise PlatformError.
+
+        Another router may be first; its write then arrives as a newer version.
+        """
+        for name, version in list(self.configuration.lost.items()):
+            body = self.configuration.active[name].body.decode()
+            written = await self.platform.write(KIND, name, body, version)
+            log(Event.DOCUMENT_REWRITTEN, service=name, written=isinstance(written, Written))
+            self.configuration.lost.pop(name, None)
 
     def apply_deletions(self, listing: Listing) -> None:
         """Delete the active documents that are missing from a newer full listing."""
--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -21,6 +21,7 @@
     DOCUMENT_DELETED = (203, "warning", "a service document was deleted and its service removed")
     ROUTES_ADOPTED = (204, "info", "a newer version of the route table was applied")
     ROUTES_INVALID = (205, "error", "a route table is invalid; the last valid one stays in force")
+    DOCUMENT_REWRITTEN = (208, "warning", "a service document that the store lost is written again")
     SETTINGS_READ = (206, "info", "the settings file was reloaded")
     SETTINGS_INVALID = (207, "error", "changed settings are invalid; the last valid ones stay")
     PLATFORM_OUT = (301, "warning", "the platform does not respond; routing uses soft state")
--- a/marjoramspool/lease.py
+++ b/marjoramspool/lease.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from marjoramspool.storage import Platform, PlatformError, Written
+from marjoramspool.storage import Platform, PlatformError, StoredText, Written
+from marjoramspool.store_versions import combine, epoch_of
 
 __all__ = ["KIND", "Lease"]
 
@@ -26,11 +27,16 @@
 
     The holder counts the duration on a monotonic clock, from before it sent the renewal. Other
     routers wait for the whole duration after they last observed a change of the object.
+
+    Fault: the store is restored from a copy that forgot who took the lease last. A lease of an
+    earlier epoch is not held until its holder has renewed it, and whoever does not hold it waits
+    for the whole duration, whatever the copy says.
     """
 
     __slots__ = (
         "clock",
         "duration_s",
+        "epoch",
         "expires_at",
         "holder",
         "last_observed",
@@ -50,12 +56,15 @@
         self.clock = clock
         self.token = uuid.uuid4().hex
         self.version = 0
+        # Epoch of the store in which it was last known who holds the lease.
+        self.epoch = 0
         self.expires_at = 0.0
         self.last_observed: tuple[int, float] = (0, 0.0)
 
     def is_held(self, margin_s: float = 0.0) -> bool:
         """Return whether the lease is held now and for at least `margin_s` longer."""
-        return self.clock() + margin_s < self.expires_at
+        is_current = epoch_of(self.version) == self.platform.epoch
+        return is_current and self.clock() + margin_s < self.expires_at
 
     async def acquire_or_renew(self) -> bool:
         """Acquire or renew the lease, ignoring platform failures; return whether it is held."""
@@ -67,14 +76,10 @@
         """Acquire or renew the lease; raise PlatformError if the platform does not answer."""
         started_at = self.clock()
         stored = await self.platform.read(KIND, self.name)
-        record = None
-        if stored.value is not None:
-            record = msgspec.json.decode(stored.value, type=LeaseRecord)
-        is_own = record is not None and record.token == self.token
-        if not is_own:
+        if not self.may_write(stored):
             self.expires_at = 0.0
-            if record is not None and not self.is_expired(stored.version):
-                return
+            return
+        self.epoch = self.platform.epoch
         value = LeaseRecord(self.holder, self.token, time.time() + self.duration_s)
         text = msgspec.json.encode(value).decode()
         written = await self.platform.write(KIND, self.name, text, stored.version)
@@ -84,6 +89,18 @@
         else:
             self.expires_at = 0.0
 
+    def may_write(self, stored: StoredText) -> bool:
+        """Return whether this router may acquire or renew the lease that is stored."""
+        was_restored = self.epoch not in (0, self.platform.epoch)
+        if was_restored:
+            is_unexpired = self.clock() < self.expires_at
+            version = stored.version or combine(self.platform.epoch, 0)
+            return is_unexpired or self.is_expired(version)
+        if stored.value is None:
+            return True
+        record = msgspec.json.decode(stored.value, type=LeaseRecord)
+        return record.token == self.token or self.is_expired(stored.version)
+
     def is_expired(self, version: int) -> bool:
         """Return whether another router's lease has not changed for more than the duration."""
         now = self.clock()
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -109,7 +109,12 @@
             self.longest_claim_retention_s,
         )
         self.gossip = Gossip(
-            self.membership, self.configuration, self.targets, self.links, timings.probe_timeout_s
+            self.membership,
+            self.configuration,
+            self.targets,
+            self.links,
+            self.platform,
+            timings.probe_timeout_s,
         )
         self.watcher = Watcher(
             self.platform,
--- a/marjoramspool/routers/gossip.py
+++ b/marjoramspool/routers/gossip.py
@@ -8,6 +8,7 @@
 from marjoramspool.routers import peers_pb2 as pb
 from marjoramspool.routers.convert import decode_member, encode_member
 from marjoramspool.routers.links import Links
+from marjoramspool.storage import Platform
 from marjoramspool.targets import Targets
 
 __all__ = ["Gossip"]
@@ -31,6 +32,7 @@
         "last_full_sync",
         "links",
         "membership",
+        "platform",
         "targets",
         "tasks",
         "timeout_s",
@@ -42,8 +44,10 @@
         configuration: Configuration,
         targets: Targets,
         links: Links,
+        platform: Platform,
         timeout_s: float,
     ):
+        self.platform = platform
         self.membership = membership
         self.configuration = configuration
         self.targets = targets
@@ -62,6 +66,7 @@
             leaving=self.drain_reports(),
             versions_digest=self.configuration.versions_digest(),
             members_digest=self.membership.digest(),
+            store_epoch=self.platform.epoch,
         )
 
     def drain_reports(self) -> list[pb.Evidence]:
@@ -81,6 +86,7 @@
         reply = await self.links.probe(address, self.probe_request(versions), self.timeout_s)
         if reply is None:
             return False
+        self.platform.store.advance_epoch(reply.store_epoch)
         self.merge_members(reply.members)
         self.record_drain_reports(reply.leaving)
         peer_versions = decode_versions(reply.versions)
@@ -115,6 +121,7 @@
         sender = decode_member(request.sender)
         known = self.membership.members.get(sender.name)
         self.membership.merge(sender)
+        self.platform.store.advance_epoch(request.store_epoch)
         self.merge_members(request.members)
         self.record_drain_reports(request.leaving)
         self.schedule_fetch(sender.address, decode_versions(request.versions))
@@ -132,6 +139,7 @@
             leaving=self.drain_reports(),
             versions_digest=self.configuration.versions_digest(),
             members_digest=self.membership.digest(),
+            store_epoch=self.platform.epoch,
         )
 
     def allow_full_sync(self) -> bool:
--- a/marjoramspool/storage.py
+++ b/marjoramspool/storage.py
@@ -88,6 +88,11 @@
         """Return the number of calls made."""
         return self.store.calls
 
+    @property
+    def epoch(self) -> int:
+        """Return the highest epoch of the store that is known, 0 if none is."""
+        return self.store.epoch
+
     @property
     def bytes(self) -> int:
         """Return the bytes sent and received in all calls."""
