Compare few engines for a request in a large service

Cause: a placement built a candidate for each engine and then sorted them, looked for copy sources at all of them and built the list of usable engines anew. Ruled out: the least loaded engines alone (all routers see the same ones); a sample by request (a subject's cache is not found again). Change: above 64 engines a request compares those that hold the deepest part of its prompt and a window of 32 that follow the part's hash on a ring; all engines only if none of these has room. The bound uses the mean of the whole service. An index from parts to holders serves this and the copies. Services up to 64 engines are compared whole, as before.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -19,15 +19,21 @@
 from marjoramspool.admission_messages import AdmissionRequest, EngineView
 from marjoramspool.bounded_placement import BoundedLoad, Holder
 from marjoramspool.cell import Cell
+from marjoramspool.clock import now
 from marjoramspool.configuration import Configuration, encode_body
+from marjoramspool.engine_list import Engine, EngineList
+from marjoramspool.engine_selector import EngineSelector
 from marjoramspool.ledger import Finish, Shard, Take, apply_operation
 from marjoramspool.membership import Member, Membership
 from marjoramspool.operators.client import OperatorClient
+from marjoramspool.prompts import Part, Prompt
 from marjoramspool.ranking import Rankings
+from marjoramspool.requests import RoutedRequest
 from marjoramspool.routers import peers_pb2 as pb
 from marjoramspool.routers import peers_pb2_grpc as rpc
 from marjoramspool.routers.link import Link, channel_options
 from marjoramspool.routers.server import RoutersServer, start_server
+from marjoramspool.routes import EngineCapacity, Route, RouteKind, RouteTable, Service
 from marjoramspool.targets import Targets
 
 __all__ = [
@@ -249,4 +255,28 @@
         "member_bytes": retained_bytes(lambda: membership_of(1300)) / 1300,
         "versions_digest_us_23": microseconds(lambda _: small.versions_digest(), 200),
     }
+    slopes |= {f"placement_us_{count}_engines": selection_us(count) for count in (10, 100, 1000)}
     return slopes | measure_ledger_slopes()
+
+
+def selection_us(engine_count: int) -> float:
+    """Return the time of a whole placement on the platform, in microseconds."""
+    engines = EngineList()
+    engines.replace_all(
+        Engine(f"i-{n}", "s", f"1.1.1.1:{n}", "z", 64, False, 1) for n in range(engine_count)
+    )
+    table = RouteTable(1, services={"s": Service("s", EngineCapacity(64, 600_000))})
+    selector = EngineSelector("z", engines, lambda: table)
+    route = Route("r", "h", "/", RouteKind.STREAMING, (), 30.0, 1.0, 1, 2, False, True, 10.0)
+
+    def place(number: int) -> None:
+        parts = (Part(1, 500), Part(number % 97 + 2, 2000), Part(10**6 + number, 50))
+        prompt = Prompt("m", 2550, 10, parts)
+        deadline = now() + 30.0
+        request = RoutedRequest(
+            f"q{number}", route, "s", None, "POST", "/", [], b"", now(), deadline, prompt
+        )
+        with selector.place(request, set()):
+            pass
+
+    return microseconds(place, 500)
--- a/marjoramspool/cost_placement.py
+++ b/marjoramspool/cost_placement.py
@@ -64,12 +64,16 @@
     key: int,
     prompt_tokens: int,
     unreported: UnreportedLoad = NO_UNREPORTED_LOAD,
+    mean_requests: float | None = None,
 ) -> Choice | None:
-    """Return the engine where a request costs least; None if there is none.
+    """Return the engine where a request costs least; None if there is none below the load bound.
 
-    `key` is the hash of the prompt part that the request shares with others.
+    `key` is the hash of the prompt part that the request shares with others, `mean_requests` the
+    mean load of the service if the candidates are not all of its engines.
     """
-    bound = requests_bound(candidates)
+    if mean_requests is None:
+        mean_requests = mean_load(candidates)
+    bound = LOAD_BOUND_FACTOR * mean_requests + LOAD_BOUND_EXTRA_REQUESTS
     below_bound = [candidate for candidate in candidates if candidate.load.requests <= bound]
     if not below_bound:
         return None
@@ -93,12 +97,11 @@
     return (cost, name)
 
 
-def requests_bound(candidates: list[Candidate]) -> float:
-    """Return the bound on an engine's requests that keeps its load near the mean."""
+def mean_load(candidates: list[Candidate]) -> float:
+    """Return the mean number of requests at the candidates, 0 if there are none."""
     if not candidates:
         return 0.0
-    mean = sum(candidate.load.requests for candidate in candidates) / len(candidates)
-    return LOAD_BOUND_FACTOR * mean + LOAD_BOUND_EXTRA_REQUESTS
+    return sum(candidate.load.requests for candidate in candidates) / len(candidates)
 
 
 def cost_tokens(candidate: Candidate, prompt_tokens: int) -> int:
--- a/marjoramspool/engine_list.py
+++ b/marjoramspool/engine_list.py
@@ -57,6 +57,7 @@
         "reassigned",
         "revision",
         "stale_until",
+        "usable_by_service",
     )
 
     def __init__(self, clock: Callable[[], float] = now):
@@ -71,6 +72,8 @@
         self.departures: dict[tuple[str, int], float] = {}
         # Incarnations whose registration, back from a copy, says nothing before a time.
         self.stale_until: dict[tuple[str, int], float] = {}
+        # Result of `usable`, kept until the list changes.
+        self.usable_by_service: dict[str, list[Engine]] = {}
         self.in_grace_period: dict[str, tuple[Engine, float]] = {}
         self.revision = 0
         self.cached_digest: int | None = None
@@ -83,15 +86,22 @@
             self.cached_digest = hashing.digest(",".join(names)) & 0xFFFFFFFF
         return self.cached_digest
 
+    def forget_results(self) -> None:
+        """Forget the results that are kept until the list changes."""
+        self.cached_digest = None
+        self.usable_by_service.clear()
+
     def register(self, engine: Engine) -> None:
         """Add or replace a registration."""
         self.pending_renewal.pop(engine.id, None)
         previous = self.engines.get(engine.id)
         if previous and previous.started_ms != engine.started_ms:
             self.notify_removed(previous)
-        self.in_grace_period.pop(engine.id, None)
+        unlisted, _ = self.in_grace_period.pop(engine.id, (None, 0.0))
+        if unlisted and unlisted.started_ms != engine.started_ms:
+            self.notify_removed(unlisted)
         self.engines[engine.id] = engine
-        self.cached_digest = None
+        self.forget_results()
         if previous is None or previous.is_draining != engine.is_draining:
             log(
                 Event.ENGINE_LISTED,
@@ -126,7 +136,7 @@
         self.reassigned.discard((engine.id, engine.started_ms))
         if self.engines.pop(engine.id, None) is None:
             return
-        self.cached_digest = None
+        self.forget_results()
         self.record_departure(engine)
         log(Event.ENGINE_UNLISTED, engine=engine.id, address=engine.address, revision=self.revision)
         if engine.is_draining:
@@ -159,6 +169,7 @@
             for key, unlisted_at in self.departures.items()
             if now_s - unlisted_at <= MAX_COPY_AGE_S
         }
+        self.usable_by_service.clear()
 
     def is_stale(self, engine: Engine) -> bool:
         """Return whether the registration of an engine may be one that a copy brought back."""
@@ -180,6 +191,7 @@
             if len(self.announced) >= MAX_ANNOUNCEMENTS:
                 del self.announced[next(iter(self.announced))]
         self.announced[key] = self.announced.get(key, False) or source is None
+        self.usable_by_service.clear()
 
     def is_draining(self, engine: Engine) -> bool:
         """Return whether an engine drains, by its registration or its own announcement."""
@@ -197,6 +209,7 @@
         """Record that an engine's address belongs to another engine or incarnation."""
         if (engine.id, engine.started_ms) not in self.reassigned:
             self.reassigned.add((engine.id, engine.started_ms))
+            self.usable_by_service.clear()
             log(Event.ENGINE_UNLISTED, engine=engine.id, address=engine.address, displaced=True)
 
     def expire(self) -> None:
@@ -205,25 +218,45 @@
         for name in [name for name, until in self.pending_renewal.items() if until <= now_s]:
             self.unlist(self.engines[name])
 
-    def serving(self, service: str) -> list[Engine]:
-        """Return the engines of a service that still serve, also those that get no new requests."""
+    def expire_grace_periods(self) -> None:
+        """Remove the engines whose grace period after their registration is over."""
         now_s = self.clock()
         for engine, until in list(self.in_grace_period.values()):
             if until <= now_s:
                 del self.in_grace_period[engine.id]
                 self.notify_removed(engine)
-        in_grace_period = [engine for engine, _ in self.in_grace_period.values()]
-        return [e for e in [*self.engines.values(), *in_grace_period] if e.service == service]
 
     def usable(self, service: str) -> list[Engine]:
-        """Return the engines of a service that may get new requests."""
+        """Return the engines of a service that may get new requests; do not modify the list.
+
+        The same list is returned until the engines change.
+        """
         if self.pending_renewal:
             self.expire()
-        return [
-            engine
-            for engine in self.engines.values()
-            if engine.service == service
-            and not self.is_draining(engine)
-            and not self.is_stale(engine)
-            and (engine.id, engine.started_ms) not in self.reassigned
-        ]
+        if self.stale_until and max(self.stale_until.values()) <= self.clock():
+            self.stale_until.clear()
+            self.usable_by_service.clear()
+        if service not in self.usable_by_service:
+            self.usable_by_service[service] = self.find_usable(service)
+        return self.usable_by_service[service]
+
+    def find(self, key: tuple[str, int]) -> Engine | None:
+        """Return an incarnation that still serves, None if it does not."""
+        engine = self.engines.get(key[0])
+        if engine is None and key[0] in self.in_grace_period:
+            engine, until = self.in_grace_period[key[0]]
+            if until <= self.clock():
+                return None
+        return engine if engine and engine.started_ms == key[1] else None
+
+    def find_usable(self, service: str) -> list[Engine]:
+        """Return the engines of a service that may get new requests, from the whole list."""
+        return [e for e in self.engines.values() if e.service == service and self.is_usable(e)]
+
+    def is_usable(self, engine: Engine) -> bool:
+        """Return whether a listed engine may get new requests."""
+        return not (
+            self.is_draining(engine)
+            or self.is_stale(engine)
+            or (engine.id, engine.started_ms) in self.reassigned
+        )
--- a/marjoramspool/engine_loads.py
+++ b/marjoramspool/engine_loads.py
@@ -76,6 +76,11 @@
         if not total.requests and not total.prefill_tokens:
             del self.reported_totals[engine]
 
+    def requests(self, engine: str) -> int:
+        """Return the requests at an engine, summed over all routers."""
+        local = self.local.get(engine, NO_LOAD)
+        return local.requests + self.reported_totals.get(engine, NO_LOAD).requests
+
     def total(self, engine: str) -> Load:
         """Return the load of an engine, summed over all routers."""
         local = self.local.get(engine, NO_LOAD)
--- a/marjoramspool/engine_pauses.py
+++ b/marjoramspool/engine_pauses.py
@@ -36,6 +36,8 @@
 
     def record(self, engine: Engine, pause_s: float) -> None:
         """Record that an engine wants no requests for `pause_s` seconds; it never shortens one."""
+        now_s = self.clock()
+        self.until = {key: until for key, until in self.until.items() if until > now_s}
         key = (engine.id, engine.started_ms)
         self.until[key] = max(self.until.get(key, 0.0), self.clock() + pause_s)
         log(Event.ENGINE_PAUSED, engine=engine.id, pause_s=round(pause_s, 3))
@@ -54,6 +56,8 @@
 
         `draw`, 0 to 1, spreads the return of the callers.
         """
+        if not self.until:
+            return None
         remaining = [self.remaining_s(engine) for engine in engines]
         if not remaining or min(remaining) <= 0.0:
             return None
--- a/marjoramspool/engine_selector.py
+++ b/marjoramspool/engine_selector.py
@@ -4,6 +4,7 @@
 
 from marjoramspool import hashing
 from marjoramspool.cache_sources import Holder, select_cache_source
+from marjoramspool.candidate_engines import MAX_COMPARED_ENGINES, EngineRing
 from marjoramspool.clock import now
 from marjoramspool.cost_placement import (
     REQUEST_COST_TOKENS,
@@ -31,6 +32,10 @@
 CACHE_MEMORY_FRACTION = 0.7
 # The request rate of a hot part is as old as the reported loads, so the report age counts twice.
 HOT_PART_AGE_FACTOR = 2
+# The mean load of a large service is computed again after this time.
+MEAN_LOAD_AGE_S = 0.1
+# More engines than this hold only parts that nearly all prompts share.
+MAX_HOLDERS = 32
 
 
 class Placement:
@@ -92,6 +97,7 @@
         "engines",
         "hot_parts",
         "loads",
+        "mean_loads",
         "on_placed",
         "on_reverted",
         "other_routers",
@@ -99,6 +105,7 @@
         "pauses",
         "prefill_rates",
         "report_age_s",
+        "rings",
         "sent_rates",
         "shared_parts",
         "table",
@@ -117,6 +124,10 @@
         self.prefill_rates: dict[str, PrefillRate] = {}
         self.sent_rates: dict[str, WorkRate] = {}
         self.hot_parts = HotParts()
+        # The ring of each large service, with the list of engines that it was made of.
+        self.rings: dict[str, tuple[list[Engine], EngineRing]] = {}
+        # The mean requests at the engines of each large service, and when it was computed.
+        self.mean_loads: dict[str, tuple[float, float]] = {}
         # Mean age of the load reports of other routers, in seconds.
         self.report_age_s: Callable[[], float] = lambda: 0.0
         # Number of other routers that send requests.
@@ -159,21 +170,13 @@
         serving = self.engines.usable(request.service)
         if all_paused := self.pauses.all_paused(serving, hashing.fraction(request.id)):
             return all_paused
-        usable = [e for e in serving if e.id not in exclude and not self.pauses.is_paused(e)]
-        not_ejected = self.outliers.exclude_ejected(engine.id for engine in usable)
-        by_id = {engine.id: engine for engine in usable if engine.id in not_ejected}
         prompt = request.prompt
         parts = self.shared_parts.select_shareable(prompt, request.id) if prompt else ()
         tokens = prompt.input_tokens if prompt else 0
-        key = hashing.digest(str(prompt.shared_part_id) if prompt else request.id)
-        candidates = [self.candidate(e, parts) for e in by_id.values()]
-        most_cached = max((c.cached_tokens for c in candidates), default=0)
-        for candidate in candidates:
-            candidate.cached_elsewhere_tokens = most_cached - candidate.cached_tokens
-        choice = choose_engine(candidates, key, tokens, self.unreported_load(request))
+        choice = self.choose(request, serving, exclude, parts)
         if choice is None:
             return None
-        engine = by_id[choice.engine.name]
+        engine = self.engines.engines[choice.engine.name]
         prefill_tokens = max(0, tokens - choice.engine.cached_tokens)
         rank = queue_rank(prefill_tokens, request.priority)
         is_new = not exclude and request.after_event is None
@@ -190,8 +193,82 @@
             call(engine, parts)
         return Placement(engine, self.loads, prefill_tokens, choice, rank, cache_source, new_parts)
 
-    def unreported_load(self, request: RoutedRequest) -> UnreportedLoad:
-        """Return the unreported load, assuming that all routers send as much as this one."""
+    def choose(
+        self,
+        request: RoutedRequest,
+        serving: list[Engine],
+        exclude: set[str],
+        parts: tuple[Part, ...],
+    ) -> Choice | None:
+        """Return the best engine for a request; None if none is usable.
+
+        In a large service a few engines are compared, and all only if none of them has room.
+        """
+        prompt = request.prompt
+        key = hashing.digest(str(prompt.shared_part_id) if prompt else request.id)
+        if len(serving) > MAX_COMPARED_ENGINES:
+            window = self.ring(request.service, serving).window(key, self.usable_holders(parts))
+            mean = self.mean_requests(request.service, serving)
+            share = len(window) / len(serving)
+            choice = self.choose_among(window, request, exclude, parts, key, share, mean)
+            if choice is not None:
+                return choice
+        return self.choose_among(serving, request, exclude, parts, key)
+
+    def usable_holders(self, parts: tuple[Part, ...]) -> list[Engine]:
+        """Return the usable engines that have the most of a chain of parts cached."""
+        listed = self.engines.engines
+        return [
+            engine
+            for name, started_ms in self.caches.deepest_holders(parts)[:MAX_HOLDERS]
+            if (engine := listed.get(name))
+            and engine.started_ms == started_ms
+            and self.engines.is_usable(engine)
+        ]
+
+    def choose_among(
+        self,
+        engines: list[Engine],
+        request: RoutedRequest,
+        exclude: set[str],
+        parts: tuple[Part, ...],
+        key: int,
+        share: float = 1.0,
+        mean_requests: float | None = None,
+    ) -> Choice | None:
+        """Return the best of some engines, which are a `share` of the service's."""
+        usable = [e for e in engines if e.id not in exclude and not self.pauses.is_paused(e)]
+        not_ejected = self.outliers.exclude_ejected(engine.id for engine in usable)
+        candidates = [self.candidate(e, parts) for e in usable if e.id in not_ejected]
+        most_cached = max((c.cached_tokens for c in candidates), default=0)
+        for candidate in candidates:
+            candidate.cached_elsewhere_tokens = most_cached - candidate.cached_tokens
+        tokens = request.prompt.input_tokens if request.prompt else 0
+        unreported = self.unreported_load(request, share)
+        return choose_engine(candidates, key, tokens, unreported, mean_requests)
+
+    def ring(self, service: str, engines: list[Engine]) -> EngineRing:
+        """Return the ring of a service, made anew when its engines have changed."""
+        made_of, ring = self.rings.get(service, (None, None))
+        if made_of is not engines:
+            ring = EngineRing(engines)
+            self.rings[service] = (engines, ring)
+        return ring
+
+    def mean_requests(self, service: str, engines: list[Engine]) -> float:
+        """Return the mean load of a service's engines, at most `MEAN_LOAD_AGE_S` old."""
+        now_s = now()
+        mean, computed_at = self.mean_loads.get(service, (0.0, -MEAN_LOAD_AGE_S))
+        if now_s - computed_at >= MEAN_LOAD_AGE_S:
+            mean = sum(self.loads.requests(engine.id) for engine in engines) / len(engines)
+            self.mean_loads[service] = (mean, now_s)
+        return mean
+
+    def unreported_load(self, request: RoutedRequest, share: float = 1.0) -> UnreportedLoad:
+        """Return the unreported load, assuming that all routers send as much as this one.
+
+        The work for the service is that at a `share` of its engines.
+        """
         sent = self.sent_rates.setdefault(request.service, WorkRate())
         requests_per_s = (
             self.hot_parts.rate_per_s(request.prompt.shared_part_id) if request.prompt else 0.0
@@ -200,7 +277,7 @@
         draw = hashing.fraction(request.id)
         others = self.other_routers()
         return UnreportedLoad(
-            sent.rate_per_s() * others * report_age_s,
+            sent.rate_per_s() * others * report_age_s * share,
             requests_per_s * HOT_PART_AGE_FACTOR * report_age_s,
             draw,
         )
@@ -239,11 +316,13 @@
 
         An engine that fails requests is eligible, since it still serves its cache to others.
         """
+        self.engines.expire_grace_periods()
         holders = [
             Holder(other, tokens, self.engines.is_draining(other))
-            for other in self.engines.serving(engine.service)
-            if (tokens := self.caches.cached_tokens((other.id, other.started_ms), parts))
-            > cached_tokens
+            for key in self.caches.holders_beyond(parts, cached_tokens)
+            if (other := self.engines.find(key))
+            and (tokens := self.caches.cached_tokens(key, parts)) > cached_tokens
+            and other.service == engine.service
             and other.id != engine.id
             and not self.outliers.is_refusing_connections(other.id)
         ]
