Soak: a store that comes back from a copy, engines that announce and that ask for a pause

Cause: the new promises need faults of their own from outside the processes. Change: three kinds of faults and two invariants, each violated on purpose by a test. Seeds below 10,000 draw from the earlier kinds, so that seeds which failed once stay what they were.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,13 @@
 # recover.
 GAPS_S = (0.05, 0.3, 1.0, 2.5, 5.0)
 DURATIONS_S = (0.5, 1.5, 3.0)
+# Seeds below this one draw from the kinds that existed when they were first played.
+FIRST_SEED_OF_ALL_KINDS = 10_000
+# The store returns from a copy this old, and what was written since is written again after a delay.
+COPY_AGE_S = 2.0
+REWRITE_DELAY_S = 0.5
+STALE_REGISTRATION_S = 3.0
+PAUSE_S = 1.2
 ENGINE_FAULTS = ("shed", "error", "reset", "cut", "extra", "foreign", "bare", "unframed-cut")
 STORE_FAULTS = ("outage", "silent", "slow", "lose-reply")
 
@@ -38,10 +45,11 @@
     """Return the faults of a seed in the order of their start times."""
     rng = random.Random(seed)
     faults, start_s = [], 1.0
+    kinds = sorted(
+        FAULT_KINDS if seed >= FIRST_SEED_OF_ALL_KINDS else FAULT_KINDS.keys() - NEW_KINDS
+    )
     while start_s < length_s:
-        (kind,) = rng.choices(
-            sorted(FAULT_KINDS), [KIND_WEIGHTS.get(kind, 1) for kind in sorted(FAULT_KINDS)]
-        )
+        (kind,) = rng.choices(kinds, [KIND_WEIGHTS.get(kind, 1) for kind in kinds])
         variant = rng.choice(VARIANTS.get(kind, ("",)))
         faults.append(
             ScheduledFault(
@@ -173,6 +181,60 @@
     fleet.platform.store.compact_history()
 
 
+async def restore_store(fleet: Fleet, fault: ScheduledFault) -> None:
+    """Take the store away for a moment and bring it back from an older copy.
+
+    The operator and the engines write what they wrote since again; the store removes the
+    registrations of engines that are gone.
+    """
+    store = fleet.platform.store
+    snapshot = store.snapshot()
+    await asyncio.sleep(COPY_AGE_S)
+    fleet.history.record_disturbance(None, time.monotonic(), fault.duration_s, "store restored")
+    outage = Fault("outage", times=-1)
+    store.faults.arm(outage)
+    await asyncio.sleep(fault.duration_s)
+    written = {kind: dict(store.objects.get(kind, {})) for kind in ("config", "servers")}
+    await store.restore(snapshot)
+    store.faults.armed.remove(outage)
+    await asyncio.sleep(REWRITE_DELAY_S)
+    for kind, entries in written.items():
+        present = store.objects.get(kind, {})
+        for name, entry in entries.items():
+            if name not in present or present[name].spec != entry.spec:
+                await fleet.platform.put(kind, name, entry.spec)
+    await asyncio.sleep(STALE_REGISTRATION_S)
+    for name in store.objects.get("servers", {}).keys() - written["servers"].keys():
+        if name in fleet.history.drain_starts:
+            await fleet.platform.remove_object("servers", name)
+
+
+async def announce_departure(fleet: Fleet, fault: ScheduledFault) -> None:
+    """Start an engine and have another announce its departure in its answers, then remove it."""
+    engine = select_engine(fleet, fault)
+    if engine.is_leaving:
+        return
+    await fleet.add_engine(engine.service)
+    engine.is_leaving = True
+    await asyncio.sleep(fault.duration_s)
+    if engine.id in fleet.history.drain_starts:
+        return
+    await fleet.register(engine, state="draining", sequence=2)
+    fleet.history.drain_starts[engine.id] = time.monotonic()
+    await asyncio.sleep(DRAIN_S)
+    if engine.id in fleet.platform.store.objects["servers"]:
+        await fleet.platform.remove_object("servers", engine.id)
+
+
+async def ask_for_pause(fleet: Fleet, fault: ScheduledFault) -> None:
+    """Have an engine refuse all requests and ask for a pause."""
+    engine = select_engine(fleet, fault)
+    fleet.history.record_engine_disturbance(time.monotonic(), fault.duration_s, "pause")
+    engine.retry_after_s = PAUSE_S
+    await asyncio.sleep(fault.duration_s)
+    engine.retry_after_s = None
+
+
 async def write_desired_states(fleet: Fleet, fault: ScheduledFault) -> None:
     """Write one to four desired states, 0.1 s apart."""
     for _ in range(1 + fault.random_value % 4):
@@ -212,9 +274,20 @@
     "forget history": discard_store_history,
     "change state": write_desired_states,
     "revoke key": replace_key,
+    "restore store": restore_store,
+    "announce departure": announce_departure,
+    "ask for pause": ask_for_pause,
 }
+NEW_KINDS = {"restore store", "announce departure", "ask for pause"}
 # Kinds with many variants are drawn more often.
-KIND_WEIGHTS = {"fail engine": 4, "cut engine": 2, "replace engine": 4}
+KIND_WEIGHTS = {
+    "fail engine": 4,
+    "cut engine": 2,
+    "replace engine": 4,
+    "restore store": 3,
+    "announce departure": 3,
+    "ask for pause": 3,
+}
 LINK_MODES = tuple(mode.value for mode in Mode if mode is not Mode.OPEN)
 VARIANTS = {
     "cut store": LINK_MODES,
--- a/soak/history.py
+++ b/soak/history.py
@@ -84,6 +84,16 @@
         disturbance = Disturbance(None, since, since + duration_s, what, is_engines=True)
         self.disturbances.append(disturbance)
 
+    def is_running(self, router: int, since: float, until: float) -> bool:
+        """Return whether a router was neither paused nor restarted in the interval."""
+        return not any(
+            d.router == router
+            and not d.what.startswith("store")
+            and d.since <= until
+            and d.until >= since
+            for d in self.disturbances
+        )
+
     def is_undisturbed(self, router: int, since: float, until: float) -> bool:
         """Return whether no fault affected the router itself in the interval."""
         return not any(
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from soak.history import ConfigurationChange, History, Sent, Violation
+from standins.platform_engine import Arrival
 
 __all__ = ["STREAM_EVENTS", "check"]
 
@@ -23,6 +24,8 @@
 MAX_OVERLOADED_SHARE = 0.03
 MIN_OVERLOADED_ARRIVALS = 20
 MIN_RECOVERED_SHARE = 0.9
+PAUSE_DELAY_S = 0.5
+MAX_ARRIVALS_IN_PAUSE = 2
 MIN_RECOVERY_REQUESTS = 10
 
 
@@ -38,6 +41,8 @@
         *check_runs(history, runs),
         *check_refusals(history, runs),
         *check_draining(history),
+        *check_announcements(history),
+        *check_pauses(history),
         *check_planned_stops(history, arrivals),
         *check_configuration(history),
         *check_configuration_order(history),
@@ -100,6 +105,44 @@
                 )
 
 
+def arrivals_by_router(history: History) -> Iterator[tuple[str, int, list[tuple[Sent, Arrival]]]]:
+    """Yield, for each engine and router, the requests that arrived, in order."""
+    by_id = {sent.id: sent for sent in history.requests}
+    for engine in history.platform.engines:
+        by_router = defaultdict(list)
+        for arrival in engine.arrivals:
+            if arrival.id in by_id:
+                by_router[by_id[arrival.id].router].append((by_id[arrival.id], arrival))
+        for router, arrivals in by_router.items():
+            yield engine.id, router, arrivals
+
+
+def check_announcements(history: History) -> Iterator[Violation]:
+    """Check that a router which passed on an engine's announcement sends it no new work."""
+    for engine, router, arrivals in arrivals_by_router(history):
+        announced_at = next((a.at for _, a in arrivals if a.has_announced), None)
+        if announced_at is None:
+            continue
+        for sent, arrival in arrivals:
+            is_late = sent.sent > announced_at + DRAIN_DELAY_S
+            if is_late and history.is_running(router, announced_at, arrival.at):
+                yield Violation(
+                    "announced departures",
+                    f"{engine} got {arrival.id} {sent.sent - announced_at:.2f} s after it said so",
+                )
+
+
+def check_pauses(history: History) -> Iterator[Violation]:
+    """Check that a router leaves an engine alone for as long as its refusal asks."""
+    for engine, router, arrivals in arrivals_by_router(history):
+        for _, refused in arrivals:
+            since, until = refused.at + PAUSE_DELAY_S, refused.at + refused.pause_s
+            count = sum(since < arrival.at < until for _, arrival in arrivals)
+            if count > MAX_ARRIVALS_IN_PAUSE and history.is_running(router, refused.at, until):
+                yield Violation("pauses", f"{engine} got {count} requests in a pause of {router}")
+                break
+
+
 def check_planned_stops(history: History, arrivals: Counter) -> Iterator[Violation]:
     """Check that planned stops cut off no request that had reached an engine."""
     stops = [d for d in history.disturbances if d.is_planned]
--- a/soak/tests/test_invariants.py
+++ b/soak/tests/test_invariants.py
@@ -37,6 +37,7 @@
     """Record that a request reached an engine."""
     arrival = Arrival(name, "POST", "/", {}, b"", has_run, at=at, running_before=beside)
     history.platform.engines[engine].arrivals.append(arrival)
+    return arrival
 
 
 def violated(history):
@@ -86,6 +87,25 @@
     assert violated(history) == {"draining engines"}
 
 
+def test_new_work_after_an_announced_departure_is_a_violation(history):
+    ask(history, "first", at=97.0)
+    arrive(history, "first", at=97.0).has_announced = True
+    ask(history)
+    arrive(history)
+    assert violated(history) == {"announced departures"}
+    history.record_disturbance(0, 98.0, 0.5, "kill")
+    assert not violated(history)
+
+
+def test_work_for_an_engine_that_asked_for_a_pause_is_a_violation(history):
+    ask(history, "first", at=97.0)
+    arrive(history, "first", at=97.0).pause_s = 5.0
+    for number in range(3):
+        ask(history, f"later-{number}")
+        arrive(history, f"later-{number}")
+    assert violated(history) == {"pauses"}
+
+
 def test_request_cut_off_by_a_planned_stop_is_a_violation_but_not_by_a_kill(history):
     sent = ask(history, status=None)
     sent.body = None
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -31,6 +31,9 @@
     at: float = field(default_factory=time.monotonic)
     # Requests in flight at the engine when this one arrived.
     running_before: int = 0
+    # Whether the answer said that the engine leaves, and the pause that it asked for.
+    has_announced: bool = False
+    pause_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -134,7 +137,9 @@
         if arrival.headers.get("x-expect-instance", self.id) != self.id:
             writer.write(self.head(421, arrival.id, 0, **{"X-Instance-Id": self.id}))
             return True
+        arrival.has_announced = self.is_leaving
         if self.retry_after_s is not None:
+            arrival.pause_s = self.retry_after_s
             notice = {"X-Not-Executed": "1", "Retry-After": f"{self.retry_after_s}"}
             writer.write(self.head(503, arrival.id, 0, **notice))
             return True
