Renew silent watches before the store counts as stable; one watch for a large fleet

The store went silent just after all five routers had renewed their watches; each waited 3 s and 1 s more, so that a desired state written meanwhile came into force 4 s later, where routers count as in touch again after 3 s. Traced from the logs: each watch began at 165.28 s and failed at 169.28 s. Beside it: in fleets above 12 routers four routers each repeated their watch at every change, most of the calls to the store. Ruled out: shorter waits alone, which cost calls on small fleets. Change: a watch waits 2.2 s and is given up 0.6 s later. In large fleets one router watches; the three others poll once a second and take over in rank.

--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -139,7 +139,8 @@
         if self.directory.local_address in relays.select_store_watchers(
             self.directory, self.is_store_available
         ):
-            return WatchRole.DESIGNATED
+            is_first = relays.is_first_store_watcher(self.directory, self.is_store_available)
+            return WatchRole.DESIGNATED if is_first else WatchRole.STANDBY
         return WatchRole.PASSIVE
 
     def peer_fetch_delay_s(self) -> float:
--- a/marjoramspool/peers/relays.py
+++ b/marjoramspool/peers/relays.py
@@ -12,6 +12,7 @@
 __all__ = [
     "MAX_FULL_MESH_ROUTERS",
     "RelayMonitor",
+    "is_first_store_watcher",
     "is_full_mesh",
     "may_fetch_afar",
     "other_domain_relays",
@@ -111,5 +112,17 @@
     present[directory.local_address] = has_store
     if is_full_mesh(directory):
         return set(present)
+    return set(rank_store_watchers(present)[:MAX_STORE_WATCHERS])
+
+
+def is_first_store_watcher(directory: Directory, has_store: bool) -> bool:
+    """Return whether this router ranks first among those that watch the store."""
+    present = {peer.address: peer.has_store for peer in directory.presumed_live_peers()}
+    present[directory.local_address] = has_store
+    return rank_store_watchers(present)[0] == directory.local_address
+
+
+def rank_store_watchers(present: dict[str, bool]) -> list[str]:
+    """Return the routers, each with whether it reaches the store, in the order to watch it."""
     with_store = [address for address, has_store_access in present.items() if has_store_access]
-    return set(hashing.rank(MAX_STORE_WATCHERS, with_store or present)[:MAX_STORE_WATCHERS])
+    return hashing.rank(MAX_STORE_WATCHERS, with_store or present)
--- a/marjoramspool/platform/store.py
+++ b/marjoramspool/platform/store.py
@@ -30,6 +30,8 @@
 
 PATH = "/marjoramspool/objects"
 MS_PER_S = 1000.0
+# A watch that returns this much later than asked has gone silent.
+WATCH_SLACK_S = 0.6
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
@@ -211,7 +213,7 @@
         if epoch != self.epoch:
             raise gone
         query = f"watch={revision_of(revision)}&wait_ms={int(wait_s * MS_PER_S)}"
-        reply = await self.call("GET", f"{PATH}/{kind}?{query}", wait_s)
+        reply = await self.call("GET", f"{PATH}/{kind}?{query}", wait_s + WATCH_SLACK_S)
         if reply.status == HTTP_GONE or reply.epoch != epoch:
             raise gone
         fields = decode(WatchFields, reply.body)
@@ -274,11 +276,16 @@
         return Written(stored)
 
     async def call(
-        self, method: str, path: str, wait_s: float = 0.0, data: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        timeout_s: float | None = None,
+        data: bytes | None = None,
     ) -> Reply:
-        """Make a call and return its reply; raise PlatformError."""
+        """Make a call, with the client's timeout if none is given; raise PlatformError."""
         self.calls += 1
-        timeout = aiohttp.ClientTimeout(total=self.timeout_s + wait_s, sock_connect=self.timeout_s)
+        total_s = self.timeout_s if timeout_s is None else timeout_s
+        timeout = aiohttp.ClientTimeout(total=total_s, sock_connect=self.timeout_s)
         headers = {"Content-Type": "application/json"} if data is not None else None
         try:
             async with self.session.request(
--- a/marjoramspool/store_watchers.py
+++ b/marjoramspool/store_watchers.py
@@ -23,10 +23,12 @@
 __all__ = ["EngineWatcher", "RouteTableWatcher", "StoreWatcher", "WatchRole"]
 
 # A watch may stall without an error, possibly on all routers simultaneously, and is then
-# renewed after this time.
-WATCH_TIMEOUT_S = 3.0
+# renewed after this time and the slack of the store's client: within 3 s of its stall.
+WATCH_TIMEOUT_S = 2.2
 # Other routers depend on these watches, so a stalled one must be detected sooner.
 DESIGNATED_WATCH_TIMEOUT_S = 1.0
+# A standby's poll costs one call, however many changes there were.
+STANDBY_PERIOD_S = 1.0
 PASSIVE_CHECK_PERIOD_S = 0.15
 CATCH_UP_TIMEOUT_S = 0.001
 INITIAL_BACKOFF_S = 0.1
@@ -40,14 +42,15 @@
 class WatchRole(enum.Enum):
     """Role of a router in watching the store.
 
-    In a small fleet all routers watch independently. In a larger one a few designated routers
-    watch for the fleet; passive ones only list the objects once, then fetch newer state from
-    other routers.
+    In a small fleet all routers watch independently. In a larger one a designated router watches
+    for the fleet, and a few standbys poll for changes in case its watch stalls; passive ones only
+    list the objects once, then fetch newer state from other routers.
     """
 
     INDEPENDENT = 1
     DESIGNATED = 2
     PASSIVE = 3
+    STANDBY = 4
 
 
 class StoreWatcher:
@@ -97,6 +100,8 @@
             for change in changes:
                 self.apply_change(change)
             self.revision = max(self.revision, revision)
+            if self.watch_role() is WatchRole.STANDBY:
+                await asyncio.sleep(STANDBY_PERIOD_S)
 
     def max_backoff_s(self) -> float:
         """Return the longest backoff between calls during an outage."""
@@ -104,11 +109,12 @@
 
     def watch_timeout_s(self) -> float:
         """Return how long the store may keep a watch open without a change."""
-        return (
-            WATCH_TIMEOUT_S
-            if self.watch_role() is WatchRole.INDEPENDENT
-            else DESIGNATED_WATCH_TIMEOUT_S
-        )
+        match self.watch_role():
+            case WatchRole.INDEPENDENT:
+                return WATCH_TIMEOUT_S
+            case WatchRole.STANDBY:
+                return CATCH_UP_TIMEOUT_S
+        return DESIGNATED_WATCH_TIMEOUT_S
 
     def record_store_answer(self) -> None:
         """Record that the store answered, and the time of recovery if it had failed."""
