End streams that stall and trickle

Ruled out: a limit on the whole stream (it cuts slow sound ones); a timer for each read (dear). Change: only a complete event with data ends the idle time; time in which the caller keeps the stream waiting does not count.

--- a/marjoramspool/engines/stream.py
+++ b/marjoramspool/engines/stream.py
@@ -64,14 +64,18 @@
 class IdleTimer:
     """Idle timeout of a stream, with one timer for all reads.
 
-    A new timeout for each read would cost more than the rest of forwarding the stream.
+    A new timeout for each read would cost more than the rest of forwarding the stream. Only a
+    complete event with data ends the idle time: a stalled engine may go on to send a byte or a
+    comment now and then. Time in which the caller keeps the stream waiting does not count.
     """
 
-    __slots__ = ("content", "handle", "idle_timeout_s", "loop", "read_started_at")
+    __slots__ = ("content", "handle", "idle_s", "idle_timeout_s", "loop", "read_started_at")
 
     def __init__(self, content: aiohttp.StreamReader, idle_timeout_s: float):
         self.content = content
         self.idle_timeout_s = idle_timeout_s
+        # Time spent in finished reads since the last event.
+        self.idle_s = 0.0
         self.loop = asyncio.get_running_loop()
         self.read_started_at: float | None = None
         self.handle: asyncio.TimerHandle | None = None
@@ -89,16 +93,21 @@
 
     def end_read(self) -> None:
         """Record the end of a read."""
+        self.idle_s += self.loop.time() - self.read_started_at
         self.read_started_at = None
 
+    def record_event(self) -> None:
+        """Record that an event is complete."""
+        self.idle_s = 0.0
+
     def check(self) -> None:
-        """Fail a read that exceeded the idle timeout, else schedule the next check."""
+        """Fail the stream if it exceeded the idle timeout, else schedule the next check."""
         now = self.loop.time()
-        started_at = self.read_started_at if self.read_started_at is not None else now
-        remaining_s = started_at + self.idle_timeout_s - now
+        reading_s = now - self.read_started_at if self.read_started_at is not None else 0.0
+        remaining_s = self.idle_timeout_s - self.idle_s - reading_s
         if remaining_s <= 0:
             self.content.set_exception(
-                IdleTimeoutError(f"no data received for {self.idle_timeout_s:g} s")
+                IdleTimeoutError(f"no event received for {self.idle_timeout_s:g} s")
             )
         else:
             self.handle = self.loop.call_later(remaining_s, self.check)
@@ -111,7 +120,7 @@
     """Yield the events of a stream.
 
     Raise IncompleteStreamError if the stream breaks off or an event exceeds the size limit, and
-    IdleTimeoutError if no data is received within the idle timeout.
+    IdleTimeoutError if no event is received within the idle timeout.
     """
     remainder = b""
     with IdleTimer(content, idle_timeout_s) as timer:
@@ -131,6 +140,7 @@
             for raw in complete:
                 event = parse_event(raw)
                 if event:
+                    timer.record_event()
                     yield event
 
 
