Keep the reports of this router in a module of their own

Change: own_reports makes and numbers the reports; load_broadcast sends, relays and applies them. No behaviour changed.

--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -111,7 +111,7 @@
             self.selector,
             self.state_sync,
             self.sessions,
-            self.load_broadcast.queue_listing,
+            self.load_broadcast.own.queue_listing,
             lambda: self.discovery.is_settled,
         )
         self.startup_wait = StartupWait(lambda: self.has_initial_state)
--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -1,10 +1,8 @@
 """Broadcast of loads and cache updates to the other routers by UDP datagrams."""
 
 import asyncio
-import random
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
 
 import msgspec
 
@@ -17,17 +15,14 @@
 from marjoramspool.peers.load_sums import subtract_loads
 from marjoramspool.peers.messages import (
     CacheUpdate,
-    CacheUpdateKind,
     DomainLoads,
-    EngineLoadReport,
     FleetLoads,
-    IncludedReport,
     ReportBatch,
     RouterReport,
     decode_datagram,
     encode,
-    incarnation_id,
 )
+from marjoramspool.peers.own_reports import OwnReports, StateVersions, incarnation_id_of
 from marjoramspool.peers.report_relay import OwnReport, ReportRelay, take_updates
 from marjoramspool.peers.state_transfer import apply_cache_update
 from marjoramspool.prompts import Part
@@ -43,53 +38,30 @@
 MAX_PERIOD_S = 0.36
 # Sums that are not renewed for this long are dropped, so that a lost relay leaves no loads behind.
 SUM_TIMEOUT_S = 2.0
-# Own loads are kept for this many reports, to subtract them from sums that include them.
-MAX_SENT_LOADS = 40
 # Mean age of a load report on arrival: a number of periods plus the network delay.
 FULL_MESH_AGE_PERIODS = 0.5
 RELAYED_AGE_PERIODS = 2
 NETWORK_DELAY_S = 0.01
-# An unchanged report is resent this often as a heartbeat.
-HEARTBEAT_PERIOD_S = 0.4
 # Reports go this often to routers from which no heartbeats arrive.
 REDISCOVERY_PERIOD_S = 1.0
-MAX_UPDATES_PER_REPORT = 10
-MAX_PARTS_PER_UPDATE = 100
 MAX_REPORTS_PER_BATCH = 12
 
 
-@dataclass(slots=True, frozen=True)
-class StateVersions:
-    """Versions of a router's route table and engine list, and whether it reaches the store."""
-
-    table_revision: int
-    engines_revision: int
-    engines_digest: int
-    has_store: bool
-    table_version: int = 0
-
-
 class LoadBroadcast(asyncio.DatagramProtocol):
     """Sends the reports of this router, applies those of its peers and relays reports."""
 
     __slots__ = (
-        "boot_id",
         "directory",
         "engines_by_incarnation",
         "known_digest",
-        "last_content",
         "live_count",
+        "own",
         "port",
-        "queued_updates",
         "rediscovery_sent_at",
         "rejoin_sent_at",
         "relay_monitor",
         "relay",
         "selector",
-        "sent_at",
-        "sent_loads",
-        "sequence_number",
-        "state_versions",
         "sum_sequence_number",
         "summed_at",
         "summed_by",
@@ -107,10 +79,7 @@
         self.directory = directory
         self.relay_monitor = relays.RelayMonitor(directory)
         self.selector = selector
-        self.state_versions = state_versions
-        self.boot_id = random.getrandbits(32)
-        self.sequence_number = 0
-        self.queued_updates: list[CacheUpdate] = []
+        self.own = OwnReports(directory, selector, state_versions)
         self.relay = ReportRelay(directory.domain, directory.clock)
         # Number of live peers at the last report.
         self.live_count = 0
@@ -118,18 +87,15 @@
         self.summed_by: tuple | None = None
         self.summed_at = 0.0
         self.sum_sequence_number = 0
-        self.sent_loads: dict[int, tuple[EngineLoadReport, ...]] = {}
-        self.last_content: tuple = ()
         self.engines_by_incarnation: dict[int, Engine] = {}
         self.known_digest: int | None = None
-        self.sent_at = 0.0
         self.rediscovery_sent_at = 0.0
         self.rejoin_sent_at = 0.0
         self.transport: asyncio.DatagramTransport | None = None
         selector.report_age_s = self.report_age_s
         selector.other_routers = lambda: self.live_count
-        selector.on_placed.append(self.queue_prefill)
-        selector.on_reverted.append(self.queue_retraction)
+        selector.on_placed.append(self.own.queue_prefill)
+        selector.on_reverted.append(self.own.queue_retraction)
         directory.on_dead.append(self.discard_reports)
 
     def report_age_s(self) -> float:
@@ -171,24 +137,6 @@
     def error_received(self, exc: OSError) -> None:
         """Ignore an unreachable router; its missing heartbeats are detected."""
 
-    def queue_prefill(self, engine: Engine, parts: tuple[Part, ...]) -> None:
-        """Queue the parts that an engine was sent to prefill."""
-        self.queued_updates.append(CacheUpdate(incarnation_id_of(engine), encode_parts(parts)))
-
-    def queue_retraction(self, engine: Engine, parts: tuple[Part, ...]) -> None:
-        """Queue the retraction of an earlier prefill update."""
-        self.queued_updates.append(
-            CacheUpdate(incarnation_id_of(engine), encode_parts(parts), CacheUpdateKind.RETRACTED)
-        )
-
-    def queue_listing(self, engine: Engine, parts: tuple[Part, ...]) -> None:
-        """Queue the cached parts of an engine, split so that reports fit a datagram."""
-        for start in range(0, len(parts), MAX_PARTS_PER_UPDATE):
-            encoded = encode_parts(parts[start : start + MAX_PARTS_PER_UPDATE])
-            self.queued_updates.append(
-                CacheUpdate(incarnation_id_of(engine), encoded, CacheUpdateKind.LISTED)
-            )
-
     async def run(self) -> None:
         """Report periodically to the other routers, and expire dead ones."""
         while True:
@@ -198,7 +146,7 @@
 
     def send_report(self) -> None:
         """Send changes, or a heartbeat when it is due; as a relay, forward queued reports."""
-        report = self.next_report()
+        report = self.own.next_report()
         self.live_count = len(self.directory.live_peers())
         if relays.is_full_mesh(self.directory):
             if report:
@@ -221,49 +169,6 @@
         self.forward_heartbeats(report)
         self.forward_sums(report.cache_updates if report else ())
 
-    def next_report(self) -> RouterReport | None:
-        """Return the report to send now, None if nothing has changed and no heartbeat is due."""
-        now_s = self.directory.clock()
-        state_versions = self.state_versions()
-        loads = tuple(
-            EngineLoadReport(incarnation_id_of(engine), load.requests, load.prefill_tokens)
-            for name, load in sorted(self.selector.loads.local.items())
-            if (engine := self.selector.engines.engines.get(name))
-        )
-        unreachable = tuple(
-            incarnation_id_of(engine)
-            for name in sorted(self.selector.outliers.unreachable())
-            if (engine := self.selector.engines.engines.get(name))
-        )
-        leaving = tuple(map(incarnation_id_of, self.selector.engines.locally_announced()))
-        content = (loads, state_versions, unreachable, leaving)
-        is_unchanged = content == self.last_content and not self.queued_updates
-        if is_unchanged and now_s - self.sent_at < HEARTBEAT_PERIOD_S:
-            return None
-        self.sent_at = now_s
-        self.last_content = content
-        self.sequence_number += 1
-        self.sent_loads[self.sequence_number] = loads
-        self.sent_loads.pop(self.sequence_number - MAX_SENT_LOADS, None)
-        cache_updates = tuple(self.queued_updates[:MAX_UPDATES_PER_REPORT])
-        del self.queued_updates[:MAX_UPDATES_PER_REPORT]
-        return RouterReport(
-            self.directory.local_address,
-            self.directory.domain,
-            self.boot_id,
-            self.sequence_number,
-            self.directory.link_mbps,
-            state_versions.table_revision,
-            state_versions.engines_revision,
-            state_versions.engines_digest,
-            state_versions.has_store,
-            loads,
-            cache_updates,
-            unreachable,
-            leaving,
-            state_versions.table_version,
-        )
-
     def forward_heartbeats(self, report: RouterReport | None) -> None:
         """Forward heartbeats of this failure domain to the other relays, all to the domain."""
         reports = self.relay.take_heartbeats()
@@ -283,9 +188,9 @@
         own = OwnReport(
             self.directory.local_address,
             self.directory.domain,
-            self.boot_id,
+            self.own.boot_id,
             self.sum_sequence_number,
-            self.sent_loads.get(self.sequence_number, ()),
+            self.own.last_loads(),
         )
         member_updates = own_updates + take_updates(self.relay.member_updates)
         for message in self.relay.domain_messages(own, member_updates):
@@ -393,19 +298,10 @@
             report.incarnation_id: Load(report.requests, report.prefill_tokens)
             for report in message.loads
         }
-        subtract_loads(loads, self.own_included_loads(message.included))
+        subtract_loads(loads, self.own.included_loads(message.included))
         source = (message.address, message.boot_id, message.parts)
         self.use_sums(source, message.part, loads)
 
-    def own_included_loads(
-        self, included: tuple[IncludedReport, ...]
-    ) -> tuple[EngineLoadReport, ...]:
-        """Return the loads of this router's own report that a sum includes."""
-        for report in included:
-            if report.boot_id == self.boot_id:
-                return self.sent_loads.get(report.sequence_number, ())
-        return ()
-
     def apply_report(self, report: RouterReport, is_relayed: bool) -> None:
         """Apply the report of a router, and keep it for forwarding in a fleet with relays."""
         if report.address == self.directory.local_address:
@@ -468,13 +364,3 @@
             engines = self.selector.engines.engines.values()
             self.engines_by_incarnation = {incarnation_id_of(engine): engine for engine in engines}
         return self.engines_by_incarnation.get(incarnation)
-
-
-def incarnation_id_of(engine: Engine) -> int:
-    """Return the incarnation id of an engine."""
-    return incarnation_id(engine.id, engine.started_ms)
-
-
-def encode_parts(parts: tuple[Part, ...]) -> tuple[tuple[int, int], ...]:
-    """Return parts as pairs of id and tokens."""
-    return tuple((part.id, part.tokens) for part in parts)
--- a/marjoramspool/peers/tests/test_load_broadcast.py
+++ b/marjoramspool/peers/tests/test_load_broadcast.py
@@ -83,7 +83,7 @@
     for _ in range(count):
         clock.now += step_s
         for router in routers:
-            router.sent_at = 0.0
+            router.own.sent_at = 0.0
             router.send_report()
         network.deliver()
 
@@ -141,7 +141,7 @@
         assert relays.select_store_watchers(router.directory, True) == first
     for router in routers:
         if router.directory.local_address in first:
-            router.state_versions = lambda: StateVersions(1, 1, 1, False)
+            router.own.state_versions = lambda: StateVersions(1, 1, 1, False)
     run_rounds(network, clock, routers, 5)
     others = relays.select_store_watchers(
         routers[0].directory, routers[0].directory.local_address not in first
@@ -186,9 +186,9 @@
 
 def test_reports_fit_a_datagram():
     network, clock, (one, _) = make_fleet(2)
-    one.queue_listing(ENGINE, tuple(Part(2**32 - n, 30_000) for n in range(1500)))
+    one.own.queue_listing(ENGINE, tuple(Part(2**32 - n, 30_000) for n in range(1500)))
     sizes = []
-    while one.queued_updates:
+    while one.own.queued_updates:
         clock.now += 0.5
         one.send_report()
         sizes += [len(data) for _, data, _ in network.queue]
--- a/marjoramspool/peers/tests/test_load_sums.py
+++ b/marjoramspool/peers/tests/test_load_sums.py
@@ -92,10 +92,10 @@
     member = members_of(routers, "zone-1")[0]
     member.selector.loads.begin(ENGINE.id, 10)
     run_rounds(network, clock, routers, 4, RELAYED_PERIOD_S)
-    member.boot_id += 1
-    member.sequence_number = 0
-    member.sent_loads.clear()
-    member.last_content = ()
+    member.own.boot_id += 1
+    member.own.sequence_number = 0
+    member.own.sent_loads.clear()
+    member.own.last_content = ()
     run_rounds(network, clock, routers, 4, RELAYED_PERIOD_S)
     assert all(others_load(r) == (0 if r is member else 1) for r in routers)
 
@@ -147,7 +147,7 @@
 
     monkeypatch.setattr("marjoramspool.peers.load_broadcast.apply_cache_update", count)
     sender = members_of(routers, "zone-1")[0]
-    sender.queue_prefill(ENGINE, (Part(1, 10),))
+    sender.own.queue_prefill(ENGINE, (Part(1, 10),))
     run_rounds(network, clock, routers, 4, RELAYED_PERIOD_S)
     assert seen.pop(id(sender.selector)) <= 1
     assert set(seen.values()) <= {1, 2}
