Run the test files in parallel

Ruled out: shorter waits or fewer cases, which would weaken checks. Change: three workers by file; each chooses its ports from a range of its own.

--- a/bench/ports.py
+++ b/bench/ports.py
@@ -9,10 +9,19 @@
 FIRST_PORT = 10_000
 PORT_COUNT = 20_000
 OFFSET_PER_PROCESS = 97
+# Test processes that run in parallel must not choose the same port at the same time.
+PORTS_PER_WORKER = 5_000
+
+
+def first_offset() -> int:
+    """Return where this process starts to look, by its number among parallel test processes."""
+    worker = os.environ.get("PYTEST_XDIST_WORKER", "").removeprefix("gw")
+    return int(worker) * PORTS_PER_WORKER if worker else os.getpid() * OFFSET_PER_PROCESS
+
 
 # The ports lie below the kernel's range for outgoing connections, which could take a port between
 # its choice and its use.
-offsets = itertools.count(os.getpid() * OFFSET_PER_PROCESS)
+offsets = itertools.count(first_offset())
 
 
 def free_ports(count: int) -> list[int]:
--- a/bench/run_tests.py
+++ b/bench/run_tests.py
@@ -7,6 +7,8 @@
 
 __all__ = ["listed_tests", "main"]
 
+# Test files run in parallel; more workers would disturb the tests that measure time.
+PARALLEL_ARGUMENTS = ("-n", "3", "--dist", "loadfile")
 KNOWN_RED_PATH = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
@@ -26,7 +28,8 @@
         )
         pytest.main(["--tb=line", *known_failures])
         print("KNOWN-RED, listed in KNOWN-RED.txt: " + ", ".join(known_failures), flush=True)
-    code = pytest.main([argument for test in known_failures for argument in ("--deselect", test)])
+    deselected = [argument for test in known_failures for argument in ("--deselect", test)]
+    code = pytest.main([*PARALLEL_ARGUMENTS, *deselected])
     sys.exit(int(code))
 
 
