--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -250,10 +250,11 @@
         return [peer.address for peer in self.directory.peers.values() if peer.domain == domain]
 
     def recipients(self, relay: str | None = None) -> list[str]:
-        """Return where to send a report: to the relay, or to all live peers in a full mesh.
+        """Return where to send a report: to the relay, or in a full mesh to the peers.
 
-        Once per `REDISCOVERY_PERIOD_S`, this includes the relays of the other domains, or peers
-        that are not live.
+        These include peers presumed live. Routers that start together have not heard from each
+        other yet, and each would list again what is not sent to it. Once per
+        `REDISCOVERY_PERIOD_S`, the relays of the other domains are included, or peers not live.
         """
         now_s = self.directory.clock()
         if now_s - self.rediscovery_sent_at >= REDISCOVERY_PERIOD_S:
@@ -261,7 +262,9 @@
             if relay is None:
                 return list(self.directory.peers)
             return list({relay, *relays.other_domain_relays(self.directory)})
-        return [relay] if relay else [peer.address for peer in self.directory.live_peers()]
+        if relay:
+            return [relay]
+        return [peer.address for peer in self.directory.presumed_live_peers()]
 
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Apply the reports in a datagram."""
--- a/marjoramspool/peers/tests/test_load_broadcast.py
+++ b/marjoramspool/peers/tests/test_load_broadcast.py
@@ -253,6 +253,16 @@
     assert sum(engine.lists for engine in site.engines) <= 2 * 3
 
 
+def test_a_listing_reaches_routers_that_have_not_been_heard_yet():
+    network, clock, (one, *others) = make_fleet(3)
+    one.send_report()
+    network.queue.clear()
+    clock.now += 0.1
+    one.own.queue_listing(ENGINE, (Part(7, 700),))
+    one.send_report()
+    assert {to for to, _, _ in network.queue} == {r.directory.local_address for r in others}
+
+
 def test_relay_queue_stays_bounded():
     network, clock, routers = make_fleet(40)
     run_rounds(network, clock, routers, 20)
