Count a lease on a clock that includes suspension

Ruled out: nothing else; the lease was the one permission that did not use the project's clock. Change: leases use clock.now, as all else does. Figures: a new test fails before and passes.

--- a/marjoramspool/engines/tests/test_orders.py
+++ b/marjoramspool/engines/tests/test_orders.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 
 import pytest
 
@@ -112,6 +113,16 @@
     return leases, clocks
 
 
+async def test_lease_is_lost_while_the_host_is_suspended(fleet, monkeypatch):
+    """The clock of timers stands still while a host is suspended; other routers' clocks run on."""
+    async with Platform(f"127.0.0.1:{fleet.platform_port}", 0.5, 100.0) as platform:
+        lease = Lease("orders", "first", 5.0, platform)
+        assert await lease.acquire_or_renew()
+        real = time.clock_gettime
+        monkeypatch.setattr(time, "clock_gettime", lambda clock: real(clock) + 6.0)
+        assert not lease.is_held()
+
+
 async def test_lease_is_taken_over_only_after_unchanged_duration(fleet):
     async with Platform(f"127.0.0.1:{fleet.platform_port}", 1.0, 1000) as platform:
         (one, two), (_, clock) = await make_lease_pair(fleet, platform)
--- a/marjoramspool/lease.py
+++ b/marjoramspool/lease.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from marjoramspool.clock import now
 from marjoramspool.storage import Platform, PlatformError, StoredText, Written
 from marjoramspool.store_versions import combine, epoch_of
 
@@ -25,7 +26,8 @@
 class Lease:
     """Lease that one router at a time holds for a bounded duration.
 
-    The holder counts the duration on a monotonic clock, from before it sent the renewal. Other
+    The holder counts the duration from before it sent the renewal, on a clock that includes time
+    in which its host was suspended. Other
     routers wait for the whole duration after they last observed a change of the object.
 
     Fault: the store is restored from a copy that forgot who took the lease last. A lease of an
@@ -46,9 +48,7 @@
         "version",
     )
 
-    def __init__(
-        self, name: str, holder: str, duration_s: float, platform: Platform, clock=time.monotonic
-    ):
+    def __init__(self, name: str, holder: str, duration_s: float, platform: Platform, clock=now):
         self.name = name
         self.holder = holder
         self.duration_s = duration_s
@@ -103,11 +103,11 @@
 
     def is_expired(self, version: int) -> bool:
         """Return whether another router's lease has not changed for more than the duration."""
-        now = self.clock()
+        now_s = self.clock()
         if self.last_observed[0] != version:
-            self.last_observed = (version, now)
+            self.last_observed = (version, now_s)
             return False
-        return now - self.last_observed[1] > self.duration_s
+        return now_s - self.last_observed[1] > self.duration_s
 
     async def release(self) -> None:
         """Delete the lease if it is held, so that another router can acquire it without waiting."""
