Take only holders of the service itself into a window

Cause: from reading the diff: the index from parts to holders spans services, so that an engine of another service with the same part would have been a candidate.

--- a/marjoramspool/engine_selector.py
+++ b/marjoramspool/engine_selector.py
@@ -207,7 +207,8 @@
         prompt = request.prompt
         key = hashing.digest(str(prompt.shared_part_id) if prompt else request.id)
         if len(serving) > MAX_COMPARED_ENGINES:
-            window = self.ring(request.service, serving).window(key, self.usable_holders(parts))
+            holders = self.usable_holders(request.service, parts)
+            window = self.ring(request.service, serving).window(key, holders)
             mean = self.mean_requests(request.service, serving)
             share = len(window) / len(serving)
             choice = self.choose_among(window, request, exclude, parts, key, share, mean)
@@ -215,14 +216,15 @@
                 return choice
         return self.choose_among(serving, request, exclude, parts, key)
 
-    def usable_holders(self, parts: tuple[Part, ...]) -> list[Engine]:
-        """Return the usable engines that have the most of a chain of parts cached."""
+    def usable_holders(self, service: str, parts: tuple[Part, ...]) -> list[Engine]:
+        """Return the usable engines of a service that have the most of a chain of parts cached."""
         listed = self.engines.engines
         return [
             engine
             for name, started_ms in self.caches.deepest_holders(parts)[:MAX_HOLDERS]
             if (engine := listed.get(name))
             and engine.started_ms == started_ms
+            and engine.service == service
             and self.engines.is_usable(engine)
         ]
 
