Drop old sums of loads also in a full mesh

Change: old sums are dropped before each report, whatever the topology. Figures: a new test fails before and passes.

--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -152,6 +152,7 @@
         """Send changes, or a heartbeat when it is due; as a relay, forward queued reports."""
         report = self.own.next_report()
         self.live_count = len(self.directory.live_peers())
+        self.drop_old_sums()
         if relays.is_full_mesh(self.directory):
             if report:
                 self.send(encode(report), self.recipients())
@@ -166,7 +167,6 @@
         if not is_relay:
             # The current relay forwards these.
             self.relay.clear()
-            self.drop_old_sums()
             if report:
                 self.send(encode(report), self.recipients(relay))
             return
--- a/marjoramspool/peers/tests/test_load_sums.py
+++ b/marjoramspool/peers/tests/test_load_sums.py
@@ -166,3 +166,18 @@
         received += sum(to == address for to, _, _ in network.queue)
         network.deliver()
     assert received / 3 <= 2 / period_s + 2
+
+
+def test_a_fleet_that_shrinks_to_a_full_mesh_uses_single_reports_again():
+    network, clock, routers = make_fleet(13)
+    for router in routers:
+        router.selector.loads.begin(ENGINE.id, 10)
+    run_rounds(network, clock, routers, 6, RELAYED_PERIOD_S)
+    assert all(others_load(router) == 12 for router in routers)
+    gone, kept = routers[:5], routers[5:]
+    for router in kept:
+        for other in gone:
+            del router.directory.peers[other.directory.local_address]
+            router.directory.presumed_at = None
+    run_rounds(network, clock, kept, 30, RELAYED_PERIOD_S)
+    assert all(others_load(router) == 7 for router in kept)
