Let a router that hears no store watcher poll the store itself (CONFIG)

Cause: above 12 routers all but four learn of a new table from the others alone. Heartbeats that pass relays count for 4 s, so a router that was cut off from the others, and not from the store, took over no sooner; one that could fetch from nobody never did. Class: a replica that trusts a liveness signal whose timeout is longer than the promised time. Ruled out: the restored store in a fleet with relays (its test passed before), both ends of watchers and relays in a full outage of the four (2.2 to 2.6 s, but by the phase of the heartbeats: the same timeout). Change: peers/watch_roles.py decides the role; hearing none of the watchers for 1.2 s, or being behind for 1 s, makes a passive router a standby. Relays forward the watchers' heartbeats as they come. Why it works: a poll of the store needs no other router, and 1.2 + 0.3 + 0.15 s and a call end before the 3 s that are promised.

--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -8,7 +8,6 @@
 
 from aiohttp import web
 
-from marjoramspool.clock import now
 from marjoramspool.engine_list import EngineList
 from marjoramspool.engine_selector import EngineSelector
 from marjoramspool.events import Event, log
@@ -16,13 +15,14 @@
 from marjoramspool.lifecycle import Lifecycle
 from marjoramspool.metrics import Metrics
 from marjoramspool.metrics_page import render_metrics_page
-from marjoramspool.peers import relays, state_transfer
+from marjoramspool.peers import state_transfer
 from marjoramspool.peers.cache_bootstrap import CacheBootstrap
 from marjoramspool.peers.directory import Directory, Peer
 from marjoramspool.peers.discovery import Discovery
 from marjoramspool.peers.load_broadcast import LoadBroadcast, StateVersions
 from marjoramspool.peers.messages import CachesState, EnginesState, TableState
 from marjoramspool.peers.state_sync import State, StateSync
+from marjoramspool.peers.watch_roles import WatchRoles
 from marjoramspool.platform.egress import EngineSessions
 from marjoramspool.platform.ingress import Ingress
 from marjoramspool.platform.settings import BALANCER_REMOVAL_DELAY_S, READINESS_PATH, HostSettings
@@ -31,7 +31,6 @@
 from marjoramspool.startup_wait import StartupWait
 from marjoramspool.status import MemberStatus, Status
 from marjoramspool.store_versions import epoch_of
-from marjoramspool.store_watchers import WatchRole
 
 __all__ = ["FleetRouter", "MetricsAddress"]
 
@@ -39,10 +38,6 @@
 STOP_MARGIN_S = 0.4
 RESTART_DELAY_S = 0.2
 BOOTSTRAP_CHECK_PERIOD_S = 0.02
-# Ranking hundreds of routers for each check would cost more than the checks.
-ROLE_AGE_S = 0.3
-# The store usually delivers a change to all watchers within this time.
-WATCH_DELAY_S = 0.3
 
 
 @dataclass(slots=True, frozen=True)
@@ -67,8 +62,6 @@
         "load_broadcast",
         "metrics",
         "metrics_address",
-        "role",
-        "role_found_at",
         "selector",
         "sessions",
         "settings",
@@ -76,6 +69,7 @@
         "state_sync",
         "store",
         "table_watcher",
+        "watch_roles",
     )
 
     def __init__(self, settings: HostSettings, metrics_address: MetricsAddress | None = None):
@@ -85,15 +79,18 @@
         self.metrics = Metrics(None)
         self.store = Store(settings.store_endpoint, STORE_TIMEOUT_S)
         self.engines = EngineList()
-        self.table_watcher = new_table_watcher(self.store, self.watch_role)
-        self.engine_watcher = new_engine_watcher(self.store, self.engines, self.watch_role)
+        self.directory = Directory(settings.address, settings.failure_domain, settings.link_mbps)
+        self.watch_roles = WatchRoles(
+            self.directory, lambda: self.is_store_available, lambda: self.state_sync.behind_s()
+        )
+        self.table_watcher = new_table_watcher(self.store, self.watch_roles.current)
+        self.engine_watcher = new_engine_watcher(self.store, self.engines, self.watch_roles.current)
         self.selector = EngineSelector(
             settings.failure_domain, self.engines, lambda: self.table_watcher.table
         )
         self.sessions = EngineSessions()
         self.sessions.on_departure.append(self.engines.record_announcement)
         self.sessions.on_pause.append(self.selector.pauses.record)
-        self.directory = Directory(settings.address, settings.failure_domain, settings.link_mbps)
         self.forwarding = Forwarding(
             self.selector, self.sessions, settings.bounds, self.directory.size, self.metrics
         )
@@ -106,7 +103,7 @@
             self.export_state,
             self.import_state,
             self.is_behind,
-            self.peer_fetch_delay_s,
+            self.watch_roles.fetch_delay_s,
             self.status,
         )
         operators = f"{settings.address}:{settings.peers_port}"
@@ -119,8 +116,6 @@
             self.load_broadcast.own.queue_listing,
             lambda: self.discovery.is_settled,
         )
-        self.role = WatchRole.INDEPENDENT
-        self.role_found_at = 0.0
         self.startup_wait = StartupWait(lambda: self.has_initial_state)
         self.ingress = Ingress(self.forwarding, self.table_watcher, self.startup_wait)
 
@@ -139,29 +134,6 @@
         """Return whether the store answered the last calls of both watchers."""
         return not (self.table_watcher.has_failed or self.engine_watcher.has_failed)
 
-    def watch_role(self) -> WatchRole:
-        """Return the role of this router in watching the store, at most `ROLE_AGE_S` old."""
-        now_s = now()
-        if now_s - self.role_found_at >= ROLE_AGE_S:
-            self.role_found_at = now_s
-            self.role = self.find_watch_role()
-        return self.role
-
-    def find_watch_role(self) -> WatchRole:
-        """Return the role of this router in watching the store, by the routers known now."""
-        if relays.is_full_mesh(self.directory):
-            return WatchRole.INDEPENDENT
-        if self.directory.local_address in relays.select_store_watchers(
-            self.directory, self.is_store_available
-        ):
-            is_first = relays.is_first_store_watcher(self.directory, self.is_store_available)
-            return WatchRole.DESIGNATED if is_first else WatchRole.STANDBY
-        return WatchRole.PASSIVE
-
-    def peer_fetch_delay_s(self) -> float:
-        """Return how long to wait for the store before state is fetched from a peer."""
-        return 0.0 if self.watch_role() is WatchRole.PASSIVE else WATCH_DELAY_S
-
     def state_versions(self) -> StateVersions:
         """Return the versions of the local route table and engine list."""
         return StateVersions(
--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -170,6 +170,9 @@
             if report:
                 self.send(encode(report), self.recipients(relay))
             return
+        self.relay.store_watchers = relays.select_store_watchers(
+            self.directory, self.own.state_versions().has_store
+        )
         self.forward_heartbeats(report)
         self.forward_sums(report.cache_updates if report else ())
 
--- a/marjoramspool/peers/report_relay.py
+++ b/marjoramspool/peers/report_relay.py
@@ -19,6 +19,8 @@
 
 # Heartbeats of one router pass a relay this often, unless they tell something new.
 HEARTBEAT_PERIOD_S = 1.5
+# Those of the store watchers pass it as often as they come: their silence must show soon.
+WATCHER_HEARTBEAT_PERIOD_S = 0.3
 MAX_PARTS_PER_MESSAGE = 1500
 
 
@@ -56,6 +58,7 @@
         "member_updates",
         "newest_engines",
         "newest_table",
+        "store_watchers",
         "sums",
     )
 
@@ -69,6 +72,8 @@
         self.fleet_updates: list[CacheUpdate] = []
         self.newest_table = 0
         self.newest_engines = 0
+        # Addresses of the routers that watch the store for the fleet.
+        self.store_watchers: set[str] = set()
 
     def clear(self) -> None:
         """Drop what is queued, since another router is the relay."""
@@ -105,7 +110,9 @@
             or report.engines_revision > self.newest_engines
         )
         now_s = self.clock()
-        if last and last.facts == facts and not has_news and now_s - last.at < HEARTBEAT_PERIOD_S:
+        is_watcher = report.address in self.store_watchers
+        period_s = WATCHER_HEARTBEAT_PERIOD_S if is_watcher else HEARTBEAT_PERIOD_S
+        if last and last.facts == facts and not has_news and now_s - last.at < period_s:
             return False
         self.newest_table = max(self.newest_table, report.table_version)
         self.newest_engines = max(self.newest_engines, report.engines_revision)
--- a/marjoramspool/peers/state_sync.py
+++ b/marjoramspool/peers/state_sync.py
@@ -108,6 +108,10 @@
             for path in (TABLE_PATH, ENGINES_PATH):
                 await self.fetch_if_behind(path)
 
+    def behind_s(self) -> float:
+        """Return for how long a peer has been known to have newer state, in seconds."""
+        return now() - min(self.behind_since.values(), default=now())
+
     async def fetch_if_behind(self, path: str) -> None:
         """Fetch one kind of state if a peer has been ahead for the fetch delay.
 
@@ -130,8 +134,7 @@
         delay_s = self.fetch_delay_s()
         if not same_domain and not relays.may_fetch_afar(self.directory):
             delay_s += RELAY_FETCH_TIME_S
-        if now() - since >= delay_s:
-            await self.fetch(random.choice(same_domain or ahead), path)
+        if now() - since >= delay_s and await self.fetch(random.choice(same_domain or ahead), path):
             self.behind_since.pop(path, None)
 
     async def fetch(self, peer: Peer, path: str) -> bool:
