Let a router that no other reaches read the documents itself (CONFIG, the product's own interface)

Callers would be served by an older document for many seconds. Ruled out: watchers that end while others live (gossip through other domains brings the documents). Change: Gossip knows since when it has heard from nobody; the watcher relies on peers only while that is under 1.5 probe periods, 1 s at least.

--- a/marjoramspool/document_watcher.py
+++ b/marjoramspool/document_watcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from contextlib import suppress
 
 from marjoramspool import hashing
@@ -18,6 +19,10 @@
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 2.0
 NO_STORE_VERSION = -1
+# A router is probed, and probes another, once in each period.
+MAX_SILENCE_PERIODS = 1.5
+# A busy host may miss probes for shorter than this.
+MIN_SILENCE_S = 1.0
 
 
 class Watcher:
@@ -25,7 +30,11 @@
 
     Only the first two live routers of each failure domain watch the documents; the others
     receive them from other routers. A router that has not received any document yet also reads
-    from the platform.
+    from the platform, as does one that hears from no other router: `silence_s` returns for how
+    long that has been so, and gossip normally comes once in a `probe_period_s`.
+
+    Fault: a router is cut off from all others and not from the platform. Until it has found each
+    of them dead, it would rely on them.
     """
 
     __slots__ = (
@@ -33,7 +42,9 @@
         "is_registered",
         "membership",
         "platform",
+        "probe_period_s",
         "router_poll_period_s",
+        "silence_s",
         "store_version",
         "watch_timeout_s",
     )
@@ -45,12 +56,16 @@
         membership: Membership,
         watch_timeout_s: float,
         router_poll_period_s: float,
+        probe_period_s: float,
+        silence_s: Callable[[], float],
     ):
         self.platform = platform
         self.configuration = configuration
         self.membership = membership
         self.watch_timeout_s = watch_timeout_s
         self.router_poll_period_s = router_poll_period_s
+        self.probe_period_s = probe_period_s
+        self.silence_s = silence_s
         self.is_registered = False
         self.store_version = NO_STORE_VERSION
 
@@ -61,13 +76,20 @@
         ranking = hashing.rank(hashing.digest(local.domain), names | {local.name})
         return local.name in ranking[:count]
 
+    def relies_on_peers(self) -> bool:
+        """Return whether the documents arrive from other routers."""
+        is_hearing = self.silence_s() < max(
+            MIN_SILENCE_S, MAX_SILENCE_PERIODS * self.probe_period_s
+        )
+        return is_hearing and self.configuration.is_complete and not self.is_designated()
+
     async def watch_documents(self) -> None:
         """Synchronize documents with the platform until cancelled, with backoff while it fails."""
         backoff_s = INITIAL_BACKOFF_S
         while True:
-            if not self.is_designated() and self.configuration.is_complete:
+            if self.relies_on_peers():
                 self.store_version = NO_STORE_VERSION
-                await asyncio.sleep(self.watch_timeout_s)
+                await asyncio.sleep(min(self.watch_timeout_s, self.probe_period_s))
                 continue
             try:
                 await self.sync_once()
--- a/marjoramspool/platform/tests/test_configuration.py
+++ b/marjoramspool/platform/tests/test_configuration.py
@@ -12,8 +12,14 @@
 from bench.local import wait_until
 from marjoramspool.configuration import KIND, Configuration, encode_body
 from marjoramspool.operators.client import ConflictError, OperatorClient
+from marjoramspool.routers.links import Links
 from marjoramspool.storage import PlatformError
 
+# As in production, where it takes many periods to find all others dead.
+PROBE_TIMINGS = {"probe_period": "1s", "probe_timeout": "500ms", "suspect": "2s", "watch": "1s"}
+# The time after which an accepted document is promised to be in force everywhere.
+ACTIVATION_TIMEOUT_S = 3.0
+
 
 class VersionRecorder:
     """Recorder of the versions that each router activates."""
@@ -181,3 +187,31 @@
         "a version that was rejected before is ignored"
     )
     assert configuration.versions() == {"s": 5}
+
+
+async def test_a_router_that_is_cut_off_from_the_others_reads_the_documents_itself(
+    fleet, monkeypatch
+):
+    """Others of its failure domain watch the documents, and it hears nothing from them."""
+    await fleet.add_engines(1)
+    await fleet.add_routers(6, domains=1, **PROBE_TIMINGS)
+    await fleet.apply_model()
+    await fleet.wait_for_peers()
+    isolated = next(r for r in fleet.routers if not r.watcher.is_designated())
+    cut_off = {isolated.settings.name, isolated.membership.local_member.address}
+    original_call = Links.call
+
+    async def call_outside_the_cut(self, address, method, request, timeout_s):
+        if cut_off & {self.local_name, address}:
+            await asyncio.sleep(timeout_s)
+            return None
+        return await original_call(self, address, method, request, timeout_s)
+
+    monkeypatch.setattr(Links, "call", call_outside_the_cut)
+    async with new_operator(fleet) as operator:
+        await operator.apply(document_text(fleet, 40), "tester", None)
+    await wait_until(
+        lambda: active_deadlines(fleet) == {40.0},
+        "the change is active on all routers",
+        ACTIVATION_TIMEOUT_S,
+    )
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -122,6 +122,8 @@
             self.membership,
             timings.watch_timeout_s,
             timings.router_poll_period_s,
+            timings.probe_period_s,
+            self.gossip.silence_s,
         )
         self.audit = AuditLog(settings.name, self.platform)
         self.targets.decisions.subscribe(self.record_decision)
--- a/marjoramspool/routers/gossip.py
+++ b/marjoramspool/routers/gossip.py
@@ -28,6 +28,7 @@
 
     __slots__ = (
         "configuration",
+        "heard_at",
         "last_full_sync",
         "links",
         "membership",
@@ -53,9 +54,15 @@
         self.links = links
         self.timeout_s = timeout_s
         self.last_full_sync = 0.0
+        # Time of the last exchange with any other router.
+        self.heard_at = membership.clock()
         self.tasks: set[asyncio.Task] = set()
         configuration.changes.subscribe(lambda _: self.push_versions())
 
+    def silence_s(self) -> float:
+        """Return the time since the last exchange with any other router, in seconds."""
+        return self.membership.clock() - self.heard_at
+
     def probe_request(self, versions: dict[str, int] | None = None) -> pb.ProbeRequest:
         """Return a probe with the updates that other routers may not have."""
         return pb.ProbeRequest(
@@ -85,6 +92,7 @@
         reply = await self.links.probe(address, self.probe_request(versions), self.timeout_s)
         if reply is None:
             return False
+        self.heard_at = self.membership.clock()
         self.platform.store.advance_epoch(reply.store_epoch)
         self.merge_members(reply.members)
         self.record_drain_reports(reply.leaving)
@@ -118,6 +126,7 @@
     def handle_probe(self, request: pb.ProbeRequest) -> pb.ProbeReply:
         """Apply the contents of a probe; return a reply with what its sender lacks."""
         sender = decode_member(request.sender)
+        self.heard_at = self.membership.clock()
         known = self.membership.members.get(sender.name)
         self.membership.merge(sender)
         self.platform.store.advance_epoch(request.store_epoch)
