--- a/marjoramspool/attempts.py
+++ b/marjoramspool/attempts.py
@@ -67,6 +67,9 @@
         Raise NotSentError, TargetRefusedError or MayHaveRunError.
         """
 
+    async def has_ended(self, engine: Engine) -> bool:
+        """Return whether an engine refuses connections, as after the end of its process."""
+
 
 async def wait_for_first_event(
     events: AsyncIterator[StreamEvent], stack: AsyncExitStack
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -210,6 +210,8 @@
         except AttemptError as error:
             if isinstance(error, NotSentError | TargetRefusedError):
                 self.selector.revert_placement(placement)
+            else:
+                await self.record_if_ended(request, placement)
             return error
         except TimeoutError:
             return MayHaveRunError(f"engine {engine.id} did not answer before the attempt timeout")
@@ -233,6 +235,20 @@
             self.selector.outliers.record_success(engine.id)
         return answer
 
+    async def record_if_ended(self, request: RoutedRequest, placement: Placement) -> None:
+        """Record the end of an engine at which a request had no answer yet, if it has ended."""
+        engine = placement.engine
+        if request.prompt is None or not await self.client.has_ended(engine):
+            return
+        log(
+            Event.ENGINE_ENDED,
+            request=request.id,
+            engine=engine.id,
+            parts=[f"{part.id:x}" for part in request.prompt.parts],
+            sent_s=round(now() - placement.placed_at, 3),
+        )
+        self.metrics.count("engines_ended")
+
     def record_placement(
         self, request: RoutedRequest, placement: Placement, history: AttemptHistory
     ) -> None:
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -31,6 +31,8 @@
 
 MS = 1000.0
 CONNECT_TIMEOUT_S = 0.4
+# Shorter, since a retry may wait for the result.
+END_CHECK_TIMEOUT_S = 0.1
 POOL_IDLE_TIMEOUT_S = 3.0
 SUCCESS_STATUSES = range(200, 300)
 # Clients infer from these statuses that the request did not run, so they are not passed on from an
@@ -123,6 +125,23 @@
             log(Event.ATTEMPT_FAILED, target=engine.id, why=f"cache listing failed: {error!r}")
             return None
 
+    async def has_ended(self, engine: Engine) -> bool:
+        """Return whether an engine refuses connections, as after the end of its process.
+
+        One that resets a connection and accepts the next has not ended; of one that does not
+        answer at all nothing is known.
+        """
+        host, _, port = engine.address.rpartition(":")
+        try:
+            async with asyncio.timeout(END_CHECK_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+        writer.transport.abort()
+        return False
+
     async def send(
         self,
         request: RoutedRequest,
