--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -45,7 +45,8 @@
     midway), foreign (response to another request), bare (no signature), repeat (a resumed stream
     starts over), mute (no response), busy503 (a 503 that does not say that the request was not
     executed). While `is_leaving` is set, every response says so. While `retry_after_s` is set,
-    requests are refused with it.
+    requests are refused with it. The engine ends when it begins to answer a request with a prompt
+    part in `poison`.
     """
 
     id: str
@@ -57,6 +58,7 @@
     pieces: int = PIECES_PER_STREAM
     faults: Counter = field(default_factory=Counter)
     arrivals: list[Arrival] = field(default_factory=list)
+    poison: frozenset[str] = frozenset()
     cached_blocks: list[tuple[str, str, int, str]] = field(default_factory=list)
     lists: int = 0
     running: int = 0
@@ -146,6 +148,10 @@
         if self.consume("shed"):
             writer.write(self.head(503, arrival.id, 0, **{"X-Not-Executed": "1"}))
             return True
+        if self.poison & prompt_parts(arrival):
+            await asyncio.sleep(self.piece_interval_s)
+            await self.stop()
+            return False
         arrival.has_run = True
         if self.consume("mute"):
             arrival.is_disconnected = not await reader.read(1)
@@ -208,6 +214,12 @@
         return True
 
 
+def prompt_parts(arrival: Arrival) -> set[str]:
+    """Return the ids of the prompt parts that a request names."""
+    entries = arrival.headers.get("x-prompt-prefix", "").split(",")
+    return {entry.partition(":")[0].strip() for entry in entries}
+
+
 async def read_request(reader: asyncio.StreamReader) -> Arrival | None:
     """Read one request; return None at the end of the connection."""
     try:
