--- a/marjoramspool/engine_selector.py
+++ b/marjoramspool/engine_selector.py
@@ -18,8 +18,10 @@
 from marjoramspool.engine_pauses import AllPaused, EnginePauses
 from marjoramspool.load_shedding import MIN_OVERTAKEN_RANK, PrefillRate, Shed, shed_request
 from marjoramspool.outlier_detection import OutlierDetector
+from marjoramspool.peers.messages import incarnation_id
+from marjoramspool.poison_parts import PoisonDetector, Quarantine
 from marjoramspool.prefix_caches import PrefixCaches
-from marjoramspool.prompts import Part
+from marjoramspool.prompts import Part, Prompt
 from marjoramspool.queue_rank import queue_rank
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import RouteTable
@@ -103,6 +105,7 @@
         "other_routers",
         "outliers",
         "pauses",
+        "poison",
         "prefill_rates",
         "report_age_s",
         "rings",
@@ -119,6 +122,7 @@
         self.loads = EngineLoads()
         self.outliers = OutlierDetector()
         self.pauses = EnginePauses()
+        self.poison = PoisonDetector()
         self.caches = PrefixCaches()
         self.shared_parts = SharedParts()
         self.prefill_rates: dict[str, PrefillRate] = {}
@@ -162,15 +166,18 @@
 
     def place(
         self, request: RoutedRequest, exclude: set[str]
-    ) -> Placement | Shed | AllPaused | None:
+    ) -> Placement | Shed | AllPaused | Quarantine | None:
         """Return a placement of a request at the best engine; None if no engine is usable.
 
+        A request with a quarantined prompt part goes to no engine.
         A request that has not been sent to any engine yet is shed if it would wait too long there.
         """
         serving = self.engines.usable(request.service)
         if all_paused := self.pauses.all_paused(serving, hashing.fraction(request.id)):
             return all_paused
         prompt = request.prompt
+        if prompt and (quarantine := self.poison.find_quarantine(prompt)):
+            return quarantine
         parts = self.shared_parts.select_shareable(prompt, request.id) if prompt else ()
         tokens = prompt.input_tokens if prompt else 0
         choice = self.choose(request, serving, exclude, parts)
@@ -339,6 +346,12 @@
             is_same_domain=engine.failure_domain == self.domain,
         )
 
+    def record_end(self, placement: Placement, prompt: Prompt) -> None:
+        """Record that an engine ended while the request of a placement had no answer."""
+        engine = placement.engine
+        incarnation = incarnation_id(engine.id, engine.started_ms)
+        self.poison.record_end(incarnation, placement.placed_at, prompt)
+
     def revert_placement(self, placement: Placement) -> None:
         """Drop the parts of a placement whose engine refused or failed the request."""
         if placement.new_parts:
--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -48,6 +48,8 @@
     ENGINE_SUSPECTED = (507, "warning", "an engine failed requests and is temporarily ejected")
     CACHE_LISTED = (508, "info", "an engine was asked for the contents of its cache")
     ENGINE_ENDED = (511, "warning", "an engine ended while a request to it was unanswered")
+    PART_QUARANTINED = (512, "error", "engines ended under a prompt part, which is quarantined")
+    PART_RELEASED = (513, "info", "the quarantine of a prompt part was lifted")
     ENGINE_PAUSED = (510, "info", "an engine refused a request and asked for a pause")
     REGISTRATION_UNREADABLE = (509, "warning", "a registration could not be decoded and is ignored")
     ATTEMPT_FAILED = (601, "info", "an attempt failed")
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -31,6 +31,7 @@
 from marjoramspool.load_shedding import Shed
 from marjoramspool.metrics import Metrics
 from marjoramspool.outcomes import NotRun, Problem, Unknown
+from marjoramspool.poison_parts import MAX_END_DELAY_S, Quarantine
 from marjoramspool.queue_rank import RESUMED_RANK
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.retries import SharedRetryBudget
@@ -60,7 +61,9 @@
     tried_engines: set[str] = field(default_factory=set)
     possible_runs: int = 0
     attempts_started: int = 0
-    engine: Engine | None = None
+    placement: Placement | None = None
+    # When the answer of the last attempt began, None once the engine has outlived its beginning.
+    answered_at: float | None = None
     problem: Problem = Problem(
         503, "no usable engine for the request", "retry the request", DEFAULT_RETRY_AFTER_S
     )
@@ -76,6 +79,12 @@
             why = "all engines of the service refuse requests for a time"
             self.problem = Problem(503, why, "retry after the given time", pause.retry_after_s)
 
+    def record_quarantine(self, quarantine: Quarantine, retry_after_s: float) -> None:
+        """Record that a part of the prompt ends engines; keep the problem of a possible run."""
+        if not self.possible_runs:
+            why = f"engines end under the prompt part {quarantine.part:x}, which is quarantined"
+            self.problem = Problem(503, why, "send the request without the part", retry_after_s)
+
 
 class Forwarding:
     """Forwarder of routed requests to engines.
@@ -167,6 +176,9 @@
             if isinstance(placement, AllPaused):
                 history.record_all_paused(placement)
                 break
+            if isinstance(placement, Quarantine):
+                history.record_quarantine(placement, placement.retry_after_s(now()))
+                break
             async with AsyncExitStack() as attempt:
                 result = await self.send_attempt(request, placement, history, attempt, after_event)
                 if not isinstance(result, AttemptError):
@@ -216,6 +228,7 @@
         except TimeoutError:
             return MayHaveRunError(f"engine {engine.id} did not answer before the attempt timeout")
         placement.record_prefilled()
+        history.answered_at = now()
         waited_s = round(now() - placement.placed_at, 4)
         log(
             Event.ANSWER_BEGUN,
@@ -233,8 +246,20 @@
             self.selector.outliers.record_failure(engine.id)
         else:
             self.selector.outliers.record_success(engine.id)
+            if isinstance(answer, WholeAnswer):
+                self.confirm_answer(request, history, 0.0)
         return answer
 
+    def confirm_answer(
+        self, request: RoutedRequest, history: AttemptHistory, delay_s: float
+    ) -> None:
+        """Record once that an engine answered and has gone on for `delay_s` since."""
+        if history.answered_at is None or now() - history.answered_at < delay_s:
+            return
+        history.answered_at = None
+        if request.prompt:
+            self.selector.poison.record_answer(request.prompt)
+
     async def record_if_ended(self, request: RoutedRequest, placement: Placement) -> None:
         """Record the end of an engine at which a request had no answer yet, if it has ended."""
         engine = placement.engine
@@ -248,6 +273,7 @@
             sent_s=round(now() - placement.placed_at, 3),
         )
         self.metrics.count("engines_ended")
+        self.selector.record_end(placement, request.prompt)
 
     def record_placement(
         self, request: RoutedRequest, placement: Placement, history: AttemptHistory
@@ -257,7 +283,7 @@
             self.retry_budget(request.service).record_request()
         history.attempts_started += 1
         history.tried_engines.add(placement.engine.id)
-        history.engine = placement.engine
+        history.placement = placement
         history.possible_runs += 1
         candidate = placement.choice.engine
         log(
@@ -345,12 +371,16 @@
                         if last_event_id is not None and event.event_id <= last_event_id:
                             continue
                         last_event_id = event.event_id
+                    self.confirm_answer(request, history, MAX_END_DELAY_S)
                     yield event
+                self.confirm_answer(request, history, 0.0)
                 return
             except AttemptError as error:
                 failure = error
+            if history.answered_at is not None:
+                await self.record_if_ended(request, history.placement)
             self.metrics.count(f"attempts_failed.{type(failure).__name__}")
-            self.selector.outliers.record_failure(history.engine.id)
+            self.selector.outliers.record_failure(history.placement.engine.id)
             if not request.route.is_resumable or last_event_id is None:
                 raise BrokenAnswerError(str(failure))
             await stack.aclose()
--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -23,6 +23,7 @@
     encode,
 )
 from marjoramspool.peers.own_reports import OwnReports, StateVersions, incarnation_id_of
+from marjoramspool.peers.poison_reports import apply_poison_reports
 from marjoramspool.peers.report_relay import OwnReport, ReportRelay, take_updates
 from marjoramspool.peers.state_transfer import apply_cache_update
 from marjoramspool.prompts import Part
@@ -45,6 +46,7 @@
 NETWORK_DELAY_S = 0.01
 # Reports go this often to routers from which no heartbeats arrive.
 REDISCOVERY_PERIOD_S = 1.0
+# An unanswered attempt in a report takes as many bytes as a short report.
 MAX_REPORTS_PER_BATCH = 100
 
 
@@ -229,11 +231,17 @@
 
     def send_batches(self, reports: list[RouterReport], addresses: list[str]) -> None:
         """Send reports in batches that fit a datagram."""
-        for start in range(0, len(reports), MAX_REPORTS_PER_BATCH):
-            self.send(
-                encode(ReportBatch(tuple(reports[start : start + MAX_REPORTS_PER_BATCH]))),
-                addresses,
-            )
+        batch: list[RouterReport] = []
+        size = 0
+        for report in reports:
+            added = 1 + sum(len(end.attempts) for end in report.ended)
+            if batch and size + added > MAX_REPORTS_PER_BATCH:
+                self.send(encode(ReportBatch(tuple(batch))), addresses)
+                batch, size = [], 0
+            batch.append(report)
+            size += added
+        if batch:
+            self.send(encode(ReportBatch(tuple(batch))), addresses)
 
     def send(self, message: bytes, addresses: list[str]) -> None:
         """Send a datagram to each address, ignoring socket errors."""
@@ -334,6 +342,7 @@
         self.selector.outliers.record_report(
             report.address, frozenset(engine.id for engine in unreachable)
         )
+        apply_poison_reports(self.selector.poison, report)
         for engine in filter(None, map(self.find_engine, report.leaving)):
             self.selector.engines.record_announcement(engine, report.address)
         if not relays.is_full_mesh(self.directory):
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -12,14 +12,17 @@
     "CacheUpdateKind",
     "CachesState",
     "DomainLoads",
+    "EngineEndReport",
     "EngineEntry",
     "EngineLoadReport",
     "EnginesState",
     "FleetLoads",
     "IncludedReport",
+    "QuarantineReport",
     "ReportBatch",
     "RouterReport",
     "TableState",
+    "UnansweredReport",
     "decode_datagram",
     "encode",
     "incarnation_id",
@@ -61,6 +64,27 @@
     kind: CacheUpdateKind = CacheUpdateKind.PREFILLED
 
 
+class UnansweredReport(msgspec.Struct, array_like=True, frozen=True):
+    """Attempt without an answer at an engine that ended: its age at the end, and its parts."""
+
+    age_ms: int
+    parts: tuple[int, ...]
+
+
+class EngineEndReport(msgspec.Struct, array_like=True, frozen=True):
+    """End of an engine, and the unanswered attempts of one router there."""
+
+    incarnation_id: int
+    attempts: tuple[UnansweredReport, ...]
+
+
+class QuarantineReport(msgspec.Struct, array_like=True, frozen=True):
+    """Quarantined prompt part, and how many requests have tried it again."""
+
+    part: int
+    probes: int
+
+
 class RouterReport(msgspec.Struct, array_like=True, frozen=True, tag=0):
     """Report of one router: its identity, state versions, loads and cache updates.
 
@@ -83,6 +107,11 @@
     leaving: tuple[int, ...] = ()
     # Version that the operator gave the route table.
     table_version: int = 0
+    # Recent observations of the reporting router, repeated for some time.
+    ended: tuple[EngineEndReport, ...] = ()
+    # Suspect prompt parts that it saw answered.
+    answered: tuple[int, ...] = ()
+    quarantined: tuple[QuarantineReport, ...] = ()
 
 
 class ReportBatch(msgspec.Struct, array_like=True, frozen=True, tag=1):
--- a/marjoramspool/peers/own_reports.py
+++ b/marjoramspool/peers/own_reports.py
@@ -15,6 +15,7 @@
     RouterReport,
     incarnation_id,
 )
+from marjoramspool.peers.poison_reports import report_ends, report_quarantines
 from marjoramspool.prompts import Part
 
 __all__ = ["OwnReports", "StateVersions", "incarnation_id_of"]
@@ -105,7 +106,12 @@
             if (engine := self.selector.engines.engines.get(name))
         )
         leaving = tuple(map(incarnation_id_of, self.selector.engines.locally_announced()))
-        content = (loads, state_versions, unreachable, leaving)
+        poison = self.selector.poison
+        poison.check()
+        ended = report_ends(poison)
+        answered = tuple(poison.reported_answers())
+        quarantined = report_quarantines(poison)
+        content = (loads, state_versions, unreachable, leaving, ended, answered, quarantined)
         is_unchanged = content == self.last_content and not self.queued_updates
         if is_unchanged and now_s - self.sent_at < HEARTBEAT_PERIOD_S:
             return None
@@ -131,6 +137,9 @@
             unreachable,
             leaving,
             state_versions.table_version,
+            ended,
+            answered,
+            quarantined,
         )
 
     def included_loads(self, included: tuple[IncludedReport, ...]) -> tuple[EngineLoadReport, ...]:
--- a/marjoramspool/peers/report_relay.py
+++ b/marjoramspool/peers/report_relay.py
@@ -103,7 +103,15 @@
 
         Of a new version of the state it is enough to pass on the first router that has it.
         """
-        facts = (report.boot_id, report.has_store, report.unreachable, report.leaving)
+        facts = (
+            report.boot_id,
+            report.has_store,
+            report.unreachable,
+            report.leaving,
+            report.ended,
+            report.answered,
+            report.quarantined,
+        )
         last = self.forwarded.get(report.address)
         has_news = (
             report.table_version > self.newest_table
--- /dev/null
+++ b/marjoramspool/poison_parts.py
@@ -0,0 +1,285 @@
+"""Detection of poison requests: prompt parts under which one engine after another ends.
+
+Fault: some content ends every engine that begins to answer it. Each request with it, and each
+retry, takes one more engine, and with it the sound requests that are in flight there. A part is
+quarantined once several engines have ended under it and none has answered it meanwhile. Whatever
+else was in flight there is a victim, which the answers to other requests show.
+"""
+
+import math
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+
+from marjoramspool.clock import now
+from marjoramspool.events import Event, log
+from marjoramspool.prompts import Prompt
+
+__all__ = ["EngineEnd", "PoisonDetector", "Quarantine", "UnansweredAttempt", "part_ids"]
+
+# Engines that must end under a part, one after the other, before it is quarantined.
+MIN_STRIKES = 3
+# Other routers report what they had in flight at an engine within this time after its end.
+SETTLE_S = 0.5
+# A request that ends its engine does so within this time after its answer begins.
+MAX_END_DELAY_S = 0.5
+ENDS_RETENTION_S = 600.0
+MAX_ENDS = 256
+MAX_ANSWERED_PARTS = 4096
+MAX_QUARANTINED = 64
+FIRST_QUARANTINE_S = 60.0
+MAX_QUARANTINE_S = 3600.0
+# How long this router's own observations are repeated to the others.
+REPORT_RETENTION_S = 2.0
+
+
+@dataclass(slots=True, frozen=True)
+class UnansweredAttempt:
+    """Attempt that had no answer when its engine ended: when it was sent, and its parts."""
+
+    sent_at: float
+    parts: tuple[int, ...]
+
+
+@dataclass(slots=True)
+class EngineEnd:
+    """End of one engine, and the unanswered attempts there that are known."""
+
+    ended_at: float
+    attempts: set[UnansweredAttempt] = field(default_factory=set)
+
+    def contains(self, part: int) -> bool:
+        """Return whether an unanswered attempt had a part."""
+        return any(part in attempt.parts for attempt in self.attempts)
+
+
+@dataclass(slots=True)
+class Quarantine:
+    """Part that no request may have until a single one may try it again, at `probe_at`.
+
+    `probes` counts those that tried; each doubles the time until the next.
+    """
+
+    part: int
+    probe_at: float
+    probes: int = 0
+    may_probe: bool = False
+    # Time of the last request that was refused for it.
+    refused_at: float = -math.inf
+
+    def retry_after_s(self, now_s: float) -> float:
+        """Return when a request may be tried again, in seconds from now."""
+        return max(1.0, self.probe_at - now_s)
+
+
+class PoisonDetector:
+    """Detector of the parts that end engines, from the observations of all routers."""
+
+    __slots__ = (
+        "answered_at",
+        "check_at",
+        "clock",
+        "ends",
+        "own_answers",
+        "own_ends",
+        "on_lifted",
+        "on_quarantined",
+        "quarantined",
+        "suspects",
+    )
+
+    def __init__(self, clock: Callable[[], float] = now):
+        self.clock = clock
+        # Ends by incarnation id, in the order in which this router learned of them.
+        self.ends: OrderedDict[int, EngineEnd] = OrderedDict()
+        self.answered_at: OrderedDict[int, float] = OrderedDict()
+        self.quarantined: dict[int, Quarantine] = {}
+        # Ends that this router observed, and suspect parts that it saw answered, for its reports.
+        self.own_ends: dict[int, EngineEnd] = {}
+        self.own_answers: dict[int, float] = {}
+        self.on_quarantined: list[Callable[[Quarantine], None]] = []
+        self.on_lifted: list[Callable[[int], None]] = []
+        # When each part was last unanswered at an end.
+        self.suspects: dict[int, float] = {}
+        # When the ends are to be looked at again, None if nothing has changed.
+        self.check_at: float | None = None
+
+    def record_end(self, incarnation: int, sent_at: float, prompt: Prompt) -> None:
+        """Record that an engine ended while this router had an unanswered attempt there."""
+        now_s = self.clock()
+        attempt = UnansweredAttempt(sent_at, part_ids(prompt))
+        self.add_attempts(incarnation, now_s, [attempt])
+        own = self.own_ends.setdefault(incarnation, EngineEnd(now_s))
+        own.attempts.add(attempt)
+
+    def add_attempts(
+        self, incarnation: int, ended_at: float, attempts: Iterable[UnansweredAttempt]
+    ) -> None:
+        """Add unanswered attempts at an engine that ended, as any router reports them."""
+        end = self.ends.setdefault(incarnation, EngineEnd(ended_at))
+        added = set(attempts) - end.attempts
+        if not added:
+            return
+        end.attempts |= added
+        self.suspects |= {part: end.ended_at for attempt in added for part in attempt.parts}
+        self.check_at = min(self.check_at or math.inf, end.ended_at + SETTLE_S)
+        while len(self.ends) > MAX_ENDS:
+            self.ends.popitem(last=False)
+
+    def record_answer(self, prompt: Prompt) -> None:
+        """Record that an engine answered a request and did not end of it."""
+        now_s = self.clock()
+        for part in part_ids(prompt):
+            # Only the first answer since an end is news to the others.
+            if self.suspects.get(part, -math.inf) > self.answered_at.pop(part, -math.inf):
+                self.own_answers[part] = now_s
+            self.answered_at[part] = now_s
+            self.lift(part)
+        while len(self.answered_at) > MAX_ANSWERED_PARTS:
+            self.answered_at.popitem(last=False)
+
+    def record_reported_answer(self, part: int) -> None:
+        """Record that another router saw an engine answer a part."""
+        self.answered_at.pop(part, None)
+        self.answered_at[part] = self.clock()
+        self.lift(part)
+
+    def find_quarantine(self, prompt: Prompt) -> Quarantine | None:
+        """Return the quarantine that forbids a request, None if there is none.
+
+        A request that is to try a part again passes, once.
+        """
+        self.check()
+        for part in part_ids(prompt):
+            quarantine = self.quarantined.get(part)
+            if quarantine is None:
+                continue
+            if quarantine.may_probe:
+                quarantine.may_probe = False
+                continue
+            quarantine.refused_at = self.clock()
+            return quarantine
+        return None
+
+    def check(self) -> None:
+        """Quarantine the parts under which enough engines have ended, if there is new evidence."""
+        now_s = self.clock()
+        if self.check_at is None or now_s < self.check_at:
+            return
+        self.expire(now_s)
+        while (part := self.find_poison(now_s)) is not None:
+            log(Event.PART_QUARANTINED, part=f"{part:x}", engines=self.count_ends(part))
+            self.quarantine(part)
+        unsettled = [e for e in self.ends.values() if now_s - e.ended_at < SETTLE_S]
+        self.check_at = min((e.ended_at + SETTLE_S for e in unsettled), default=None)
+
+    def expire(self, now_s: float) -> None:
+        """Forget ends that are too old to tell anything."""
+        for incarnation, end in list(self.ends.items()):
+            if now_s - end.ended_at <= ENDS_RETENTION_S:
+                break
+            del self.ends[incarnation]
+        oldest = now_s - ENDS_RETENTION_S
+        self.suspects = {part: at for part, at in self.suspects.items() if at >= oldest}
+
+    def find_poison(self, now_s: float) -> int | None:
+        """Return the part that explains the most ends, None if no part has enough strikes."""
+        settled = [
+            end
+            for end in self.ends.values()
+            if now_s - end.ended_at >= SETTLE_S and not self.is_explained(end)
+        ]
+        if len(settled) < MIN_STRIKES:
+            return None
+        suspects = {part for end in settled for a in end.attempts for part in a.parts}
+        poisons = [
+            part
+            for part in suspects - self.quarantined.keys()
+            if self.count_strikes(part, settled) >= MIN_STRIKES
+        ]
+        return max(poisons, key=lambda part: self.rank(part, settled), default=None)
+
+    def rank(self, part: int, ends: list[EngineEnd]) -> tuple[int, bool, int]:
+        """Return the rank of a suspect: by ends that it explains, then never answered before."""
+        return sum(end.contains(part) for end in ends), part not in self.answered_at, part
+
+    def is_explained(self, end: EngineEnd) -> bool:
+        """Return whether a quarantined part that several requests shared was at an end."""
+        return any(
+            part in self.quarantined for attempt in end.attempts for part in attempt.parts[:-1]
+        )
+
+    def count_strikes(self, part: int, ends: list[EngineEnd]) -> int:
+        """Return how many engines ended, one after the other, since a part was last answered.
+
+        An end counts if the request was sent after the last one that counted: what ends many
+        engines at once is no request. A shared part must have ended them in different requests.
+        """
+        strikes = 0
+        last = self.answered_at.get(part, -math.inf)
+        tails: set[int] = set()
+        for end in ends:
+            for attempt in sorted(end.attempts, key=lambda a: (-a.sent_at, a.parts)):
+                tail = attempt.parts[-1]
+                if part not in attempt.parts or attempt.sent_at <= last:
+                    continue
+                if part != tail and tail in tails:
+                    continue
+                strikes += 1
+                last = end.ended_at
+                tails.add(tail)
+                break
+        return strikes
+
+    def count_ends(self, part: int) -> int:
+        """Return the number of known engines that ended with a part unanswered."""
+        return sum(end.contains(part) for end in self.ends.values())
+
+    def adopt(self, part: int, probes: int) -> None:
+        """Take over the quarantine of another router, unless the part was answered meanwhile."""
+        answered_at = self.answered_at.get(part, -math.inf)
+        if self.clock() - answered_at > REPORT_RETENTION_S:
+            self.quarantine(part, probes)
+
+    def quarantine(self, part: int, probes: int = 0) -> None:
+        """Quarantine a part, or renew its quarantine after further probes."""
+        known = self.quarantined.get(part)
+        if known and known.probes >= probes:
+            return
+        if known is None and len(self.quarantined) >= MAX_QUARANTINED:
+            return
+        duration_s = min(MAX_QUARANTINE_S, FIRST_QUARANTINE_S * 2**probes)
+        quarantine = Quarantine(part, self.clock() + duration_s, probes)
+        self.quarantined[part] = quarantine
+        for call in self.on_quarantined:
+            call(quarantine)
+
+    def lift(self, part: int) -> None:
+        """Lift the quarantine of a part, if there is one."""
+        if self.quarantined.pop(part, None):
+            log(Event.PART_RELEASED, part=f"{part:x}")
+            for call in self.on_lifted:
+                call(part)
+
+    def reported_ends(self) -> Iterator[tuple[int, EngineEnd]]:
+        """Yield the ends that this router observed recently, by incarnation id."""
+        oldest = self.clock() - REPORT_RETENTION_S
+        for incarnation, end in list(self.own_ends.items()):
+            if end.ended_at < oldest:
+                del self.own_ends[incarnation]
+            else:
+                yield incarnation, end
+
+    def reported_answers(self) -> Iterator[int]:
+        """Yield the suspect parts that this router saw answered recently."""
+        oldest = self.clock() - REPORT_RETENTION_S
+        for part, answered_at in list(self.own_answers.items()):
+            if answered_at < oldest:
+                del self.own_answers[part]
+            else:
+                yield part
+
+
+def part_ids(prompt: Prompt) -> tuple[int, ...]:
+    """Return the ids of the parts of a prompt, in order."""
+    return tuple(part.id for part in prompt.parts)
