--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -50,6 +50,7 @@
     ENGINE_ENDED = (511, "warning", "an engine ended while a request to it was unanswered")
     PART_QUARANTINED = (512, "error", "engines ended under a prompt part, which is quarantined")
     PART_RELEASED = (513, "info", "the quarantine of a prompt part was lifted")
+    QUARANTINE_UNREADABLE = (514, "warning", "a stored quarantine names no prompt part")
     ENGINE_PAUSED = (510, "info", "an engine refused a request and asked for a pause")
     REGISTRATION_UNREADABLE = (509, "warning", "a registration could not be decoded and is ignored")
     ATTEMPT_FAILED = (601, "info", "an attempt failed")
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -28,6 +28,7 @@
 from marjoramspool.platform.settings import BALANCER_REMOVAL_DELAY_S, READINESS_PATH, HostSettings
 from marjoramspool.platform.store import Store
 from marjoramspool.platform.watchers import new_engine_watcher, new_table_watcher
+from marjoramspool.quarantine_store import QuarantineStore
 from marjoramspool.startup_wait import StartupWait
 from marjoramspool.status import MemberStatus, Status
 from marjoramspool.store_versions import epoch_of
@@ -62,6 +63,7 @@
         "load_broadcast",
         "metrics",
         "metrics_address",
+        "quarantine_store",
         "selector",
         "sessions",
         "settings",
@@ -116,7 +118,10 @@
             self.load_broadcast.own.queue_listing,
             lambda: self.discovery.is_settled,
         )
-        self.startup_wait = StartupWait(lambda: self.has_initial_state)
+        self.quarantine_store = QuarantineStore(self.store, self.selector.poison)
+        self.startup_wait = StartupWait(
+            lambda: self.has_initial_state and self.quarantine_store.is_listed
+        )
         self.ingress = Ingress(self.forwarding, self.table_watcher, self.startup_wait)
 
     @property
@@ -226,6 +231,7 @@
         self.tasks.start(self.load_broadcast.run)
         self.tasks.start(self.state_sync.run)
         self.tasks.start(self.discovery.run)
+        self.tasks.start(self.quarantine_store.run)
         self.tasks.start(self.bootstrap_caches)
         stack.push_async_callback(self.ingress.close)
         await self.ingress.start(*split_endpoint(self.settings.client_endpoint))
