Pass on answers without length or chunks, and fail those that are reset

Cause: connection_closed tested the truth of aiohttp's connection object, which is a queue and false while empty, so that no such body ever counted as verified; a body that arrived together with the end of its connection could not have been verified either. The tests passed, since they had no such answer that is whole, and since the stand-in's reset was an ordinary close. Change: the connection itself fails a body when it is reset before its end; what ends without a reset is whole. The stand-in resets by SO_LINGER. Ruled out: asking for the future of the close earlier, which a fast engine outruns.

--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -1,12 +1,29 @@
 """HTTP client sessions without automatic retries."""
 
+import asyncio
+import functools
 from collections.abc import Callable
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 
 __all__ = ["Sessions", "new_session"]
 
 
+class BoundedResponseHandler(ResponseHandler):
+    """Connection whose reset fails a body.
+
+    Fault: a body without length or chunks is reset, which the parser takes for its end.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail a body that a reset has cut off."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"the connection broke: {exc!r}"))
+        super().connection_lost(exc)
+
+
 def new_session(
     connect_timeout_s: float,
     keep_alive: bool = True,
@@ -23,6 +40,9 @@
         socket_factory=socket_factory,
         **({"keepalive_timeout": idle_timeout_s} if keep_alive else {}),
     )
+    # aiohttp has no public option for the class of its connections.
+    loop = asyncio.get_running_loop()
+    connector._factory = functools.partial(BoundedResponseHandler, loop=loop)
     session = aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -10,7 +10,7 @@
 import msgspec
 from yarl import URL
 
-from marjoramspool.answer_bodies import connection_closed, read_body, read_events
+from marjoramspool.answer_bodies import read_body, read_events
 from marjoramspool.attempts import Attempt, StreamAnswer, WholeAnswer
 from marjoramspool.engine_list import Engine
 from marjoramspool.events import Event, log
@@ -95,7 +95,7 @@
             self.read_notices(engine, response)
             check_answer(engine, response)
             if response.status in SUCCESS_STATUSES and response.content_type == SSE:
-                events = read_events(response, connection_closed(response))
+                events = read_events(response)
                 yield StreamAnswer(response.status, answer_headers(response), events)
             else:
                 body = await read_body(response)
--- a/marjoramspool/platform/tests/test_answers.py
+++ b/marjoramspool/platform/tests/test_answers.py
@@ -18,6 +18,7 @@
 ORDER = route("/order/", "non_idempotent", "desk", max_attempts=1)
 CHAT = route("/chat/", "streaming", "model", stream_resume=True)
 REPORT = route("/report/", "streaming", "model", max_attempts=1)
+PROMPT_HEADERS = {"X-Model": "m", "X-Token-Count": "60,5", "X-Prompt-Prefix": "aa:50,bb:10"}
 
 
 async def start(site, targets=2, engines=2, **options):
@@ -265,3 +266,34 @@
     status, _, body = await site.send("/lookup/x", "r", method="GET", headers=headers)
     assert status == 503
     assert b"deadline" in body
+
+
+async def test_an_answer_without_length_or_chunks_ends_with_its_connection(site):
+    await start(site)
+    set_fault_everywhere(site, "unframed", 40)
+    for number in range(20):
+        status, _, body = await site.send("/order/1", f"r{number}")
+        assert (status, body) == (200, f"answer to r{number}".encode())
+
+
+@pytest.mark.parametrize("path", ["/chat/1", "/report/1"])
+@pytest.mark.parametrize("interval_s", [0.0, 0.005])
+async def test_a_stream_without_length_or_chunks_ends_with_its_connection(site, path, interval_s):
+    await start(site, piece_interval_s=interval_s)
+    set_fault_everywhere(site, "unframed", 40)
+    for number in range(10):
+        status, _, body = await site.send(path, f"r{number}", headers=PROMPT_HEADERS)
+        assert status == 200
+        assert body.count(b"data: piece") == 6
+
+
+async def test_a_stream_that_ends_inside_an_event_has_broken_off(site):
+    await start(site)
+    set_fault_everywhere(site, "unframed-part", 1)
+    status, _, body = await site.send("/report/1", "r1", headers=PROMPT_HEADERS)
+    assert (status, body) == (200, None)
+    # One of the two engines that serve chats, whichever is asked first.
+    site.engines[2].faults = site.engines[3].faults = Counter({"unframed-part": 1})
+    status, _, body = await site.send("/chat/1", "r2", headers=PROMPT_HEADERS)
+    assert status == 200
+    assert [body.count(f"data: piece {n}\n".encode()) for n in range(1, 7)] == [1] * 6
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import socket
+import struct
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -15,6 +17,7 @@
 PIECE_INTERVAL_S = 0.005
 PIECES_PER_STREAM = 6
 SIGNATURE = "sig.1"
+LINGER_NONE = struct.pack("ii", 1, 0)
 
 
 @dataclass(slots=True)
@@ -41,12 +44,13 @@
     """Engine or plain target; `faults` says, by kind, how many of the next requests fail.
 
     Faults: shed, error, reset (request executed, connection reset without a response), cut
-    (connection closed midway), extra (a second response follows), unframed-cut (no length, reset
-    midway), foreign (response to another request), bare (no signature), repeat (a resumed stream
-    starts over), mute (no response), busy503 (a 503 that does not say that the request was not
-    executed). While `is_leaving` is set, every response says so. While `retry_after_s` is set,
-    requests are refused with it. The engine ends when it begins to answer a request with a prompt
-    part in `poison`.
+    (connection closed midway), extra (a second response follows), unframed (no length, ends with
+    the connection), unframed-cut (no length, reset midway), unframed-part (a stream without length
+    or chunks that ends inside an event), foreign (response to another request), bare (no
+    signature), repeat (a resumed stream starts over), mute (no response), busy503 (a 503 that does
+    not say that the request was not executed). While `is_leaving` is set, every response says so.
+    While `retry_after_s` is set, requests are refused with it. The engine ends when it begins to
+    answer a request with a prompt part in `poison`.
     """
 
     id: str
@@ -157,7 +161,7 @@
             arrival.is_disconnected = not await reader.read(1)
             return False
         if self.consume("reset"):
-            writer.transport.abort()
+            reset_connection(writer)
             return False
         if self.consume("error"):
             writer.write(self.head(500, arrival.id, 5) + b"error")
@@ -173,11 +177,14 @@
         """Send a short response."""
         body = f"answer to {arrival.id}".encode()
         name = "another" if self.consume("foreign") else arrival.id
+        if self.consume("unframed"):
+            writer.write(self.head(200, name, None) + body)
+            return False
         if self.consume("unframed-cut"):
             writer.write(self.head(200, name, None) + body[:4])
             await writer.drain()
             await asyncio.sleep(0.02)
-            writer.transport.abort()
+            reset_connection(writer)
             return False
         if self.consume("cut"):
             writer.write(self.head(200, name, len(body)) + body[:4])
@@ -196,7 +203,10 @@
         first = int(arrival.headers.get("last-event-id", "0")) + 1
         if first > 1 and self.consume("repeat"):
             first = 1
-        writer.write(self.head(200, arrival.id, None, chunked=True))
+        ends_inside = self.consume("unframed-part")
+        is_unframed = ends_inside or self.consume("unframed")
+        kind = {"Content-Type": "text/event-stream"} if is_unframed else {}
+        writer.write(self.head(200, arrival.id, None, chunked=not is_unframed, **kind))
         for number in range(first, self.pieces + 1):
             await asyncio.sleep(self.piece_interval_s)
             if reader.at_eof():
@@ -206,14 +216,26 @@
             if number == first + 2 and self.consume("cut"):
                 writer.write(chunk(event[:8]))
                 await writer.drain()
-                writer.transport.abort()
+                reset_connection(writer)
+                return False
+            if number == first + 2 and ends_inside:
+                writer.write(event[:8])
                 return False
-            writer.write(chunk(event))
+            writer.write(event if is_unframed else chunk(event))
             await writer.drain()
+        if is_unframed:
+            return False
         writer.write(b"0\r\n\r\n")
         return True
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection by a reset, which the other side must not take for its end."""
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+    writer.transport.abort()
+
+
 def prompt_parts(arrival: Arrival) -> set[str]:
     """Return the ids of the prompt parts that a request names."""
     entries = arrival.headers.get("x-prompt-prefix", "").split(",")
