Bound what answers without end cost, on both entrances

Callers would have lost more than their request: an endless body at the product's own interface was kept in memory until the deadline of up to 60 s; on the platform each answer was bounded by 16 MB, all together by nothing, an event by nothing, and its buffer was searched anew with every chunk, which held up the whole process; empty lines, interim answers and chunk sizes were read at full speed until the deadline. Ruled out: a lower bound for each answer (answers may be long), a time bound alone (a fast link sends much in it).

--- a/marjoramspool/engines/client.py
+++ b/marjoramspool/engines/client.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from marjoramspool.answer_bodies import read_body
 from marjoramspool.dispatch import Answer, Request, single_part
 from marjoramspool.document import Target
 from marjoramspool.engines.stream import (
@@ -75,9 +76,9 @@
             async with self.sessions.pooled.get(
                 f"http://{address}/load", timeout=timeout
             ) as response:
-                body = await response.read()
+                body = await read_body(response, self.sessions.memory)
             report = msgspec.json.decode(body, type=Report)
-        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
+        except (aiohttp.ClientError, MayHaveRunError, TimeoutError, msgspec.MsgspecError):
             return None
         self.load_report_bytes += len(body) + sum(
             len(k) + len(v) + 4 for k, v in response.raw_headers
@@ -166,19 +167,23 @@
             ):
                 if response.status != HTTP_OK:
                     return MISSING
-                return msgspec.json.decode(await response.read(), type=AttemptState).state
-        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
+                body = await read_body(response, self.sessions.memory)
+            return msgspec.json.decode(body, type=AttemptState).state
+        except (
+            aiohttp.ClientError,
+            MayHaveRunError,
+            OSError,
+            TimeoutError,
+            msgspec.MsgspecError,
+        ):
             return None
 
     async def read_body(
         self, request: Request, target: Target, attempt: str, response: aiohttp.ClientResponse
     ) -> Answer:
         """Return an answer that is not a stream, once its whole body is received."""
-        read_task = asyncio.create_task(response.read())
-        try:
-            body = await self.wait_with_liveness_checks(read_task, request, target, attempt)
-        except (aiohttp.ClientError, OSError) as error:
-            raise MayHaveRunError(f"the answer broke off: {error!r}") from error
+        read_task = asyncio.create_task(read_body(response, self.sessions.memory))
+        body = await self.wait_with_liveness_checks(read_task, request, target, attempt)
         if response.status == HTTP_OK and chunk_id(Event(0, body, body)) != attempt:
             log(LogEvent.ANSWER_REJECTED, attempt=attempt, engine=target.name)
             raise MayHaveRunError(f"engine {target.name} answered with content of another attempt")
@@ -281,11 +286,8 @@
         """Cancel an attempt at its engine; ignore connection failures."""
         url = f"http://{target.address}/v1/streams/{attempt}"
         with suppress(aiohttp.ClientError, OSError, TimeoutError):
-            async with (
-                asyncio.timeout(CONTROL_TIMEOUT_S),
-                self.sessions.unpooled.delete(url) as response,
-            ):
-                await response.read()
+            async with asyncio.timeout(CONTROL_TIMEOUT_S), self.sessions.unpooled.delete(url):
+                pass
 
 
 async def forward_events(first: Event, events: AsyncIterator[Event]) -> AsyncIterator[bytes]:
--- a/marjoramspool/engines/orders.py
+++ b/marjoramspool/engines/orders.py
@@ -7,11 +7,13 @@
 import msgspec
 
 from marjoramspool import hashing
+from marjoramspool.answer_bodies import read_body
 from marjoramspool.audit import AuditLog
 from marjoramspool.configuration import Configuration
 from marjoramspool.document import Document, Target
 from marjoramspool.engines.client import EngineDispatcher
 from marjoramspool.events import Event, log
+from marjoramspool.failures import MayHaveRunError
 from marjoramspool.lease import Lease
 from marjoramspool.storage import Platform
 from marjoramspool.token_bucket import TokenBucket
@@ -144,8 +146,9 @@
         timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
         try:
             async with self.engines.sessions.pooled.get(url, timeout=timeout) as response:
-                return msgspec.json.decode(await response.read(), type=EngineModel).model
-        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
+                body = await read_body(response, self.engines.sessions.memory)
+            return msgspec.json.decode(body, type=EngineModel).model
+        except (aiohttp.ClientError, MayHaveRunError, TimeoutError, msgspec.MsgspecError):
             return None
 
     async def send(self, order: Order, target: Target) -> None:
--- a/marjoramspool/event_stream.py
+++ b/marjoramspool/event_stream.py
@@ -7,6 +7,8 @@
 
 # An empty line ends an event; lines end with LF, CR LF or CR.
 EVENT_END = re.compile(rb"\r\n\r\n|\r\n\n|\n\r\n|\n\n|\r\r")
+# All bytes of an event's end but the last may have been received before.
+MAX_END_OVERLAP_BYTES = 3
 
 
 @dataclass(slots=True, frozen=True)
@@ -27,10 +29,11 @@
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Add received bytes; return the events that they complete."""
+        searched = max(0, len(self.incomplete) - MAX_END_OVERLAP_BYTES)
         data = self.incomplete + chunk
         events = []
         start = 0
-        for match in EVENT_END.finditer(data):
+        for match in EVENT_END.finditer(data, searched):
             raw = data[start : match.end()]
             events.append(StreamEvent(parse_event_id(raw), raw))
             start = match.end()
--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -1,4 +1,4 @@
-"""HTTP client sessions without automatic retries."""
+"""HTTP client sessions without automatic retries, whose connections bound what they discard."""
 
 import asyncio
 import functools
@@ -7,15 +7,57 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-__all__ = ["Sessions", "new_session"]
+from marjoramspool.answer_bodies import AnswerMemory
+
+__all__ = ["MAX_DISCARDED_BYTES", "Sessions", "new_session"]
+
+MAX_DISCARDED_BYTES = 256 << 10
 
 
 class BoundedResponseHandler(ResponseHandler):
-    """Connection whose reset fails a body.
+    """Connection whose reset fails a body, and that bounds what is no part of one.
 
-    Fault: a body without length or chunks is reset, which the parser takes for its end.
+    Faults: a body without length or chunks is reset, which the parser takes for its end; a peer
+    sends empty lines, interim answers or a chunk size without end, which the parser discards until
+    the deadline of the request.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        super().__init__(loop=loop)
+        self.discarded_bytes = 0
+        self.body_bytes = 0
+
+    def set_response_params(self, **params) -> None:
+        """Prepare for the next response."""
+        self.discarded_bytes = 0
+        self.body_bytes = 0
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; break the connection after too many that are no part of a body."""
+        super().data_received(data)
+        body_bytes = 0 if self._payload is None else self._payload.total_bytes
+        if body_bytes > self.body_bytes:
+            self.body_bytes = body_bytes
+            self.discarded_bytes = 0
+            return
+        self.discarded_bytes += len(data)
+        if self.discarded_bytes > MAX_DISCARDED_BYTES:
+            self.break_off()
+
+    def break_off(self) -> None:
+        """Fail the response and close the connection."""
+        error = aiohttp.ClientPayloadError(
+            f"the peer sent {self.discarded_bytes} bytes that are no part of a body"
+        )
+        payload = self._payload
+        transport = self.transport
+        self.set_exception(error)
+        if payload is not None:
+            payload.set_exception(error)
+        if transport is not None:
+            transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body that a reset has cut off."""
         payload = self._payload
@@ -58,9 +100,10 @@
 class Sessions:
     """A session that pools connections and one that opens a new connection for each request."""
 
-    __slots__ = ("connect_timeout_s", "pooled", "unpooled")
+    __slots__ = ("connect_timeout_s", "memory", "pooled", "unpooled")
 
     def __init__(self, connect_timeout_s: float):
+        self.memory = AnswerMemory()
         self.connect_timeout_s = connect_timeout_s
         self.pooled: aiohttp.ClientSession | None = None
         self.unpooled: aiohttp.ClientSession | None = None
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -10,7 +10,11 @@
 import msgspec
 from yarl import URL
 
-from marjoramspool.answer_bodies import read_body, read_events
+from marjoramspool.answer_bodies import (
+    AnswerMemory,
+    read_body,
+    read_events,
+)
 from marjoramspool.attempts import Attempt, StreamAnswer, WholeAnswer
 from marjoramspool.engine_list import Engine
 from marjoramspool.events import Event, log
@@ -60,9 +64,10 @@
     `on_pause` with its length in seconds.
     """
 
-    __slots__ = ("fresh", "on_departure", "on_pause", "pooled")
+    __slots__ = ("fresh", "memory", "on_departure", "on_pause", "pooled")
 
     def __init__(self):
+        self.memory = AnswerMemory()
         self.on_departure: list[Callable[[Engine], None]] = []
         self.on_pause: list[Callable[[Engine, float], None]] = []
 
@@ -98,7 +103,7 @@
                 events = read_events(response)
                 yield StreamAnswer(response.status, answer_headers(response), events)
             else:
-                body = await read_body(response)
+                body = await read_body(response, self.memory)
                 yield WholeAnswer(response.status, answer_headers(response), body)
         finally:
             response.close()
@@ -118,10 +123,16 @@
         url = f"http://{engine.address}{CACHE_LIST_PATH}"
         try:
             async with asyncio.timeout(CACHE_LIST_TIMEOUT_S), self.pooled.get(url) as response:
-                body = await response.read()
+                body = await read_body(response, self.memory)
             entries = msgspec.json.decode(body, type=ListFields).held
             return tuple(Part(int(name, 16), tokens) for _, name, tokens, _ in entries)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+        except (
+            aiohttp.ClientError,
+            MayHaveRunError,
+            OSError,
+            TimeoutError,
+            ValueError,
+        ) as error:
             log(Event.ATTEMPT_FAILED, target=engine.id, why=f"cache listing failed: {error!r}")
             return None
 
--- a/marjoramspool/services/client.py
+++ b/marjoramspool/services/client.py
@@ -7,6 +7,7 @@
 import aiohttp
 from yarl import URL
 
+from marjoramspool.answer_bodies import read_body
 from marjoramspool.dispatch import Answer, Request, single_part
 from marjoramspool.document import Target
 from marjoramspool.events import Event, log
@@ -91,9 +92,9 @@
         """Return the whole body of a response; raise MayHaveRunError if it breaks off."""
         try:
             async with asyncio.timeout(max(0.0, request.deadline - time.monotonic())):
-                return await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise MayHaveRunError(f"the answer broke off: {error!r}") from error
+                return await read_body(response, self.sessions.memory)
+        except TimeoutError as error:
+            raise MayHaveRunError("the answer was not whole before the deadline") from error
 
 
 def filter_headers(headers) -> dict[str, str]:
