--- a/marjoramspool/callers/requests.py
+++ b/marjoramspool/callers/requests.py
@@ -20,6 +20,8 @@
 AFFINITY_HEADER = "Marjoramspool-Affinity"
 AFFINITY_COOKIE = "marjoramspool_affinity"
 MAX_IDEMPOTENCY_KEY_BYTES = 255
+# Longer chats are hashed at both ends, which new turns and other chats share.
+MAX_HASHED_MESSAGES = 24
 SLASHES_BEFORE_PATH = 3
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
 URGENCY_PATTERN = re.compile(r"(?:^|[,\s])u=([0-7])(?:$|[,;\s])")
@@ -61,6 +63,7 @@
     document, account = authorize(http_request, chat.model, "model", configuration)
     request = build_request(http_request, body, request_id, document, account)
     request.chat = hash_chat(chat, account)
+    request.parts = (*hash_messages(chat), *request.parts)
     request.is_first_turn = all(message.role != "assistant" for message in chat.messages)
     request.is_stream = chat.stream
     hint = http_request.headers.get(AFFINITY_HEADER) or http_request.cookies.get(AFFINITY_COOKIE)
@@ -107,6 +110,7 @@
         headers=dict(http_request.headers),
         body=body,
         deadline=time.monotonic() + document.deadline_s,
+        parts=(hashing.digest(f"{http_request.method} {http_request.raw_path}\0".encode() + body),),
         key=key,
         is_non_idempotent=document.is_non_idempotent(http_request.method, http_request.path),
     )
@@ -141,6 +145,15 @@
     return int(match.group(1)) if match else account.urgency
 
 
+def hash_messages(chat: ChatBody) -> tuple[int, ...]:
+    """Return the hashes of the first and the last messages of a chat."""
+    messages = chat.messages
+    if len(messages) > MAX_HASHED_MESSAGES:
+        half = MAX_HASHED_MESSAGES // 2
+        messages = [*messages[:half], *messages[-half:]]
+    return tuple(hashing.digest(f"{m.role}\0".encode() + bytes(m.content)) for m in messages)
+
+
 def hash_chat(chat: ChatBody, account: Account) -> int:
     """Return the hash of a chat's cache key, or of its leading messages if it has none."""
     if chat.prompt_cache_key is not None:
--- a/marjoramspool/dispatch.py
+++ b/marjoramspool/dispatch.py
@@ -18,7 +18,10 @@
 
 @dataclass(slots=True)
 class Request:
-    """Validated request of a caller; `deadline` is on the monotonic clock."""
+    """Validated request of a caller; `deadline` is on the monotonic clock.
+
+    `parts` are hashes of its contents, of which other requests may share all but the last.
+    """
 
     id: str
     document: Document
@@ -29,6 +32,7 @@
     headers: dict[str, str]
     body: bytes
     deadline: float
+    parts: tuple[int, ...] = ()
     chat: int | None = None
     holders: tuple[Holder, ...] = ()
     key: str | None = None
--- a/marjoramspool/engine_selector.py
+++ b/marjoramspool/engine_selector.py
@@ -176,7 +176,7 @@
         if all_paused := self.pauses.all_paused(serving, hashing.fraction(request.id)):
             return all_paused
         prompt = request.prompt
-        if prompt and (quarantine := self.poison.find_quarantine(prompt)):
+        if prompt and (quarantine := self.poison.find_quarantine(prompt.part_ids)):
             return quarantine
         parts = self.shared_parts.select_shareable(prompt, request.id) if prompt else ()
         tokens = prompt.input_tokens if prompt else 0
@@ -350,7 +350,7 @@
         """Record that an engine ended while the request of a placement had no answer."""
         engine = placement.engine
         incarnation = incarnation_id(engine.id, engine.started_ms)
-        self.poison.record_end(incarnation, placement.placed_at, prompt)
+        self.poison.record_end(incarnation, placement.placed_at, prompt.part_ids)
 
     def revert_placement(self, placement: Placement) -> None:
         """Drop the parts of a placement whose engine refused or failed the request."""
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -258,7 +258,7 @@
             return
         history.answered_at = None
         if request.prompt:
-            self.selector.poison.record_answer(request.prompt)
+            self.selector.poison.record_answer(request.prompt.part_ids)
 
     async def record_if_ended(self, request: RoutedRequest, placement: Placement) -> None:
         """Record the end of an engine at which a request had no answer yet, if it has ended."""
--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -9,9 +9,11 @@
 
 from marjoramspool.answer_bodies import AnswerMemory
 
-__all__ = ["MAX_DISCARDED_BYTES", "Sessions", "new_session"]
+__all__ = ["Sessions", "is_refusing_connections", "new_session"]
 
 MAX_DISCARDED_BYTES = 256 << 10
+# Short, since a retry may wait for the result.
+REFUSAL_TIMEOUT_S = 0.1
 
 
 class BoundedResponseHandler(ResponseHandler):
@@ -66,6 +68,23 @@
         super().connection_lost(exc)
 
 
+async def is_refusing_connections(address: str) -> bool:
+    """Return whether nothing listens at `HOST:PORT`, as after the end of a process.
+
+    Of a host that does not answer at all nothing is known.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except TimeoutError:
+        return False
+    except OSError:
+        return True
+    writer.transport.abort()
+    return False
+
+
 def new_session(
     connect_timeout_s: float,
     keep_alive: bool = True,
--- a/marjoramspool/peers/poison_reports.py
+++ b/marjoramspool/peers/poison_reports.py
@@ -10,7 +10,7 @@
 )
 from marjoramspool.poison_parts import EngineEnd, PoisonDetector, UnansweredAttempt
 
-__all__ = ["apply_poison_reports", "report_ends", "report_quarantines"]
+__all__ = ["apply_poison_reports", "report_attempts", "report_ends", "report_quarantines"]
 
 MS = 1000.0
 MAX_ATTEMPTS_PER_END = 8
@@ -28,8 +28,7 @@
 
 def report_attempts(end: EngineEnd) -> Iterator[UnansweredReport]:
     """Yield the unanswered attempts at an end, those sent last first."""
-    attempts = sorted(end.attempts, key=lambda a: (-a.sent_at, a.parts))
-    for attempt in attempts[:MAX_ATTEMPTS_PER_END]:
+    for attempt in end.latest_first()[:MAX_ATTEMPTS_PER_END]:
         yield UnansweredReport(
             round((end.ended_at - attempt.sent_at) * MS), attempt.parts[-MAX_PARTS_PER_ATTEMPT:]
         )
@@ -41,11 +40,16 @@
 
 
 def apply_poison_reports(detector: PoisonDetector, report: RouterReport) -> None:
-    """Apply what a router reports of engines that end and of parts that were answered."""
+    """Apply what a router reports of engines that end and of parts that were answered.
+
+    The message of the product's own interface has the same fields.
+    """
     for end in report.ended:
         known = detector.ends.get(end.incarnation_id)
         ended_at = known.ended_at if known else detector.clock()
-        attempts = [UnansweredAttempt(ended_at - a.age_ms / MS, a.parts) for a in end.attempts]
+        attempts = [
+            UnansweredAttempt(ended_at - a.age_ms / MS, tuple(a.parts)) for a in end.attempts
+        ]
         detector.add_attempts(end.incarnation_id, ended_at, attempts)
     for part in report.answered:
         detector.record_reported_answer(part)
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -25,7 +25,7 @@
     ResetError,
     TargetRefusedError,
 )
-from marjoramspool.http import new_session
+from marjoramspool.http import is_refusing_connections, new_session
 from marjoramspool.keepalive import keepalive_socket
 from marjoramspool.platform.headers import filter_answer_headers
 from marjoramspool.prompts import Part
@@ -35,8 +35,6 @@
 
 MS = 1000.0
 CONNECT_TIMEOUT_S = 0.4
-# Shorter, since a retry may wait for the result.
-END_CHECK_TIMEOUT_S = 0.1
 POOL_IDLE_TIMEOUT_S = 3.0
 SUCCESS_STATUSES = range(200, 300)
 # Clients infer from these statuses that the request did not run, so they are not passed on from an
@@ -137,21 +135,8 @@
             return None
 
     async def has_ended(self, engine: Engine) -> bool:
-        """Return whether an engine refuses connections, as after the end of its process.
-
-        One that resets a connection and accepts the next has not ended; of one that does not
-        answer at all nothing is known.
-        """
-        host, _, port = engine.address.rpartition(":")
-        try:
-            async with asyncio.timeout(END_CHECK_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except TimeoutError:
-            return False
-        except OSError:
-            return True
-        writer.transport.abort()
-        return False
+        """Return whether an engine refuses connections, as after the end of its process."""
+        return await is_refusing_connections(engine.address)
 
     async def send(
         self,
--- a/marjoramspool/platform/tests/test_quarantine_store.py
+++ b/marjoramspool/platform/tests/test_quarantine_store.py
@@ -10,11 +10,10 @@
 from marjoramspool import quarantine_store
 from marjoramspool.platform.store import Store
 from marjoramspool.poison_parts import PoisonDetector
-from marjoramspool.prompts import Part, Prompt
 from marjoramspool.quarantine_store import KIND, QuarantineStore
 
 PART = 0xBAD
-PROMPT = Prompt("m", 50, 5, (Part(PART, 40), Part(7, 10)))
+PARTS = (PART, 7)
 CHAT = route("/chat/", "streaming", "model")
 HEADERS = {"X-Model": "m", "X-Token-Count": "50,5", "X-Prompt-Prefix": "bad:40,7:10"}
 
@@ -87,7 +86,7 @@
         replica.detector.quarantined[PART].probe_at = 0.0
     for _ in range(20):
         await asyncio.sleep(0.05)
-        passed += sum(r.detector.find_quarantine(PROMPT) is None for r in replicas)
+        passed += sum(r.detector.find_quarantine(PARTS) is None for r in replicas)
     assert passed == 1
     assert {r.detector.quarantined[PART].probes for r in replicas} == {1}
 
@@ -97,7 +96,7 @@
     await wait_until(
         lambda: all(PART in r.detector.quarantined for r in replicas), "all have taken it over"
     )
-    replicas[1].detector.record_answer(PROMPT)
+    replicas[1].detector.record_answer(PARTS)
     await wait_until(lambda: not stored_names(site), "the record is removed")
     await wait_until(
         lambda: not any(r.detector.quarantined for r in replicas), "all have lifted it"
--- a/marjoramspool/poison_parts.py
+++ b/marjoramspool/poison_parts.py
@@ -13,9 +13,8 @@
 
 from marjoramspool.clock import now
 from marjoramspool.events import Event, log
-from marjoramspool.prompts import Prompt
 
-__all__ = ["EngineEnd", "PoisonDetector", "Quarantine", "UnansweredAttempt", "part_ids"]
+__all__ = ["EngineEnd", "PoisonDetector", "Quarantine", "UnansweredAttempt"]
 
 # Engines that must end under a part, one after the other, before it is quarantined.
 MIN_STRIKES = 3
@@ -43,14 +42,28 @@
 
 @dataclass(slots=True)
 class EngineEnd:
-    """End of one engine, and the unanswered attempts there that are known."""
+    """End of one engine, and when each unanswered attempt there was sent, by its parts."""
 
     ended_at: float
-    attempts: set[UnansweredAttempt] = field(default_factory=set)
+    attempts: dict[tuple[int, ...], float] = field(default_factory=dict)
+
+    def add(self, attempts: Iterable[UnansweredAttempt]) -> set[int]:
+        """Add attempts; return the parts of those that are new.
+
+        What was sent after the end did not cause it, and a router tells of it by other times.
+        """
+        added = [a for a in attempts if a.parts not in self.attempts and a.sent_at < self.ended_at]
+        self.attempts |= {a.parts: a.sent_at for a in added}
+        return {part for a in added for part in a.parts}
 
     def contains(self, part: int) -> bool:
         """Return whether an unanswered attempt had a part."""
-        return any(part in attempt.parts for attempt in self.attempts)
+        return any(part in parts for parts in self.attempts)
+
+    def latest_first(self) -> list[UnansweredAttempt]:
+        """Return the attempts, those sent last first."""
+        attempts = [UnansweredAttempt(sent_at, parts) for parts, sent_at in self.attempts.items()]
+        return sorted(attempts, key=lambda a: (-a.sent_at, a.parts))
 
 
 @dataclass(slots=True)
@@ -83,6 +96,7 @@
         "own_answers",
         "own_ends",
         "on_lifted",
+        "on_news",
         "on_quarantined",
         "quarantined",
         "suspects",
@@ -99,40 +113,43 @@
         self.own_answers: dict[int, float] = {}
         self.on_quarantined: list[Callable[[Quarantine], None]] = []
         self.on_lifted: list[Callable[[int], None]] = []
+        # Called when there is something to tell the other routers.
+        self.on_news: list[Callable[[], None]] = []
         # When each part was last unanswered at an end.
         self.suspects: dict[int, float] = {}
         # When the ends are to be looked at again, None if nothing has changed.
         self.check_at: float | None = None
 
-    def record_end(self, incarnation: int, sent_at: float, prompt: Prompt) -> None:
+    def record_end(self, incarnation: int, sent_at: float, parts: tuple[int, ...]) -> None:
         """Record that an engine ended while this router had an unanswered attempt there."""
         now_s = self.clock()
-        attempt = UnansweredAttempt(sent_at, part_ids(prompt))
+        attempt = UnansweredAttempt(sent_at, parts)
+        self.own_ends.setdefault(incarnation, EngineEnd(now_s)).add([attempt])
         self.add_attempts(incarnation, now_s, [attempt])
-        own = self.own_ends.setdefault(incarnation, EngineEnd(now_s))
-        own.attempts.add(attempt)
 
     def add_attempts(
         self, incarnation: int, ended_at: float, attempts: Iterable[UnansweredAttempt]
     ) -> None:
         """Add unanswered attempts at an engine that ended, as any router reports them."""
-        end = self.ends.setdefault(incarnation, EngineEnd(ended_at))
-        added = set(attempts) - end.attempts
+        end = self.ends.get(incarnation, EngineEnd(ended_at))
+        added = end.add(attempts)
         if not added:
             return
-        end.attempts |= added
-        self.suspects |= {part: end.ended_at for attempt in added for part in attempt.parts}
+        self.ends[incarnation] = end
+        self.suspects |= dict.fromkeys(added, end.ended_at)
         self.check_at = min(self.check_at or math.inf, end.ended_at + SETTLE_S)
         while len(self.ends) > MAX_ENDS:
             self.ends.popitem(last=False)
+        self.notify_news()
 
-    def record_answer(self, prompt: Prompt) -> None:
+    def record_answer(self, parts: tuple[int, ...]) -> None:
         """Record that an engine answered a request and did not end of it."""
         now_s = self.clock()
-        for part in part_ids(prompt):
+        for part in parts:
             # Only the first answer since an end is news to the others.
             if self.suspects.get(part, -math.inf) > self.answered_at.pop(part, -math.inf):
                 self.own_answers[part] = now_s
+                self.notify_news()
             self.answered_at[part] = now_s
             self.lift(part)
         while len(self.answered_at) > MAX_ANSWERED_PARTS:
@@ -144,13 +161,18 @@
         self.answered_at[part] = self.clock()
         self.lift(part)
 
-    def find_quarantine(self, prompt: Prompt) -> Quarantine | None:
+    def notify_news(self) -> None:
+        """Call the callbacks that tell other routers."""
+        for call in self.on_news:
+            call()
+
+    def find_quarantine(self, parts: tuple[int, ...]) -> Quarantine | None:
         """Return the quarantine that forbids a request, None if there is none.
 
         A request that is to try a part again passes, once.
         """
         self.check()
-        for part in part_ids(prompt):
+        for part in parts:
             quarantine = self.quarantined.get(part)
             if quarantine is None:
                 continue
@@ -191,7 +213,7 @@
         ]
         if len(settled) < MIN_STRIKES:
             return None
-        suspects = {part for end in settled for a in end.attempts for part in a.parts}
+        suspects = {part for end in settled for parts in end.attempts for part in parts}
         poisons = [
             part
             for part in suspects - self.quarantined.keys()
@@ -205,9 +227,7 @@
 
     def is_explained(self, end: EngineEnd) -> bool:
         """Return whether a quarantined part that several requests shared was at an end."""
-        return any(
-            part in self.quarantined for attempt in end.attempts for part in attempt.parts[:-1]
-        )
+        return any(part in self.quarantined for parts in end.attempts for part in parts[:-1])
 
     def count_strikes(self, part: int, ends: list[EngineEnd]) -> int:
         """Return how many engines ended, one after the other, since a part was last answered.
@@ -219,7 +239,7 @@
         last = self.answered_at.get(part, -math.inf)
         tails: set[int] = set()
         for end in ends:
-            for attempt in sorted(end.attempts, key=lambda a: (-a.sent_at, a.parts)):
+            for attempt in end.latest_first():
                 tail = attempt.parts[-1]
                 if part not in attempt.parts or attempt.sent_at <= last:
                     continue
@@ -253,6 +273,7 @@
         self.quarantined[part] = quarantine
         for call in self.on_quarantined:
             call(quarantine)
+        self.notify_news()
 
     def lift(self, part: int) -> None:
         """Lift the quarantine of a part, if there is one."""
@@ -270,6 +291,13 @@
             else:
                 yield incarnation, end
 
+    def recent_ends(self) -> Iterator[tuple[int, EngineEnd]]:
+        """Yield the ends of which any router told recently, by incarnation id."""
+        oldest = self.clock() - REPORT_RETENTION_S
+        for incarnation, end in self.ends.items():
+            if end.ended_at >= oldest:
+                yield incarnation, end
+
     def reported_answers(self) -> Iterator[int]:
         """Yield the suspect parts that this router saw answered recently."""
         oldest = self.clock() - REPORT_RETENTION_S
@@ -278,8 +306,3 @@
                 del self.own_answers[part]
             else:
                 yield part
-
-
-def part_ids(prompt: Prompt) -> tuple[int, ...]:
-    """Return the ids of the parts of a prompt, in order."""
-    return tuple(part.id for part in prompt.parts)
--- a/marjoramspool/prompts.py
+++ b/marjoramspool/prompts.py
@@ -29,6 +29,11 @@
             return 0
         return self.parts[-2].id if len(self.parts) > 1 else self.parts[-1].id
 
+    @property
+    def part_ids(self) -> tuple[int, ...]:
+        """Return the ids of the parts, in order."""
+        return tuple(part.id for part in self.parts)
+
     @property
     def tokens(self) -> int:
         """Return the cache memory that the finished request takes, in tokens."""
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -23,6 +23,8 @@
 from marjoramspool.membership import Member, Membership
 from marjoramspool.metrics import Metrics
 from marjoramspool.operators.server import OperatorsServer
+from marjoramspool.poison_parts import PoisonDetector
+from marjoramspool.quarantine_store import QuarantineStore
 from marjoramspool.routers.credentials import client_credentials, server_credentials
 from marjoramspool.routers.gossip import DRAIN_REPORT_SOURCE, Gossip
 from marjoramspool.routers.links import Links
@@ -57,6 +59,8 @@
         "operators",
         "orders",
         "platform",
+        "poison",
+        "quarantine_store",
         "routing",
         "servicer",
         "services",
@@ -99,6 +103,8 @@
             self.configuration, self.membership, self.targets, settings.placement, self.links
         )
         self.links.local_grants_by_owner = self.admission_controller.grants_by_owner
+        self.poison = PoisonDetector()
+        self.quarantine_store = QuarantineStore(self.platform.store, self.poison)
         self.claims = Claims(
             self.platform,
             settings.claim_shards,
@@ -114,6 +120,7 @@
             self.targets,
             self.links,
             self.platform,
+            self.poison,
             timings.probe_timeout_s,
         )
         self.watcher = Watcher(
@@ -140,6 +147,7 @@
             self.admission_controller,
             self.claims,
             self.targets,
+            self.poison,
             {"model": self.engines, "plain": self.services},
             self.traces,
             self.metrics,
@@ -201,6 +209,7 @@
             "documents": self.watcher.watch_documents,
             "routers": self.watcher.poll_routers,
             "reports": self.poll_load_reports,
+            "quarantines": self.quarantine_store.run,
             "links": self.close_idle_links,
             "holdings": self.resend_grants_periodically,
             "audit": self.audit.flush_periodically,
--- a/marjoramspool/routers/gossip.py
+++ b/marjoramspool/routers/gossip.py
@@ -5,9 +5,12 @@
 
 from marjoramspool.configuration import Configuration
 from marjoramspool.membership import Member, Membership, State
+from marjoramspool.peers.poison_reports import apply_poison_reports
+from marjoramspool.poison_parts import PoisonDetector
 from marjoramspool.routers import peers_pb2 as pb
 from marjoramspool.routers.convert import decode_member, encode_member
 from marjoramspool.routers.links import Links
+from marjoramspool.routers.poison_gossip import encode_poison_report
 from marjoramspool.storage import Platform
 from marjoramspool.targets import Targets
 
@@ -33,6 +36,7 @@
         "links",
         "membership",
         "platform",
+        "poison",
         "targets",
         "tasks",
         "timeout_s",
@@ -45,8 +49,10 @@
         targets: Targets,
         links: Links,
         platform: Platform,
+        poison: PoisonDetector,
         timeout_s: float,
     ):
+        self.poison = poison
         self.platform = platform
         self.membership = membership
         self.configuration = configuration
@@ -57,7 +63,8 @@
         # Time of the last exchange with any other router.
         self.heard_at = membership.clock()
         self.tasks: set[asyncio.Task] = set()
-        configuration.changes.subscribe(lambda _: self.push_versions())
+        configuration.changes.subscribe(lambda _: self.push())
+        poison.on_news.append(self.push)
 
     def silence_s(self) -> float:
         """Return the time since the last exchange with any other router, in seconds."""
@@ -73,6 +80,7 @@
             versions_digest=self.configuration.versions_digest(),
             members_digest=self.membership.digest(),
             store_epoch=self.platform.epoch,
+            poison=encode_poison_report(self.poison),
         )
 
     def drain_reports(self) -> list[pb.Evidence]:
@@ -96,6 +104,7 @@
         self.platform.store.advance_epoch(reply.store_epoch)
         self.merge_members(reply.members)
         self.record_drain_reports(reply.leaving)
+        apply_poison_reports(self.poison, reply.poison)
         peer_versions = decode_versions(reply.versions)
         if peer_versions:
             self.schedule_fetch(address, peer_versions)
@@ -132,6 +141,7 @@
         self.platform.store.advance_epoch(request.store_epoch)
         self.merge_members(request.members)
         self.record_drain_reports(request.leaving)
+        apply_poison_reports(self.poison, request.poison)
         self.schedule_fetch(sender.address, decode_versions(request.versions))
         members = self.membership.next_updates()
         if request.members_digest != self.membership.digest() and self.allow_full_sync():
@@ -148,6 +158,7 @@
             versions_digest=self.configuration.versions_digest(),
             members_digest=self.membership.digest(),
             store_epoch=self.platform.epoch,
+            poison=encode_poison_report(self.poison),
         )
 
     def allow_full_sync(self) -> bool:
@@ -190,8 +201,8 @@
         if self.configuration.active:
             self.configuration.is_complete = True
 
-    def push_versions(self) -> None:
-        """Announce a new document version to a few random routers, which pass it on."""
+    def push(self) -> None:
+        """Tell a few random routers of a new document version or end, which they pass on."""
         if not self.is_loop_running():
             return
         others = self.membership.live_peers()
--- a/marjoramspool/routing.py
+++ b/marjoramspool/routing.py
@@ -12,6 +12,7 @@
 from marjoramspool.admission_messages import URGENT_THRESHOLD, AdmissionRequest, Refused
 from marjoramspool.bounded_placement import Holder
 from marjoramspool.claims import Claims
+from marjoramspool.clock import now
 from marjoramspool.dispatch import Answer, Dispatcher, Request, single_part
 from marjoramspool.document import Target
 from marjoramspool.events import Event, log
@@ -19,19 +20,26 @@
 from marjoramspool.failures import (
     AttemptError,
     BrokenAnswerError,
+    MayHaveRunError,
     NotSentError,
     SilentConnectionError,
     TargetRefusedError,
 )
+from marjoramspool.http import is_refusing_connections
 from marjoramspool.metrics import Metrics
 from marjoramspool.outcomes import NotRun, Problem, Unknown
+from marjoramspool.poison_parts import PoisonDetector, Quarantine
 from marjoramspool.targets import Targets
 from marjoramspool.token_bucket import RetryBudget
 
 __all__ = ["Routing"]
 
 MAX_ATTEMPTS = 4
+# A request under which this many targets ended is not sent to another.
+MAX_ENDED_TARGETS = 2
 MAX_HOLDERS = 3
+# Targets may give such an answer without having read the request.
+MIN_SERVER_ERROR_STATUS = 500
 BYTES_PER_TOKEN = 4
 OUTCOME_RETRY_DELAYS_S = (0.1, 0.2, 0.4)
 DEFAULT_RETRY_AFTER_S = 1.0
@@ -54,6 +62,9 @@
     """Attempts of one request so far: the targets to exclude and the latest problem."""
 
     failed_attempts: int = 0
+    # Targets that ended while they had this request.
+    ended_targets: int = 0
+    sent_at: float = 0.0
     excluded_targets: list[str] = field(default_factory=list)
     may_have_run: bool = False
     problem: Problem = NO_USABLE_TARGET
@@ -68,6 +79,7 @@
         "claims",
         "dispatchers",
         "metrics",
+        "poison",
         "retry_budgets",
         "targets",
         "traces",
@@ -78,6 +90,7 @@
         admission_controller: AdmissionController,
         claims: Claims,
         targets: Targets,
+        poison: PoisonDetector,
         dispatchers: dict[str, Dispatcher],
         traces: Traces,
         metrics: Metrics,
@@ -85,6 +98,7 @@
         self.admission_controller = admission_controller
         self.claims = claims
         self.targets = targets
+        self.poison = poison
         self.dispatchers = dispatchers
         self.traces = traces
         self.metrics = metrics
@@ -187,6 +201,9 @@
         self.retry_budget(request).record_request()
         history = AttemptHistory()
         while history.failed_attempts < MAX_ATTEMPTS:
+            if quarantine := self.poison.find_quarantine(request.parts):
+                history.problem = quarantine_problem(quarantine)
+                break
             admission_request = self.admission_request(request, history)
             if admission_request is None:
                 break
@@ -221,7 +238,11 @@
                 history.may_have_run = True
                 remedy = remedy_unknown(request)
                 history.problem = Problem(502, str(error), remedy, DEFAULT_RETRY_AFTER_S)
-                return request.is_retryable and budget.try_consume()
+                return (
+                    request.is_retryable
+                    and history.ended_targets < MAX_ENDED_TARGETS
+                    and budget.try_consume()
+                )
 
     async def run_attempt(
         self,
@@ -246,15 +267,39 @@
             return NotSentError(f"target {decision.engine} is not in this router's document")
         trace.add_step("admitted", target=decision.engine, why=decision.why, owner=decision.owner)
         self.metrics.count(f"placed.{decision.why}")
+        history.sent_at = now()
         try:
             answer = await stack.enter_async_context(self.open(request, target, history))
         except AttemptError as error:
             self.record_failure(request, target, history, trace, error)
+            if isinstance(error, MayHaveRunError):
+                await self.record_if_ended(request, target, decision, history)
             return error
+        if answer.status < MIN_SERVER_ERROR_STATUS:
+            answer.parts = self.confirm_answer(request, answer.parts)
         trace.add_step("answer begun", target=target.name, status=answer.status)
         answer.holders = updated_holders(decision, request.holders)
         return answer
 
+    async def record_if_ended(
+        self, request: Request, target: Target, grant: Grant, history: AttemptHistory
+    ) -> None:
+        """Record the end of a target that had a request and has not answered it, if it ended."""
+        if not await is_refusing_connections(target.address):
+            return
+        history.ended_targets += 1
+        log(Event.ENGINE_ENDED, request=request.id, engine=target.name)
+        incarnation = hashing.digest(f"{target.address}/{grant.incarnation}")
+        self.poison.record_end(incarnation, history.sent_at, request.parts)
+
+    async def confirm_answer(
+        self, request: Request, parts: AsyncIterator[bytes]
+    ) -> AsyncIterator[bytes]:
+        """Yield an answer; record at its end that a target answered the request."""
+        async for part in parts:
+            yield part
+        self.poison.record_answer(request.parts)
+
     def open(
         self, request: Request, target: Target, history: AttemptHistory
     ) -> AbstractAsyncContextManager[Answer]:
@@ -335,6 +380,13 @@
         await self.claims.wait_for_background_tasks(FINISH_TIMEOUT_S)
 
 
+def quarantine_problem(quarantine: Quarantine) -> Problem:
+    """Return the problem of a request with contents under which targets end."""
+    title = f"targets of the service end under a part of the request, {quarantine.part:x}"
+    remedy = "send it without that part, or after the Retry-After delay"
+    return Problem(503, title, remedy, quarantine.retry_after_s(now()))
+
+
 def request_hash(request: Request) -> str:
     """Return a hash of method, path and body; a key may not be reused with another one."""
     head = f"{request.method} {request.path}\0".encode()
--- a/marjoramspool/tests/test_poison_parts.py
+++ b/marjoramspool/tests/test_poison_parts.py
@@ -8,15 +8,10 @@
     SETTLE_S,
     PoisonDetector,
 )
-from marjoramspool.prompts import Part, Prompt
 
 POISON, SOUND, OTHER = 1, 2, 3
 
 
-def prompt(*parts):
-    return Prompt("m", 100, 10, tuple(Part(part, 10) for part in parts))
-
-
 class Site:
     """Detector on a clock of its own, with engines that end."""
 
@@ -29,27 +24,27 @@
     def passes(self, seconds):
         self.now_s += seconds
 
-    def next_prompt(self, *parts):
+    def next_parts(self, *parts):
         self.tail += 1
-        return prompt(*parts, self.tail)
+        return (*parts, self.tail)
 
-    def end_engine(self, *prompts, sent_before_s=0.1):
+    def end_engine(self, *requests, sent_before_s=0.1):
         """End one engine under some unanswered requests."""
         self.incarnation += 1
-        for one in prompts:
-            self.detector.record_end(self.incarnation, self.now_s - sent_before_s, one)
+        for parts in requests:
+            self.detector.record_end(self.incarnation, self.now_s - sent_before_s, parts)
 
     def is_quarantined(self, part):
         self.passes(SETTLE_S)
-        return self.detector.find_quarantine(self.next_prompt(part)) is not None
+        return self.detector.find_quarantine(self.next_parts(part)) is not None
 
 
 def test_a_part_under_which_engines_end_one_after_the_other_is_quarantined():
     site = Site()
     for _ in range(MIN_STRIKES):
         assert not site.is_quarantined(POISON)
-        site.end_engine(site.next_prompt(SOUND, POISON))
-        site.detector.record_answer(site.next_prompt(SOUND, OTHER))
+        site.end_engine(site.next_parts(SOUND, POISON))
+        site.detector.record_answer(site.next_parts(SOUND, OTHER))
     assert site.is_quarantined(POISON)
     assert not site.is_quarantined(SOUND)
 
@@ -58,10 +53,10 @@
     """In overload no answer to a frequent part begins between the ends."""
     site = Site()
     for _ in range(2 * MIN_STRIKES):
-        site.end_engine(site.next_prompt(OTHER, POISON), site.next_prompt(SOUND, OTHER))
+        site.end_engine(site.next_parts(OTHER, POISON), site.next_parts(SOUND, OTHER))
         site.passes(0.2)
     # The second kind of request is not at every end.
-    site.end_engine(site.next_prompt(POISON))
+    site.end_engine(site.next_parts(POISON))
     assert site.is_quarantined(POISON)
     assert not site.is_quarantined(SOUND)
     assert not site.is_quarantined(OTHER)
@@ -71,16 +66,16 @@
     """A rack loses power while each engine prefills requests with the same part."""
     site = Site()
     for _ in range(20):
-        site.end_engine(site.next_prompt(SOUND))
+        site.end_engine(site.next_parts(SOUND))
     assert not site.is_quarantined(SOUND)
 
 
 def test_engines_that_flap_quarantine_nothing_that_is_answered_between():
     site = Site()
     for _ in range(3 * MIN_STRIKES):
-        site.end_engine(site.next_prompt(SOUND))
+        site.end_engine(site.next_parts(SOUND))
         site.passes(1.0)
-        site.detector.record_answer(site.next_prompt(SOUND))
+        site.detector.record_answer(site.next_parts(SOUND))
         site.passes(1.0)
     assert not site.is_quarantined(SOUND)
 
@@ -88,17 +83,17 @@
 def test_an_answer_that_another_router_saw_counts():
     site = Site()
     for _ in range(MIN_STRIKES - 1):
-        site.end_engine(site.next_prompt(SOUND))
+        site.end_engine(site.next_parts(SOUND))
         site.passes(1.0)
     site.detector.record_reported_answer(SOUND)
     site.passes(1.0)
-    site.end_engine(site.next_prompt(SOUND))
+    site.end_engine(site.next_parts(SOUND))
     assert not site.is_quarantined(SOUND)
 
 
 def test_one_request_that_is_sent_again_condemns_itself_and_not_its_shared_parts():
     site = Site()
-    request = prompt(SOUND, OTHER, 77)
+    request = (SOUND, OTHER, 77)
     for _ in range(MIN_STRIKES + 1):
         site.end_engine(request)
         site.passes(1.0)
@@ -111,7 +106,7 @@
     site = Site()
     for _ in range(3 * MIN_STRIKES):
         site.incarnation = 0
-        site.end_engine(site.next_prompt(SOUND))
+        site.end_engine(site.next_parts(SOUND))
         site.passes(0.2)
     assert not site.is_quarantined(SOUND)
 
@@ -119,10 +114,10 @@
 def test_a_quarantine_is_lifted_by_an_answer_and_not_taken_over_again_at_once():
     site = Site()
     for _ in range(MIN_STRIKES):
-        site.end_engine(site.next_prompt(POISON))
+        site.end_engine(site.next_parts(POISON))
         site.passes(1.0)
     assert site.is_quarantined(POISON)
-    site.detector.record_answer(site.next_prompt(POISON))
+    site.detector.record_answer(site.next_parts(POISON))
     assert not site.is_quarantined(POISON)
     site.detector.adopt(POISON, 0)
     assert not site.is_quarantined(POISON)
@@ -149,10 +144,19 @@
 
 def test_suspects_and_ends_are_forgotten():
     site = Site()
-    site.end_engine(site.next_prompt(SOUND))
+    site.end_engine(site.next_parts(SOUND))
     site.passes(10_000.0)
-    site.end_engine(site.next_prompt(POISON))
+    site.end_engine(site.next_parts(POISON))
     site.passes(SETTLE_S)
     site.detector.check()
     assert len(site.detector.ends) == 1
     assert SOUND not in site.detector.suspects
+
+
+def test_a_report_without_parts_is_passed_over():
+    site = Site()
+    for _ in range(MIN_STRIKES):
+        site.end_engine(())
+        site.passes(1.0)
+    site.detector.check()
+    assert not site.detector.quarantined
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -6,6 +6,7 @@
 import random
 import re
 from collections import OrderedDict
+from collections.abc import Callable
 
 import msgspec
 import xxhash
@@ -83,6 +84,9 @@
         self.orders: list[dict] = []
         self.silent_connections: set[int] = set()
         self.reported = (0, 0)
+        # Content that ends the engine, and what ends it.
+        self.poison = b""
+        self.on_poison: Callable[[], None] = lambda: None
 
     def app(self) -> web.Application:
         """Return the HTTP application."""
@@ -117,7 +121,12 @@
 
     async def complete(self, request: web.Request) -> web.StreamResponse:
         """Serve a chat completion."""
-        body = msgspec.json.decode(await request.read())
+        data = await request.read()
+        if self.poison and self.poison in data:
+            self.on_poison()
+            abort_connection(request)
+            return web.Response(status=503)
+        body = msgspec.json.decode(data)
         attempt = request.headers.get("X-Request-Id", f"attempt-{next(self.numbers)}")
         urgency = re.search(r"u=(\d)", request.headers.get("Priority", ""))
         priority = int(urgency.group(1)) if urgency else 3
