--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -28,6 +28,7 @@
 from marjoramspool.platform.settings import BALANCER_REMOVAL_DELAY_S, READINESS_PATH, HostSettings
 from marjoramspool.platform.store import Store
 from marjoramspool.platform.watchers import new_engine_watcher, new_table_watcher
+from marjoramspool.poison_parts import describe_quarantines
 from marjoramspool.quarantine_store import QuarantineStore
 from marjoramspool.startup_wait import StartupWait
 from marjoramspool.status import MemberStatus, Status
@@ -171,7 +172,7 @@
             versions={
                 "routes": self.table_watcher.table.version if self.table_watcher.table else 0
             },
-            faults={} if self.is_store_available else {"store": "it does not answer"},
+            faults=self.faults(),
             members=[
                 MemberStatus(
                     peer.address,
@@ -189,6 +190,13 @@
             leases={},
         )
 
+    def faults(self) -> dict[str, str]:
+        """Return what operators should know of, by what it concerns."""
+        faults = describe_quarantines(self.selector.poison)
+        if not self.is_store_available:
+            faults["store"] = "it does not answer"
+        return faults
+
     def export_state(self, state_type: type) -> State | None:
         """Return one kind of state for another router, None before the initial state is known."""
         if not self.has_initial_state:
--- a/marjoramspool/operators/server.py
+++ b/marjoramspool/operators/server.py
@@ -6,6 +6,7 @@
 import msgspec
 from aiohttp import web
 
+from marjoramspool.poison_parts import describe_quarantines
 from marjoramspool.routers import peers_pb2 as pb
 from marjoramspool.status import CellStatus, ControlStatus, MemberStatus, Status
 
@@ -84,7 +85,7 @@
         is_draining=router.callers.is_draining,
         in_flight=router.callers.in_flight,
         versions=router.configuration.versions(),
-        faults=dict(router.configuration.faults),
+        faults=router.configuration.faults | describe_quarantines(router.poison),
         members=members,
         owned={
             name: cell_status(router, name) for name in router.admission_controller.owned_cells()
--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -46,7 +46,7 @@
 NETWORK_DELAY_S = 0.01
 # Reports go this often to routers from which no heartbeats arrive.
 REDISCOVERY_PERIOD_S = 1.0
-# An unanswered attempt in a report takes as many bytes as a short report.
+# An unanswered attempt or a quarantine in a report may take as many bytes as a short report.
 MAX_REPORTS_PER_BATCH = 100
 
 
@@ -234,7 +234,7 @@
         batch: list[RouterReport] = []
         size = 0
         for report in reports:
-            added = 1 + sum(len(end.attempts) for end in report.ended)
+            added = 1 + len(report.quarantined) + sum(len(end.attempts) for end in report.ended)
             if batch and size + added > MAX_REPORTS_PER_BATCH:
                 self.send(encode(ReportBatch(tuple(batch))), addresses)
                 batch, size = [], 0
--- a/marjoramspool/poison_parts.py
+++ b/marjoramspool/poison_parts.py
@@ -14,7 +14,13 @@
 from marjoramspool.clock import now
 from marjoramspool.events import Event, log
 
-__all__ = ["EngineEnd", "PoisonDetector", "Quarantine", "UnansweredAttempt"]
+__all__ = [
+    "EngineEnd",
+    "PoisonDetector",
+    "Quarantine",
+    "UnansweredAttempt",
+    "describe_quarantines",
+]
 
 # Engines that must end under a part, one after the other, before it is quarantined.
 MIN_STRIKES = 3
@@ -27,7 +33,8 @@
 MAX_ANSWERED_PARTS = 4096
 MAX_QUARANTINED = 64
 FIRST_QUARANTINE_S = 60.0
-MAX_QUARANTINE_S = 3600.0
+# The time until the next probe doubles this often, to an hour and four minutes.
+MAX_DOUBLINGS = 6
 # How long this router's own observations are repeated to the others.
 REPORT_RETENTION_S = 2.0
 
@@ -268,7 +275,7 @@
             return
         if known is None and len(self.quarantined) >= MAX_QUARANTINED:
             return
-        duration_s = min(MAX_QUARANTINE_S, FIRST_QUARANTINE_S * 2**probes)
+        duration_s = FIRST_QUARANTINE_S * 2 ** min(probes, MAX_DOUBLINGS)
         quarantine = Quarantine(part, self.clock() + duration_s, probes)
         self.quarantined[part] = quarantine
         for call in self.on_quarantined:
@@ -306,3 +313,12 @@
                 del self.own_answers[part]
             else:
                 yield part
+
+
+def describe_quarantines(detector: PoisonDetector) -> dict[str, str]:
+    """Return a text on each quarantined part for operators."""
+    now_s = detector.clock()
+    return {
+        f"part {q.part:x}": f"engines end under it; tried again in {q.retry_after_s(now_s):.0f} s"
+        for q in detector.quarantined.values()
+    }
--- a/marjoramspool/quarantine_store.py
+++ b/marjoramspool/quarantine_store.py
@@ -99,9 +99,9 @@
             else:
                 self.detector.adopt(part, probes)
         for part in self.revisions.keys() - listed.keys():
-            # Another router removed the record, because an engine answered the part.
+            # An operator removed the record, or another router, since an engine answered the part.
             del self.revisions[part]
-            self.detector.lift(part)
+            self.detector.record_reported_answer(part)
         self.lifted.clear()
         for quarantine in list(self.detector.quarantined.values()):
             if quarantine.part not in listed:
--- a/marjoramspool/tests/test_poison_parts.py
+++ b/marjoramspool/tests/test_poison_parts.py
@@ -160,3 +160,9 @@
         site.passes(1.0)
     site.detector.check()
     assert not site.detector.quarantined
+
+
+def test_a_report_of_countless_probes_costs_nothing():
+    site = Site()
+    site.detector.adopt(POISON, 2**32 - 1)
+    assert site.detector.quarantined[POISON].retry_after_s(site.now_s) < 5000.0
