Count no end of an engine against a request that it has long been answering

From reading the diff: whether an answer had outlived its beginning was asked only at its next event, so a stream that broke seconds after its first event, with none between, counted as unanswered, and its parts as suspects. Change: it is asked before the end is recorded, too. Ruled out: a timer for each stream.

--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -377,6 +377,7 @@
                 return
             except AttemptError as error:
                 failure = error
+            self.confirm_answer(request, history, MAX_END_DELAY_S)
             if history.answered_at is not None:
                 await self.record_if_ended(request, history.placement)
             self.metrics.count(f"attempts_failed.{type(failure).__name__}")
--- a/marjoramspool/platform/tests/test_poison_requests.py
+++ b/marjoramspool/platform/tests/test_poison_requests.py
@@ -133,3 +133,17 @@
     assert set(traffic.poison_statuses) == {503}
     served = sum(status == 200 for status in traffic.sound_statuses)
     assert served >= 0.9 * len(traffic.sound_statuses) > 0
+
+
+async def test_an_engine_that_ends_long_after_an_answer_began_is_no_sign_of_poison(site):
+    engine = await site.add_engine("model", is_stream=True, piece_interval_s=0.8)
+    await site.configure(route("/chat/", "streaming", "model", max_attempts=1))
+    router = await site.add_router()
+    headers = {"X-Model": "m", "X-Token-Count": "60,5", "X-Prompt-Prefix": "aa:40,9:9"}
+    sending = asyncio.create_task(site.send("/chat/x", "r1", headers=headers))
+    # Between the first event and the second.
+    await asyncio.sleep(1.5)
+    await engine.stop()
+    await sending
+    assert sending.result()[0] == 200
+    assert not router.selector.poison.ends
