Soak: reset connections by a reset

Ruled out: a fault of the router (test_answers resets directly and passes). Change: proxy and stand-in share reset_connection, which sets SO_LINGER to zero. The invariant stays as it is, and the fault is harder than before.

--- a/soak/links.py
+++ b/soak/links.py
@@ -4,6 +4,8 @@
 import enum
 from collections.abc import Callable
 
+from standins.faults import reset_connection
+
 __all__ = ["Link", "Mode"]
 
 CHUNK_BYTES = 65_536
@@ -59,18 +61,18 @@
     def reset(self) -> None:
         """Reset all open connections."""
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset_connection(writer)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Proxy one connection in both directions."""
         if self.mode is Mode.REFUSING:
-            writer.transport.abort()
+            reset_connection(writer)
             return
         host, _, port = self.target().rpartition(":")
         try:
             target_reader, target_writer = await asyncio.open_connection(host, int(port))
         except OSError:
-            writer.transport.abort()
+            reset_connection(writer)
             return
         writers = {writer, target_writer}
         self.writers |= writers
@@ -99,4 +101,4 @@
                 await writer.drain()
             writer.close()
         except ConnectionError:
-            writer.transport.abort()
+            reset_connection(writer)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -1,12 +1,16 @@
 """Faults that tests arm at a stand-in."""
 
 import asyncio
+import socket
+import struct
 from collections import deque
 
 import msgspec
 from aiohttp import web
 
-__all__ = ["Fault", "Faults"]
+__all__ = ["Fault", "Faults", "abort_connection", "hang", "reset_connection"]
+
+LINGER_NONE = struct.pack("ii", 1, 0)
 
 
 class Fault(msgspec.Struct):
@@ -81,3 +85,11 @@
 def hang() -> asyncio.Future:
     """Return a future that never completes."""
     return asyncio.get_running_loop().create_future()
+
+
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection by a reset, which the other side must not take for its end."""
+    connection = writer.get_extra_info("socket")
+    if connection:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+    writer.transport.abort()
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -4,20 +4,19 @@
 """
 
 import asyncio
-import socket
-import struct
 import time
 from collections import Counter
 from dataclasses import dataclass, field
 
 import msgspec
 
+from standins.faults import reset_connection
+
 __all__ = ["Arrival", "PlatformEngine"]
 
 PIECE_INTERVAL_S = 0.005
 PIECES_PER_STREAM = 6
 SIGNATURE = "sig.1"
-LINGER_NONE = struct.pack("ii", 1, 0)
 
 
 @dataclass(slots=True)
@@ -229,13 +228,6 @@
         return True
 
 
-def reset_connection(writer: asyncio.StreamWriter) -> None:
-    """Close a connection by a reset, which the other side must not take for its end."""
-    connection = writer.get_extra_info("socket")
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
-    writer.transport.abort()
-
-
 def prompt_parts(arrival: Arrival) -> set[str]:
     """Return the ids of the prompt parts that a request names."""
     entries = arrival.headers.get("x-prompt-prefix", "").split(",")
