Bound the bytes that come without an event at the product's own interface

Cause: comments were read at full speed until the idle timeout of each of six connections, which held up the process. Change: a stream fails after 1 MB without an event, as after an event of that size. Ruled out: a longer bound in the test.

--- a/marjoramspool/engines/stream.py
+++ b/marjoramspool/engines/stream.py
@@ -119,10 +119,11 @@
 async def read_events(content: aiohttp.StreamReader, idle_timeout_s: float) -> AsyncIterator[Event]:
     """Yield the events of a stream.
 
-    Raise IncompleteStreamError if the stream breaks off or an event exceeds the size limit, and
-    IdleTimeoutError if no event is received within the idle timeout.
+    Raise IncompleteStreamError if the stream breaks off, an event exceeds the size limit or as many
+    bytes come without one, and IdleTimeoutError if no event is received within the idle timeout.
     """
     remainder = b""
+    bytes_without_event = 0
     with IdleTimer(content, idle_timeout_s) as timer:
         while True:
             try:
@@ -134,14 +135,16 @@
                 timer.end_read()
             if not chunk:
                 raise IncompleteStreamError("the stream ended without its terminal marker")
+            bytes_without_event += len(chunk)
             *complete, remainder = (remainder + chunk).split(EVENT_SEPARATOR)
-            if len(remainder) > MAX_EVENT_BYTES:
-                raise IncompleteStreamError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
             for raw in complete:
                 event = parse_event(raw)
                 if event:
+                    bytes_without_event = len(remainder)
                     timer.record_event()
                     yield event
+            if bytes_without_event > MAX_EVENT_BYTES:
+                raise IncompleteStreamError(f"{MAX_EVENT_BYTES} bytes came without an event")
 
 
 def parse_event(raw: bytes) -> Event | None:
