Tests: wait for the release of a grant, which follows the engine's end of a request

Traced by reading: the grant is released after that answer, within the same second. Change: the test waits for both, 5 s for the engine as before and 1 s for the grant, and asserts both as before.

--- a/marjoramspool/engines/tests/test_answer_integrity.py
+++ b/marjoramspool/engines/tests/test_answer_integrity.py
@@ -11,6 +11,7 @@
 import pytest
 
 from bench.chats import Chat, take_turn
+from bench.local import wait_until
 from standins.engine import answer_tag
 
 TOKENS = 6
@@ -133,13 +134,11 @@
     )
     await started.wait()
     task.cancel()
-    for _ in range(500):
-        if not fleet.engines[0].running:
-            break
-        await asyncio.sleep(0.01)
-    assert fleet.engines[0].running == 0
+    await wait_until(lambda: not fleet.engines[0].running, "the engine has stopped", 5.0)
     owner = next(r for r in fleet.routers if r.admission_controller.owned_cells())
-    assert sum(owner.admission_controller.cell("grip-model/0").loads.values()) == 0
+    loads = owner.admission_controller.cell("grip-model/0").loads
+    # The grant is released once the engine's answer to the cancellation has arrived.
+    await wait_until(lambda: not sum(loads.values()), "the grant is released", 1.0)
 
 
 async def test_caller_gets_content_of_another_attempt_without_check(fleet, monkeypatch):
