Soak: leave connections alone that are closed already

The short soak failed in a run of all tests with 'Bad file descriptor': set an option of a connection that had been closed meanwhile. Change: only open ones are reset. Ruled out: nothing else.

--- a/standins/faults.py
+++ b/standins/faults.py
@@ -90,6 +90,7 @@
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Close a connection by a reset, which the other side must not take for its end."""
     connection = writer.get_extra_info("socket")
-    if connection:
+    is_open = connection is not None and connection.fileno() >= 0
+    if is_open:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
     writer.transport.abort()
