Tests: register the endless target by the stand-in's own registration

The fields of a registration stood twice (found by duplicates). Cause: the test spelled them out. Ruled out: nothing. Change: the stand-in engine writes it.

--- a/marjoramspool/platform/tests/test_endless_answers.py
+++ b/marjoramspool/platform/tests/test_endless_answers.py
@@ -8,6 +8,7 @@
 from bench.local import wait_until
 from bench.platform_fleet import route
 from standins.endless import PATTERNS, EndlessTarget
+from standins.platform_engine import PlatformEngine
 
 LOOKUP = route("/lookup/", "idempotent", "desk", timeout_ms=2000)
 CHAT = route("/chat/", "streaming", "model", timeout_ms=2000, max_attempts=1)
@@ -18,18 +19,8 @@
 
 
 async def register(site, target, service):
-    entry = {
-        "service": service,
-        "address": f"127.0.0.1:{target.port}",
-        "zone": "zone-a",
-        "version": "v1",
-        "slots": 16,
-        "state": "ready",
-        "cold_remaining_ms": 0,
-        "sequence": 1,
-        "born": 1000,
-    }
-    await site.put("servers", "i-endless", entry)
+    engine = PlatformEngine("i-endless", service, address=f"127.0.0.1:{target.port}")
+    await site.put("servers", engine.id, engine.registration())
 
 
 async def send(site, path, method):
