--- /dev/null
+++ b/marjoramspool/platform/tests/test_engine_limits.py
@@ -0,0 +1,87 @@
+"""Engines that name a limit in their answers get no more requests than it allows, from all routers.
+
+Callers beyond the limit are refused at once, and served again when it has ended.
+"""
+
+import asyncio
+import time
+from contextlib import asynccontextmanager
+from itertools import count
+
+import pytest
+
+from bench.platform_fleet import route
+
+LOOKUP = route("/lookup/", "idempotent", "desk")
+# By the requirements, from this long after an engine first named its limit.
+STABLE_S = 3.0
+WINDOW_S = 4.0
+ALLOWED_FACTOR = 1.5
+ALLOWED_EXTRA = 5
+MAX_REFUSAL_S = 0.5
+
+
+async def start_site(site, routers, engines, routes=(LOOKUP,)):
+    added = [await site.add_engine("desk") for _ in range(engines)]
+    await site.configure(*routes)
+    for _ in range(routers):
+        await site.add_router()
+    if routers > 1:
+        await site.wait_for_peers()
+    return added
+
+
+@asynccontextmanager
+async def traffic(site, per_s, path="/lookup/x"):
+    """Send requests at all routers until the end of the block; yield their results."""
+    results, tasks = [], set()
+
+    async def send(number):
+        started = time.monotonic()
+        status, headers, _ = await site.send(path, f"q{number}", number % len(site.routers))
+        results.append((status, headers, time.monotonic() - started))
+
+    async def run():
+        for number in count():
+            await asyncio.sleep(1.0 / per_s)
+            task = asyncio.create_task(send(number))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+
+    running = asyncio.create_task(run())
+    try:
+        yield results
+    finally:
+        running.cancel()
+        await asyncio.gather(running, *tasks, return_exceptions=True)
+
+
+def most_in_window(engine, since):
+    """Return the most requests that reached an engine in any window that begins after a time."""
+    times = sorted(a.at for a in engine.arrivals if a.at >= since)
+    return max((sum(start <= at < start + WINDOW_S for at in times) for start in times), default=0)
+
+
+def allowed(limit_per_s):
+    return ALLOWED_FACTOR * limit_per_s * WINDOW_S + ALLOWED_EXTRA
+
+
+@pytest.mark.parametrize(("routers", "limit_per_s"), [(8, 1.0), (3, 6.0)])
+async def test_engines_that_name_a_limit_get_no_more_than_it_allows(site, routers, limit_per_s):
+    engines = await start_site(site, routers, 2)
+    async with traffic(site, 40.0) as results:
+        await asyncio.sleep(1.0)
+        assert {status for status, _, _ in results} == {200}
+        for engine in engines:
+            engine.limit_per_s = limit_per_s
+        named_at = time.monotonic()
+        await asyncio.sleep(STABLE_S + WINDOW_S + 1.0)
+    for engine in engines:
+        most = most_in_window(engine, named_at + STABLE_S)
+        assert most <= allowed(limit_per_s)
+        # An engine in need gets what it named, not far less.
+        assert most >= 0.7 * limit_per_s * WINDOW_S
+    refused = [result for result in results if result[0] == 503]
+    assert refused
+    assert all(float(headers["Retry-After"]) > 0.0 for _, headers, _ in refused)
+    assert max(waited_s for _, _, waited_s in refused) < MAX_REFUSAL_S
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -33,9 +33,11 @@
     at: float = field(default_factory=time.monotonic)
     # Requests in flight at the engine when this one arrived.
     running_before: int = 0
-    # Whether the answer said that the engine leaves, and the pause that it asked for.
+    # Whether the answer said that the engine leaves, the pause that it asked for, and the limit
+    # that it named, in requests per second.
     has_announced: bool = False
     pause_s: float = 0.0
+    limit_per_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -48,8 +50,9 @@
     or chunks that ends inside an event), foreign (response to another request), bare (no
     signature), repeat (a resumed stream starts over), mute (no response), busy503 (a 503 that does
     not say that the request was not executed). While `is_leaving` is set, every response says so.
-    While `retry_after_s` is set, requests are refused with it. The engine ends when it begins to
-    answer a request with a prompt part in `poison`.
+    While `retry_after_s` is set, requests are refused with it. While `limit_per_s` is set, every
+    response names it. The engine ends when it begins to answer a request with a prompt part in
+    `poison`.
     """
 
     id: str
@@ -57,6 +60,7 @@
     is_stream: bool = False
     is_leaving: bool = False
     retry_after_s: float | None = None
+    limit_per_s: float | None = None
     piece_interval_s: float = PIECE_INTERVAL_S
     pieces: int = PIECES_PER_STREAM
     faults: Counter = field(default_factory=Counter)
@@ -108,8 +112,10 @@
 
     def head(self, status: int, request: str, length: int | None, **more) -> bytes:
         """Return the status line and headers of a response of this engine."""
-        leaving = {"Server-Leaving": "1"} if self.is_leaving else {}
-        return head(status, request, length, **more, **leaving)
+        notices = {"Server-Leaving": "1"} if self.is_leaving else {}
+        if self.limit_per_s is not None:
+            notices["Server-Limit"] = f"{self.limit_per_s}"
+        return head(status, request, length, **more, **notices)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection."""
@@ -143,6 +149,7 @@
             writer.write(self.head(421, arrival.id, 0, **{"X-Instance-Id": self.id}))
             return True
         arrival.has_announced = self.is_leaving
+        arrival.limit_per_s = self.limit_per_s
         if self.retry_after_s is not None:
             arrival.pause_s = self.retry_after_s
             notice = {"X-Not-Executed": "1", "Retry-After": f"{self.retry_after_s}"}
