--- a/marjoramspool/cost_placement.py
+++ b/marjoramspool/cost_placement.py
@@ -4,6 +4,7 @@
 hundred times more than a cache hit, and each prefill delays the tokens of all other requests there.
 """
 
+import math
 from dataclasses import dataclass
 
 from marjoramspool import hashing
@@ -21,6 +22,8 @@
 LOAD_BOUND_FACTOR = 1.5
 LOAD_BOUND_EXTRA_REQUESTS = 2
 OTHER_DOMAIN_COST_TOKENS = 30
+# Cost of the last room below a rate limit, which is kept for prompts that the engine has cached.
+LIMIT_COST_TOKENS = 3000
 
 
 @dataclass(slots=True)
@@ -33,6 +36,9 @@
     # Tokens of the prompt that another engine has cached and this one has not.
     cached_elsewhere_tokens: int = 0
     is_same_domain: bool = True
+    # Requests that fit below the engine's rate limit, and the part of the limit that is used.
+    room: float = math.inf
+    used_limit: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -81,7 +87,7 @@
     level = water_level(list(costs.values()), unreported.tokens)
     level = max(level, min(costs.values()) + COST_TOLERANCE_TOKENS)
     ranked = sorted(below_bound, key=lambda c: preference(key, c.name, costs[c.name], level))
-    headrooms = [bound + 1 - candidate.load.requests for candidate in ranked]
+    headrooms = [min(bound + 1 - c.load.requests, c.room) for c in ranked]
     best = ranked[first_unfilled(headrooms, unreported.requests, unreported.draw)]
     return Choice(best, costs[best.name])
 
@@ -98,10 +104,12 @@
 
 
 def mean_load(candidates: list[Candidate]) -> float:
-    """Return the mean number of requests at the candidates, 0 if there are none."""
-    if not candidates:
-        return 0.0
-    return sum(candidate.load.requests for candidate in candidates) / len(candidates)
+    """Return the mean number of requests at the candidates, 0 if there are none.
+
+    Engines with a rate limit count only if all have one: they are kept below what others take.
+    """
+    counted = [c for c in candidates if c.room == math.inf] or candidates
+    return sum(candidate.load.requests for candidate in counted) / max(1, len(counted))
 
 
 def cost_tokens(candidate: Candidate, prompt_tokens: int) -> int:
@@ -109,5 +117,7 @@
     prefill_cost = max(0, prompt_tokens - candidate.cached_tokens)
     prefill_cost += int(DUPLICATE_WEIGHT * candidate.cached_elsewhere_tokens)
     distance_cost = 0 if candidate.is_same_domain else OTHER_DOMAIN_COST_TOKENS
+    limit_cost = int(LIMIT_COST_TOKENS * candidate.used_limit)
     load = candidate.load
-    return prefill_cost + load.prefill_tokens + REQUEST_COST_TOKENS * load.requests + distance_cost
+    load_cost = load.prefill_tokens + REQUEST_COST_TOKENS * load.requests
+    return prefill_cost + load_cost + distance_cost + limit_cost
--- a/marjoramspool/engine_list.py
+++ b/marjoramspool/engine_list.py
@@ -33,6 +33,11 @@
     is_draining: bool
     started_ms: int
 
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return the id and the start time, which name one incarnation."""
+        return self.id, self.started_ms
+
 
 class EngineList:
     """Registered engines of all services.
--- a/marjoramspool/engine_loads.py
+++ b/marjoramspool/engine_loads.py
@@ -2,15 +2,42 @@
 
 from dataclasses import dataclass
 
-__all__ = ["EngineLoads", "Load"]
+__all__ = ["NO_LOAD", "EngineLoads", "Load"]
 
 
 @dataclass(slots=True)
 class Load:
-    """Requests in flight at an engine and the prompt tokens that it has yet to prefill."""
+    """Requests in flight at an engine and the prompt tokens that it has yet to prefill.
+
+    For an engine with a rate limit, also the decaying sums of the requests that it was sent and of
+    those that it was wanted for, in thousandths; these are told of other routers only.
+    """
 
     requests: int = 0
     prefill_tokens: int = 0
+    sent_milli: int = 0
+    wanted_milli: int = 0
+
+    def add(self, other: "Load", sign: int = 1) -> None:
+        """Add another load, or subtract it with a `sign` of -1."""
+        self.requests += sign * other.requests
+        self.prefill_tokens += sign * other.prefill_tokens
+        self.sent_milli += sign * other.sent_milli
+        self.wanted_milli += sign * other.wanted_milli
+
+    def remaining(self, part: "Load") -> "Load":
+        """Return what is left of a load without a part of it, which may be of another moment."""
+        return Load(
+            max(0, self.requests - part.requests),
+            max(0, self.prefill_tokens - part.prefill_tokens),
+            max(0, self.sent_milli - part.sent_milli),
+            max(0, self.wanted_milli - part.wanted_milli),
+        )
+
+    @property
+    def is_zero(self) -> bool:
+        """Return whether there is nothing to tell."""
+        return not (self.requests or self.prefill_tokens or self.sent_milli or self.wanted_milli)
 
 
 NO_LOAD = Load()
@@ -56,26 +83,29 @@
         self.remove_router(router)
         self.reported[router] = loads
         for engine, load in loads.items():
-            self.add_reported(engine, load.requests, load.prefill_tokens)
+            self.add_reported(engine, load)
 
     def remove_router(self, router: str) -> None:
         """Remove the loads reported by a router that is no longer live."""
         for engine, load in self.reported.pop(router, {}).items():
-            self.add_reported(engine, -load.requests, -load.prefill_tokens)
+            self.add_reported(engine, load, sign=-1)
 
     def clear_reports(self) -> None:
         """Remove all reported loads."""
         self.reported.clear()
         self.reported_totals.clear()
 
-    def add_reported(self, engine: str, requests: int, prefill_tokens: int) -> None:
-        """Add to the total that the other routers report for an engine."""
+    def add_reported(self, engine: str, load: Load, sign: int = 1) -> None:
+        """Add to the total that the other routers report for an engine, or subtract from it."""
         total = self.reported_totals.setdefault(engine, Load())
-        total.requests += requests
-        total.prefill_tokens += prefill_tokens
-        if not total.requests and not total.prefill_tokens:
+        total.add(load, sign)
+        if total.is_zero:
             del self.reported_totals[engine]
 
+    def others(self, engine: str) -> Load:
+        """Return what the other routers report of an engine."""
+        return self.reported_totals.get(engine, NO_LOAD)
+
     def requests(self, engine: str) -> int:
         """Return the requests at an engine, summed over all routers."""
         local = self.local.get(engine, NO_LOAD)
--- a/marjoramspool/engine_selector.py
+++ b/marjoramspool/engine_selector.py
@@ -23,6 +23,7 @@
 from marjoramspool.prefix_caches import PrefixCaches
 from marjoramspool.prompts import Part, Prompt
 from marjoramspool.queue_rank import queue_rank
+from marjoramspool.request_limits import AllLimited, RequestLimits
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import RouteTable
 from marjoramspool.shared_parts import SharedParts
@@ -98,6 +99,7 @@
         "domain",
         "engines",
         "hot_parts",
+        "limits",
         "loads",
         "mean_loads",
         "on_placed",
@@ -122,6 +124,7 @@
         self.loads = EngineLoads()
         self.outliers = OutlierDetector()
         self.pauses = EnginePauses()
+        self.limits = RequestLimits(lambda key: self.loads.others(key[0]))
         self.poison = PoisonDetector()
         self.caches = PrefixCaches()
         self.shared_parts = SharedParts()
@@ -147,6 +150,7 @@
         self.caches.remove_engine((engine.id, engine.started_ms))
         self.outliers.remove_engine(engine.id)
         self.pauses.remove_engine(engine)
+        self.limits.remove_engine(engine.key)
         self.unknown_caches.discard((engine.id, engine.started_ms))
 
     def model_engines(self) -> list[Engine]:
@@ -166,7 +170,7 @@
 
     def place(
         self, request: RoutedRequest, exclude: set[str]
-    ) -> Placement | Shed | AllPaused | Quarantine | None:
+    ) -> Placement | Shed | AllPaused | AllLimited | Quarantine | None:
         """Return a placement of a request at the best engine; None if no engine is usable.
 
         A request with a quarantined prompt part goes to no engine.
@@ -182,7 +186,11 @@
         tokens = prompt.input_tokens if prompt else 0
         choice = self.choose(request, serving, exclude, parts)
         if choice is None:
-            return None
+            return self.limits.all_limited(
+                (engine.key for engine in serving if engine.id not in exclude),
+                request.remaining_s(),
+                hashing.fraction(request.id),
+            )
         engine = self.engines.engines[choice.engine.name]
         prefill_tokens = max(0, tokens - choice.engine.cached_tokens)
         rank = queue_rank(prefill_tokens, request.priority)
@@ -190,6 +198,7 @@
         if parts and is_new and (shed := self.shed_request(request, choice, prefill_tokens, rank)):
             return shed
         self.sent_rates[request.service].record(prefill_tokens + REQUEST_COST_TOKENS)
+        self.limits.record_sent(engine.key)
         if not parts:
             return Placement(engine, self.loads, prefill_tokens, choice, rank)
         cache_source = self.find_cache_source(engine, parts, choice.engine.cached_tokens)
@@ -248,7 +257,8 @@
         """Return the best of some engines, which are a `share` of the service's."""
         usable = [e for e in engines if e.id not in exclude and not self.pauses.is_paused(e)]
         not_ejected = self.outliers.exclude_ejected(engine.id for engine in usable)
-        candidates = [self.candidate(e, parts) for e in usable if e.id in not_ejected]
+        with_room = self.with_room([e for e in usable if e.id in not_ejected], request)
+        candidates = [self.candidate(engine, parts) for engine in with_room]
         most_cached = max((c.cached_tokens for c in candidates), default=0)
         for candidate in candidates:
             candidate.cached_elsewhere_tokens = most_cached - candidate.cached_tokens
@@ -256,6 +266,28 @@
         unreported = self.unreported_load(request, share)
         return choose_engine(candidates, key, tokens, unreported, mean_requests)
 
+    def with_room(self, engines: list[Engine], request: RoutedRequest) -> list[Engine]:
+        """Return the engines whose rate limits have room for a request."""
+        if not self.limits.notices:
+            return engines
+        selected = self.limits.select(
+            (engine.key for engine in engines),
+            lambda name: hashing.fraction(f"{request.id}/{name}"),
+            request.after_event is not None or self.is_urgent(request),
+        )
+        return [engine for engine in engines if engine.key in selected]
+
+    def is_urgent(self, request: RoutedRequest) -> bool:
+        """Return whether no route to the service of a request has a higher priority."""
+        table = self.table()
+        routes = table.routes if table else ()
+        priorities = (
+            route.priority
+            for route in routes
+            if any(split.service == request.service for split in route.traffic_splits)
+        )
+        return request.priority <= min(priorities, default=request.priority)
+
     def ring(self, service: str, engines: list[Engine]) -> EngineRing:
         """Return the ring of a service, made anew when its engines have changed."""
         made_of, ring = self.rings.get(service, (None, None))
@@ -342,8 +374,10 @@
         return Candidate(
             name=engine.id,
             load=self.loads.total(engine.id),
-            cached_tokens=self.caches.cached_tokens((engine.id, engine.started_ms), parts),
+            cached_tokens=self.caches.cached_tokens(engine.key, parts),
             is_same_domain=engine.failure_domain == self.domain,
+            room=self.limits.room(engine.key),
+            used_limit=self.limits.used(engine.key),
         )
 
     def record_end(self, placement: Placement, prompt: Prompt) -> None:
--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -52,6 +52,7 @@
     PART_RELEASED = (513, "info", "the quarantine of a prompt part was lifted")
     QUARANTINE_UNREADABLE = (514, "warning", "a stored quarantine names no prompt part")
     ENGINE_PAUSED = (510, "info", "an engine refused a request and asked for a pause")
+    ENGINE_LIMITED = (515, "warning", "the rate limit that an engine names began, changed or ended")
     REGISTRATION_UNREADABLE = (509, "warning", "a registration could not be decoded and is ignored")
     ATTEMPT_FAILED = (601, "info", "an attempt failed")
     STREAM_RESUMED = (602, "info", "a stream was resumed over a new connection")
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -30,6 +30,7 @@
 from marjoramspool.platform.watchers import new_engine_watcher, new_table_watcher
 from marjoramspool.poison_parts import describe_quarantines
 from marjoramspool.quarantine_store import QuarantineStore
+from marjoramspool.request_limits import describe_limits
 from marjoramspool.startup_wait import StartupWait
 from marjoramspool.status import MemberStatus, Status
 from marjoramspool.store_versions import epoch_of
@@ -94,6 +95,11 @@
         self.sessions = EngineSessions()
         self.sessions.on_departure.append(self.engines.record_announcement)
         self.sessions.on_pause.append(self.selector.pauses.record)
+        self.sessions.on_limit.append(
+            lambda engine, limit_per_s, sent_at: self.selector.limits.record_answer(
+                engine.key, limit_per_s, sent_at
+            )
+        )
         self.forwarding = Forwarding(
             self.selector, self.sessions, settings.bounds, self.directory.size, self.metrics
         )
@@ -119,6 +125,7 @@
             self.load_broadcast.own.queue_listing,
             lambda: self.discovery.is_settled,
         )
+        self.selector.limits.share = lambda: self.load_broadcast.heard_share(self.fleet_size())
         self.quarantine_store = QuarantineStore(self.store, self.selector.poison)
         self.startup_wait = StartupWait(
             lambda: self.has_initial_state and self.quarantine_store.is_listed
@@ -190,9 +197,15 @@
             leases={},
         )
 
+    def fleet_size(self) -> int:
+        """Return the number of routers of the fleet, an upper bound until they are known."""
+        if not self.discovery.is_settled:
+            return self.directory.size()
+        return 1 + len(self.directory.peers)
+
     def faults(self) -> dict[str, str]:
         """Return what operators should know of, by what it concerns."""
-        faults = describe_quarantines(self.selector.poison)
+        faults = describe_quarantines(self.selector.poison) | describe_limits(self.selector.limits)
         if not self.is_store_available:
             faults["store"] = "it does not answer"
         return faults
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -33,6 +33,7 @@
 from marjoramspool.outcomes import NotRun, Problem, Unknown
 from marjoramspool.poison_parts import MAX_END_DELAY_S, Quarantine
 from marjoramspool.queue_rank import RESUMED_RANK
+from marjoramspool.request_limits import AllLimited
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.retries import SharedRetryBudget
 
@@ -79,6 +80,12 @@
             why = "all engines of the service refuse requests for a time"
             self.problem = Problem(503, why, "retry after the given time", pause.retry_after_s)
 
+    def record_all_limited(self, refusal: AllLimited) -> None:
+        """Record that no engine has room; keep the problem of an attempt that may have run."""
+        if not self.possible_runs:
+            why = "all engines of the service have reached the rate limits that they named"
+            self.problem = Problem(503, why, "retry after the given time", refusal.retry_after_s)
+
     def record_quarantine(self, quarantine: Quarantine, retry_after_s: float) -> None:
         """Record that a part of the prompt ends engines; keep the problem of a possible run."""
         if not self.possible_runs:
@@ -176,6 +183,9 @@
             if isinstance(placement, AllPaused):
                 history.record_all_paused(placement)
                 break
+            if isinstance(placement, AllLimited):
+                history.record_all_limited(placement)
+                break
             if isinstance(placement, Quarantine):
                 history.record_quarantine(placement, placement.retry_after_s(now()))
                 break
--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -12,7 +12,8 @@
 from marjoramspool.events import Event, log
 from marjoramspool.peers import relays
 from marjoramspool.peers.directory import Directory, Peer
-from marjoramspool.peers.load_sums import subtract_loads
+from marjoramspool.peers.limit_reports import apply_limit_report
+from marjoramspool.peers.load_sums import Loads, read_loads, subtract_loads
 from marjoramspool.peers.messages import (
     CacheUpdate,
     DomainLoads,
@@ -97,6 +98,7 @@
         self.transport: asyncio.DatagramTransport | None = None
         selector.report_age_s = self.report_age_s
         selector.other_routers = lambda: self.live_count
+        selector.limits.report_age_s = self.report_age_s
         selector.on_placed.append(self.own.queue_prefill)
         selector.on_reverted.append(self.own.queue_retraction)
         directory.on_dead.append(self.discard_reports)
@@ -119,6 +121,12 @@
         )
         return min(MAX_PERIOD_S, RELAYED_PERIOD_S * factor)
 
+    def heard_share(self, known_routers: int) -> float:
+        """Return the part of the known routers whose requests this router knows of, itself too."""
+        is_summed = relays.is_full_mesh(self.directory) or self.summed_by is not None
+        heard = 1 + (len(self.directory.live_peers()) if is_summed else 0)
+        return heard / max(1, known_routers)
+
     def discard_reports(self, peer: Peer) -> None:
         """Discard the reports of a dead router."""
         self.selector.loads.remove_router(peer.address)
@@ -182,7 +190,7 @@
         """Forward heartbeats of this failure domain to the other relays, all to the domain."""
         reports = self.relay.take_heartbeats()
         if report:
-            reports.append(msgspec.structs.replace(report, loads=(), cache_updates=()))
+            reports.append(msgspec.structs.replace(report, loads=(), cache_updates=(), rates=()))
         domain = self.directory.domain
         outward = [report for report in reports if report.domain == domain]
         self.send_batches(outward, relays.other_domain_relays(self.directory))
@@ -210,18 +218,13 @@
             self.send(encode(message), members)
         self.use_sums((own.address, 0), 0, self.relay.other_loads())
 
-    def use_sums(self, source: tuple, part: int, loads: dict[int, Load]) -> None:
+    def use_sums(self, source: tuple, part: int, loads: Loads) -> None:
         """Replace what is known of the other routers' loads by one part of their sum."""
         if self.summed_by != source:
             self.selector.loads.clear_reports()
             self.summed_by = source
         self.summed_at = self.directory.clock()
-        by_engine = {
-            engine.id: load
-            for incarnation, load in loads.items()
-            if (engine := self.find_engine(incarnation))
-        }
-        self.selector.loads.replace_report(f"sum {part}", by_engine)
+        self.selector.loads.replace_report(f"sum {part}", self.by_engine(loads))
 
     def drop_old_sums(self) -> None:
         """Drop the sums of a relay that has fallen silent."""
@@ -312,10 +315,7 @@
             return
         for update in message.cache_updates:
             self.apply_update(update)
-        loads = {
-            report.incarnation_id: Load(report.requests, report.prefill_tokens)
-            for report in message.loads
-        }
+        loads = read_loads(message)
         subtract_loads(loads, self.own.included_loads(message.included))
         source = (message.address, message.boot_id, message.parts)
         self.use_sums(source, message.part, loads)
@@ -337,12 +337,15 @@
         for update in report.cache_updates:
             self.apply_update(update)
         if self.summed_by is None:
-            self.selector.loads.replace_report(report.address, dict(self.decode_loads(report)))
+            self.selector.loads.replace_report(report.address, self.by_engine(read_loads(report)))
         unreachable = filter(None, map(self.find_engine, report.unreachable))
         self.selector.outliers.record_report(
             report.address, frozenset(engine.id for engine in unreachable)
         )
         apply_poison_reports(self.selector.poison, report)
+        for limit in report.limits:
+            if engine := self.find_engine(limit.incarnation_id):
+                apply_limit_report(self.selector.limits, engine.key, limit)
         for engine in filter(None, map(self.find_engine, report.leaving)):
             self.selector.engines.record_announcement(engine, report.address)
         if not relays.is_full_mesh(self.directory):
@@ -368,12 +371,13 @@
         parts = tuple(Part(*part) for part in update.parts)
         apply_cache_update(self.selector, engine, parts, update.kind)
 
-    def decode_loads(self, report: RouterReport):
-        """Yield the id and load of each known engine in a report."""
-        for load in report.loads:
-            engine = self.find_engine(load.incarnation_id)
-            if engine:
-                yield engine.id, Load(load.requests, load.prefill_tokens)
+    def by_engine(self, loads: Loads) -> dict[str, Load]:
+        """Return loads by the id of the engine; those of unknown engines are left out."""
+        return {
+            engine.id: load
+            for incarnation, load in loads.items()
+            if (engine := self.find_engine(incarnation))
+        }
 
     def find_engine(self, incarnation: int) -> Engine | None:
         """Return the engine with an incarnation id, None if it is unknown."""
--- a/marjoramspool/peers/load_sums.py
+++ b/marjoramspool/peers/load_sums.py
@@ -8,43 +8,86 @@
 from collections.abc import Callable, Iterable, Iterator
 
 from marjoramspool.engine_loads import Load
-from marjoramspool.peers.messages import DomainLoads, EngineLoadReport, IncludedReport, RouterReport
-
-__all__ = ["LoadSums", "add_loads", "split_loads", "subtract_loads"]
+from marjoramspool.peers.messages import (
+    DomainLoads,
+    EngineLoadReport,
+    EngineRateReport,
+    FleetLoads,
+    IncludedReport,
+    RouterReport,
+)
+
+__all__ = [
+    "LoadSums",
+    "Loads",
+    "add_loads",
+    "encode_loads",
+    "read_loads",
+    "split_loads",
+    "subtract_loads",
+]
 
 # Loads of a router or domain that is not heard from for this long no longer count.
 MEMBER_TIMEOUT_S = 1.6
 DOMAIN_TIMEOUT_S = 2.0
 MAX_LOADS_PER_MESSAGE = 1000
 
+# Loads by incarnation of the engine.
 Loads = dict[int, Load]
+LoadReports = tuple[tuple[EngineLoadReport, ...], tuple[EngineRateReport, ...]]
+
+
+def read_loads(message: RouterReport | DomainLoads | FleetLoads) -> Loads:
+    """Return the loads in a message."""
+    loads = {
+        report.incarnation_id: Load(report.requests, report.prefill_tokens)
+        for report in message.loads
+    }
+    for report in message.rates:
+        load = loads.setdefault(report.incarnation_id, Load())
+        load.sent_milli = report.sent_milli
+        load.wanted_milli = report.wanted_milli
+    return loads
 
 
-def add_loads(total: Loads, reports: Iterable[EngineLoadReport]) -> None:
-    """Add reported loads, by incarnation of the engine, to a total."""
-    for report in reports:
-        load = total.setdefault(report.incarnation_id, Load())
-        load.requests += report.requests
-        load.prefill_tokens += report.prefill_tokens
+def add_loads(total: Loads, loads: Loads) -> None:
+    """Add loads to a total."""
+    for incarnation, load in loads.items():
+        total.setdefault(incarnation, Load()).add(load)
 
 
-def subtract_loads(total: Loads, reports: Iterable[EngineLoadReport]) -> None:
-    """Subtract reported loads from a total that includes them."""
-    for report in reports:
-        load = total.get(report.incarnation_id)
-        if load:
-            load.requests = max(0, load.requests - report.requests)
-            load.prefill_tokens = max(0, load.prefill_tokens - report.prefill_tokens)
+def subtract_loads(total: Loads, loads: Loads) -> None:
+    """Subtract loads from a total that includes them, or did so a moment ago."""
+    for incarnation, load in loads.items():
+        if incarnation in total:
+            total[incarnation] = total[incarnation].remaining(load)
 
 
-def split_loads(loads: Loads) -> Iterator[tuple[EngineLoadReport, ...]]:
+def encode_loads(loads: Iterable[tuple[int, Load]]) -> LoadReports:
+    """Return the reports of some loads; what is zero is left out."""
+    loads = list(loads)
+    return (
+        tuple(
+            EngineLoadReport(incarnation, load.requests, load.prefill_tokens)
+            for incarnation, load in loads
+            if load.requests or load.prefill_tokens
+        ),
+        tuple(
+            EngineRateReport(incarnation, load.sent_milli, load.wanted_milli)
+            for incarnation, load in loads
+            if load.sent_milli or load.wanted_milli
+        ),
+    )
+
+
+def split_loads(loads: Loads) -> Iterator[LoadReports]:
     """Yield the loads in parts that fit a datagram, at least one; each engine keeps its part."""
     parts = 1 + len(loads) // MAX_LOADS_PER_MESSAGE
     for part in range(parts):
-        yield tuple(
-            EngineLoadReport(incarnation, load.requests, load.prefill_tokens)
+        yield encode_loads(
+            (incarnation, load)
             for incarnation, load in sorted(loads.items())
-            if incarnation % parts == part and (load.requests or load.prefill_tokens)
+            if incarnation % parts == part
         )
 
 
@@ -105,7 +148,7 @@
         """Return the sum over the other routers of this relay's domain."""
         total: Loads = {}
         for report, _ in self.members.values():
-            add_loads(total, report.loads)
+            add_loads(total, read_loads(report))
         return total
 
     def other_domain_loads(self) -> Loads:
@@ -113,5 +156,5 @@
         total: Loads = {}
         for parts in self.domains.values():
             for message, _ in parts.values():
-                add_loads(total, message.loads)
+                add_loads(total, read_loads(message))
         return total
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -15,9 +15,11 @@
     "EngineEndReport",
     "EngineEntry",
     "EngineLoadReport",
+    "EngineRateReport",
     "EnginesState",
     "FleetLoads",
     "IncludedReport",
+    "LimitReport",
     "QuarantineReport",
     "ReportBatch",
     "RouterReport",
@@ -43,6 +45,28 @@
     prefill_tokens: int
 
 
+class EngineRateReport(msgspec.Struct, array_like=True, frozen=True):
+    """Requests sent to an engine with a rate limit, and wanted for it, in thousandths.
+
+    Both are decaying sums over one router or several.
+    """
+
+    incarnation_id: int
+    sent_milli: int
+    wanted_milli: int
+
+
+class LimitReport(msgspec.Struct, array_like=True, frozen=True):
+    """Rate limit that an engine named, in thousandths of a request per second, None for none.
+
+    `age_ms` is the time since the engine was heard.
+    """
+
+    incarnation_id: int
+    milli_per_s: int | None
+    age_ms: int
+
+
 class CacheUpdateKind(enum.IntEnum):
     """Source of a cache update, or its retraction."""
 
@@ -112,6 +136,9 @@
     # Suspect prompt parts that it saw answered.
     answered: tuple[int, ...] = ()
     quarantined: tuple[QuarantineReport, ...] = ()
+    rates: tuple[EngineRateReport, ...] = ()
+    # Limits that the reporting router knows of, also from others, and those that ended recently.
+    limits: tuple[LimitReport, ...] = ()
 
 
 class ReportBatch(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -131,6 +158,7 @@
     parts: int
     loads: tuple[EngineLoadReport, ...]
     cache_updates: tuple[CacheUpdate, ...] = ()
+    rates: tuple[EngineRateReport, ...] = ()
 
 
 class IncludedReport(msgspec.Struct, array_like=True, frozen=True):
@@ -151,6 +179,7 @@
     loads: tuple[EngineLoadReport, ...]
     included: tuple[IncludedReport, ...]
     cache_updates: tuple[CacheUpdate, ...] = ()
+    rates: tuple[EngineRateReport, ...] = ()
 
 
 class EngineEntry(msgspec.Struct, array_like=True, frozen=True):
--- a/marjoramspool/peers/own_reports.py
+++ b/marjoramspool/peers/own_reports.py
@@ -5,12 +5,14 @@
 from dataclasses import dataclass
 
 from marjoramspool.engine_list import Engine
+from marjoramspool.engine_loads import Load
 from marjoramspool.engine_selector import EngineSelector
 from marjoramspool.peers.directory import Directory
+from marjoramspool.peers.limit_reports import report_limits
+from marjoramspool.peers.load_sums import Loads, encode_loads
 from marjoramspool.peers.messages import (
     CacheUpdate,
     CacheUpdateKind,
-    EngineLoadReport,
     IncludedReport,
     RouterReport,
     incarnation_id,
@@ -69,7 +71,7 @@
         self.boot_id = random.getrandbits(32)
         self.sequence_number = 0
         self.queued_updates: list[CacheUpdate] = []
-        self.sent_loads: dict[int, tuple[EngineLoadReport, ...]] = {}
+        self.sent_loads: dict[int, Loads] = {}
         self.last_content: tuple = ()
         self.sent_at = 0.0
 
@@ -95,11 +97,9 @@
         """Return the report to send now, None if nothing has changed and no heartbeat is due."""
         now_s = self.directory.clock()
         state_versions = self.state_versions()
-        loads = tuple(
-            EngineLoadReport(incarnation_id_of(engine), load.requests, load.prefill_tokens)
-            for name, load in sorted(self.selector.loads.local.items())
-            if (engine := self.selector.engines.engines.get(name))
-        )
+        own_loads = self.own_loads()
+        loads, rates = encode_loads(sorted(own_loads.items()))
+        limits = tuple(report_limits(self.selector.limits))
         unreachable = tuple(
             incarnation_id_of(engine)
             for name in sorted(self.selector.outliers.unreachable())
@@ -111,14 +111,25 @@
         ended = report_ends(poison)
         answered = tuple(poison.reported_answers())
         quarantined = report_quarantines(poison)
-        content = (loads, state_versions, unreachable, leaving, ended, answered, quarantined)
+        limited = tuple((limit.incarnation_id, limit.milli_per_s) for limit in limits)
+        content = (
+            loads,
+            rates,
+            limited,
+            state_versions,
+            unreachable,
+            leaving,
+            ended,
+            answered,
+            quarantined,
+        )
         is_unchanged = content == self.last_content and not self.queued_updates
         if is_unchanged and now_s - self.sent_at < HEARTBEAT_PERIOD_S:
             return None
         self.sent_at = now_s
         self.last_content = content
         self.sequence_number += 1
-        self.sent_loads[self.sequence_number] = loads
+        self.sent_loads[self.sequence_number] = own_loads
         self.sent_loads.pop(self.sequence_number - MAX_SENT_LOADS, None)
         cache_updates = tuple(self.queued_updates[:MAX_UPDATES_PER_REPORT])
         del self.queued_updates[:MAX_UPDATES_PER_REPORT]
@@ -140,18 +151,32 @@
             ended,
             answered,
             quarantined,
+            rates,
+            limits,
         )
 
-    def included_loads(self, included: tuple[IncludedReport, ...]) -> tuple[EngineLoadReport, ...]:
+    def own_loads(self) -> Loads:
+        """Return the loads of this router, and its requests to the engines with a rate limit."""
+        listed = self.selector.engines.engines
+        loads = {
+            incarnation_id_of(engine): Load(load.requests, load.prefill_tokens)
+            for name, load in self.selector.loads.local.items()
+            if (engine := listed.get(name))
+        }
+        for key, rates in self.selector.limits.own_loads():
+            loads.setdefault(incarnation_id(*key), Load()).add(rates)
+        return loads
+
+    def included_loads(self, included: tuple[IncludedReport, ...]) -> Loads:
         """Return the loads of this router's own report that a sum includes."""
         for report in included:
             if report.boot_id == self.boot_id:
-                return self.sent_loads.get(report.sequence_number, ())
-        return ()
+                return self.sent_loads.get(report.sequence_number, {})
+        return {}
 
-    def last_loads(self) -> tuple[EngineLoadReport, ...]:
+    def last_loads(self) -> Loads:
         """Return the loads of the last report."""
-        return self.sent_loads.get(self.sequence_number, ())
+        return self.sent_loads.get(self.sequence_number, {})
 
 
 def incarnation_id_of(engine: Engine) -> int:
--- a/marjoramspool/peers/report_relay.py
+++ b/marjoramspool/peers/report_relay.py
@@ -5,12 +5,10 @@
 
 import msgspec
 
-from marjoramspool.engine_loads import Load
 from marjoramspool.peers.load_sums import Loads, LoadSums, add_loads, split_loads
 from marjoramspool.peers.messages import (
     CacheUpdate,
     DomainLoads,
-    EngineLoadReport,
     FleetLoads,
     RouterReport,
 )
@@ -40,7 +38,7 @@
     domain: str
     boot_id: int
     sequence_number: int
-    loads: tuple[EngineLoadReport, ...]
+    loads: Loads
 
 
 class ReportRelay:
@@ -88,7 +86,7 @@
             self.member_updates += report.cache_updates
         if is_relayed or self.is_due(report):
             self.heartbeats[report.address] = msgspec.structs.replace(
-                report, loads=(), cache_updates=()
+                report, loads=(), cache_updates=(), rates=()
             )
 
     def record_domain(self, message: DomainLoads) -> bool:
@@ -111,6 +109,7 @@
             report.ended,
             report.answered,
             report.quarantined,
+            tuple((limit.incarnation_id, limit.milli_per_s) for limit in report.limits),
         )
         last = self.forwarded.get(report.address)
         has_news = (
@@ -138,7 +137,7 @@
         loads = self.sums.member_loads()
         add_loads(loads, own.loads)
         parts = list(split_loads(loads))
-        for part, part_loads in enumerate(parts):
+        for part, (part_loads, rates) in enumerate(parts):
             yield DomainLoads(
                 own.address,
                 own.domain,
@@ -148,6 +147,7 @@
                 len(parts),
                 part_loads,
                 () if part else updates,
+                rates,
             )
 
     def fleet_messages(self, own: OwnReport, updates: tuple[CacheUpdate, ...]):
@@ -155,7 +155,7 @@
         loads = self.other_loads()
         add_loads(loads, own.loads)
         parts = list(split_loads(loads))
-        for part, part_loads in enumerate(parts):
+        for part, (part_loads, rates) in enumerate(parts):
             yield FleetLoads(
                 own.address,
                 own.boot_id,
@@ -165,15 +165,13 @@
                 part_loads,
                 self.sums.included(),
                 () if part else updates,
+                rates,
             )
 
     def other_loads(self) -> Loads:
         """Return the sum over all routers but the relay itself."""
         loads = self.sums.member_loads()
-        for incarnation, load in self.sums.other_domain_loads().items():
-            total = loads.setdefault(incarnation, Load())
-            total.requests += load.requests
-            total.prefill_tokens += load.prefill_tokens
+        add_loads(loads, self.sums.other_domain_loads())
         return loads
 
 
--- a/marjoramspool/peers/tests/test_load_sums.py
+++ b/marjoramspool/peers/tests/test_load_sums.py
@@ -121,10 +121,12 @@
 
 
 def test_loads_of_many_engines_fit_datagrams():
-    loads = {n * 7919 % 2**32: Load(3, 40_000) for n in range(1, 3001)}
+    loads = {n * 7919 % 2**32: Load(3, 40_000, 2_000, 9_000) for n in range(1, 3001)}
     parts = list(split_loads(loads))
-    assert sum(map(len, parts)) == 3000
-    assert all(len(encode_parts) <= 2 * MAX_LOADS_PER_MESSAGE for encode_parts in parts)
+    assert sum(len(reports) for reports, _ in parts) == 3000
+    assert sum(len(rates) for _, rates in parts) == 3000
+    assert all(len(reports) <= 2 * MAX_LOADS_PER_MESSAGE for reports, _ in parts)
+    assert max(len(encode(reports)) + len(encode(rates)) for reports, rates in parts) < 60_000
 
 
 def test_updates_that_do_not_fit_wait_for_the_next_datagram():
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -16,6 +16,7 @@
     read_events,
 )
 from marjoramspool.attempts import Attempt, StreamAnswer, WholeAnswer
+from marjoramspool.clock import now
 from marjoramspool.engine_list import Engine
 from marjoramspool.events import Event, log
 from marjoramspool.failures import (
@@ -59,15 +60,17 @@
 
     `pooled` reuses connections, `fresh` opens a new one for each request. Answers in which an
     engine announces its departure call `on_departure`; refusals that ask for a pause call
-    `on_pause` with its length in seconds.
+    `on_pause` with its length in seconds; answers that tell a rate limit, or that there is none,
+    call `on_limit` with the requests per second or None, and when the request was sent.
     """
 
-    __slots__ = ("fresh", "memory", "on_departure", "on_pause", "pooled")
+    __slots__ = ("fresh", "memory", "on_departure", "on_limit", "on_pause", "pooled")
 
     def __init__(self):
         self.memory = AnswerMemory()
         self.on_departure: list[Callable[[Engine], None]] = []
         self.on_pause: list[Callable[[Engine, float], None]] = []
+        self.on_limit: list[Callable[[Engine, float | None, float], None]] = []
 
     async def __aenter__(self):
         trace = aiohttp.TraceConfig()
@@ -92,10 +95,11 @@
         engine = attempt.engine
         context = SimpleNamespace(is_reused=False)
         headers = request_headers(request, attempt)
+        sent_at = now()
         response = await self.send(request, engine, headers, context)
         try:
             check_identity(request, engine, response, context.is_reused)
-            self.read_notices(engine, response)
+            self.read_notices(engine, response, sent_at)
             check_answer(engine, response)
             if response.status in SUCCESS_STATUSES and response.content_type == SSE:
                 events = read_events(response)
@@ -106,16 +110,31 @@
         finally:
             response.close()
 
-    def read_notices(self, engine: Engine, response: aiohttp.ClientResponse) -> None:
+    def read_notices(
+        self, engine: Engine, response: aiohttp.ClientResponse, sent_at: float
+    ) -> None:
         """Pass on what an engine says of itself beside its answer."""
         if response.headers.get("Server-Leaving") == "1":
             for call in self.on_departure:
                 call(engine)
+        self.read_limit(engine, response, sent_at)
         pause_s = requested_pause_s(engine, response)
         if pause_s > 0.0:
             for call in self.on_pause:
                 call(engine, pause_s)
 
+    def read_limit(self, engine: Engine, response: aiohttp.ClientResponse, sent_at: float) -> None:
+        """Pass on the rate limit that an answer names; a success without one says there is none."""
+        text = response.headers.get("Server-Limit")
+        if text is None and response.status not in SUCCESS_STATUSES:
+            return
+        limit_per_s = None if text is None else parse_decimal(text)
+        if limit_per_s is not None and not limit_per_s >= 0.0:
+            log(Event.ATTEMPT_FAILED, target=engine.id, why=f"malformed Server-Limit: {text!r}")
+            return
+        for call in self.on_limit:
+            call(engine, limit_per_s, sent_at)
+
     async def list_cache(self, engine: Engine) -> tuple[Part, ...] | None:
         """Return the prompt parts in an engine's cache, None if the listing fails."""
         url = f"http://{engine.address}{CACHE_LIST_PATH}"
@@ -192,16 +211,22 @@
     text = response.headers.get("Retry-After")
     if text is None or response.status != HTTP_UNAVAILABLE:
         return 0.0
-    try:
-        pause_s = float(text)
-    except ValueError:
-        pause_s = math.nan
-    if math.isfinite(pause_s):
+    pause_s = parse_decimal(text)
+    if not math.isnan(pause_s):
         return pause_s
     log(Event.ATTEMPT_FAILED, target=engine.id, why=f"malformed Retry-After: {text!r}")
     return 0.0
 
 
+def parse_decimal(text: str) -> float:
+    """Return the number in a header, NaN if it is malformed or infinite."""
+    try:
+        number = float(text)
+    except ValueError:
+        return math.nan
+    return number if math.isfinite(number) else math.nan
+
+
 def check_identity(
     request: RoutedRequest, engine: Engine, response: aiohttp.ClientResponse, is_reused: bool
 ) -> None:
