--- a/marjoramspool/admission_control.py
+++ b/marjoramspool/admission_control.py
@@ -18,7 +18,7 @@
 from marjoramspool.events import Event, log
 from marjoramspool.membership import Membership, State
 from marjoramspool.ranking import Rankings
-from marjoramspool.targets import Targets
+from marjoramspool.targets import Targets, limit_key
 
 __all__ = [
     "AdmissionController",
@@ -113,7 +113,11 @@
             policy = self.policy_for(document)
             urgent_reserve = document.urgent_reserve if document else 0.0
             self.cells[name] = Cell(
-                policy, urgent_reserve, lambda: self.usable_engines(name), self.clock
+                policy,
+                urgent_reserve,
+                lambda: self.usable_engines(name),
+                self.clock,
+                lambda engine: self.record_granted(name, engine),
             )
         return self.cells[name]
 
@@ -139,11 +143,21 @@
                 engine,
                 self.targets.incarnation(document.targets[engine].address),
                 self.slot_share(engine, document.targets[engine].slots, sharing),
+                self.targets.limits.room(
+                    limit_key(document.targets[engine].address), 1 / len(sharing)
+                ),
             )
             for engine in engines
             if engine in usable
         ]
 
+    def record_granted(self, cell: str, engine: str) -> None:
+        """Count a request to an engine that this router granted, against its rate limit."""
+        document = self.configuration.document(partition.service_of(cell))
+        target = document.targets.get(engine) if document else None
+        if target:
+            self.targets.limits.record_sent(limit_key(target.address))
+
     def routers_sharing(self, cell: str) -> list[str]:
         """Return the routers that divide the slots of a cell's engines; only this one as its owner.
 
--- a/marjoramspool/admission_messages.py
+++ b/marjoramspool/admission_messages.py
@@ -1,5 +1,6 @@
 """Admission requests to the owner of a cell, and its decisions."""
 
+import math
 from dataclasses import dataclass
 
 from marjoramspool.bounded_placement import Holder
@@ -58,8 +59,12 @@
 
 @dataclass(slots=True, frozen=True)
 class EngineView:
-    """Name, incarnation and slots of an engine, as a cell uses them."""
+    """Name, incarnation and slots of an engine, as a cell uses them.
+
+    `room` is the number of requests that it takes now below the rate limit that it named.
+    """
 
     name: str
     incarnation: int
     slots: int
+    room: float = math.inf
--- a/marjoramspool/cell.py
+++ b/marjoramspool/cell.py
@@ -48,7 +48,8 @@
 class Cell:
     """Admit requests to the engines of one cell.
 
-    `usable_engines` returns the engines that are usable at the time of the call. Grants are counted
+    `usable_engines` returns the engines that are usable at the time of the call. `on_granted` is
+    called with each engine that is granted here. Grants are counted
     per session (one for each router), so that the load of a router can be removed when it is gone.
     """
 
@@ -58,6 +59,7 @@
         "grant_times",
         "last_sequence",
         "loads",
+        "on_granted",
         "policy",
         "service_time_s",
         "sessions",
@@ -72,7 +74,9 @@
         urgent_reserve: float,
         usable_engines: Callable[[], list[EngineView]],
         clock: Callable[[], float] = time.monotonic,
+        on_granted: Callable[[str], None] = lambda engine: None,
     ):
+        self.on_granted = on_granted
         self.policy = policy
         self.urgent_reserve = urgent_reserve
         self.usable_engines = usable_engines
@@ -101,6 +105,7 @@
         if choice is None:
             return None
         self.record_grant(session, choice.engine.name, request.account)
+        self.on_granted(choice.engine.name)
         return Granted(choice.engine.name, choice.engine.incarnation, choice.why)
 
     def candidates(self, request: AdmissionRequest) -> list[Candidate]:
@@ -108,7 +113,7 @@
         return [
             Candidate(e.name, e.incarnation, self.loads[e.name], self.limit(e, request))
             for e in self.usable_engines()
-            if e.name not in request.exclude
+            if e.name not in request.exclude and e.room >= 1.0
         ]
 
     def limit(self, engine: EngineView, request: AdmissionRequest) -> int:
@@ -157,6 +162,11 @@
         engines = [engine for engine in self.usable_engines() if engine.name not in request.exclude]
         if not engines:
             return Refused("no engine of the service is usable", MIN_RETRY_AFTER_S)
+        if all(engine.room < 1.0 for engine in engines):
+            return Refused(
+                "all engines of the service have reached the rate limits that they named",
+                MIN_RETRY_AFTER_S,
+            )
         estimate_s = self.estimate_wait_s(request, engines)
         if estimate_s > request.queue_wait_s:
             return Refused(
--- a/marjoramspool/engines/client.py
+++ b/marjoramspool/engines/client.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from marjoramspool.answer_bodies import read_body
+from marjoramspool.clock import now
 from marjoramspool.dispatch import Answer, Request, single_part
 from marjoramspool.document import Target
 from marjoramspool.engines.stream import (
@@ -28,7 +29,7 @@
     SilentConnectionError,
     TargetRefusedError,
 )
-from marjoramspool.http import Sessions
+from marjoramspool.http import LimitCallback, Sessions, report_limit
 from marjoramspool.targets import LoadReport
 
 __all__ = ["EngineDispatcher"]
@@ -63,14 +64,16 @@
 class EngineDispatcher:
     """Dispatcher to model engines; it also reads their load reports."""
 
-    __slots__ = ("load_report_bytes", "sessions")
+    __slots__ = ("load_report_bytes", "on_limit", "sessions")
 
     def __init__(self, sessions: Sessions):
         self.sessions = sessions
+        self.on_limit: list[LimitCallback] = []
         self.load_report_bytes = 0
 
     async def fetch_load_report(self, address: str) -> LoadReport | None:
         """Return an engine's load report, or None if the engine does not answer."""
+        sent_at = now()
         try:
             timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
             async with self.sessions.pooled.get(
@@ -80,6 +83,7 @@
             report = msgspec.json.decode(body, type=Report)
         except (aiohttp.ClientError, MayHaveRunError, TimeoutError, msgspec.MsgspecError):
             return None
+        report_limit(response, address, sent_at, self.on_limit)
         self.load_report_bytes += len(body) + sum(
             len(k) + len(v) + 4 for k, v in response.raw_headers
         )
@@ -91,9 +95,11 @@
     @asynccontextmanager
     async def open(self, request: Request, target: Target, attempt: str, reuse: bool):
         """Send an attempt and yield its answer, as `Dispatcher.open` specifies."""
+        sent_at = now()
         send_task = asyncio.create_task(self.send(request, target, attempt, reuse))
         response = await self.wait_with_liveness_checks(send_task, request, target, attempt)
         try:
+            report_limit(response, target.address, sent_at, self.on_limit)
             if response.status in NOT_RUN_STATUSES:
                 raise TargetRefusedError(f"engine {target.name} answered {response.status}")
             if request.is_stream and response.content_type == SSE:
--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -8,8 +8,16 @@
 from aiohttp.client_proto import ResponseHandler
 
 from marjoramspool.answer_bodies import AnswerMemory
+from marjoramspool.events import Event, log
+from marjoramspool.request_limits import parse_limit
 
-__all__ = ["Sessions", "is_refusing_connections", "new_session"]
+__all__ = ["LimitCallback", "Sessions", "is_refusing_connections", "new_session", "report_limit"]
+
+# Header in which a target names the requests per second that it takes from all routers together.
+LIMIT_HEADER = "X-Requests-Per-Second"
+MIN_ERROR_STATUS = 400
+# Takes the address of a target, its limit or None for none, and when the request was sent.
+LimitCallback = Callable[[str, float | None, float], None]
 
 MAX_DISCARDED_BYTES = 256 << 10
 # Short, since a retry may wait for the result.
@@ -68,6 +76,22 @@
         super().connection_lost(exc)
 
 
+def report_limit(
+    response: aiohttp.ClientResponse, address: str, sent_at: float, calls: list[LimitCallback]
+) -> None:
+    """Pass on the rate limit that an answer names; a success without one says there is none."""
+    text = response.headers.get(LIMIT_HEADER)
+    if text is None and response.status >= MIN_ERROR_STATUS:
+        return
+    try:
+        limit_per_s = parse_limit(text)
+    except ValueError as error:
+        log(Event.ATTEMPT_FAILED, target=address, why=f"malformed {LIMIT_HEADER}: {error}")
+        return
+    for call in calls:
+        call(address, limit_per_s, sent_at)
+
+
 async def is_refusing_connections(address: str) -> bool:
     """Return whether nothing listens at `HOST:PORT`, as after the end of a process.
 
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -30,6 +30,7 @@
 from marjoramspool.keepalive import keepalive_socket
 from marjoramspool.platform.headers import filter_answer_headers
 from marjoramspool.prompts import Part
+from marjoramspool.request_limits import parse_limit
 from marjoramspool.requests import RoutedRequest
 
 __all__ = ["EngineSessions"]
@@ -128,9 +129,10 @@
         text = response.headers.get("Server-Limit")
         if text is None and response.status not in SUCCESS_STATUSES:
             return
-        limit_per_s = None if text is None else parse_decimal(text)
-        if limit_per_s is not None and not limit_per_s >= 0.0:
-            log(Event.ATTEMPT_FAILED, target=engine.id, why=f"malformed Server-Limit: {text!r}")
+        try:
+            limit_per_s = parse_limit(text)
+        except ValueError as error:
+            log(Event.ATTEMPT_FAILED, target=engine.id, why=f"malformed Server-Limit: {error}")
             return
         for call in self.on_limit:
             call(engine, limit_per_s, sent_at)
@@ -211,22 +213,16 @@
     text = response.headers.get("Retry-After")
     if text is None or response.status != HTTP_UNAVAILABLE:
         return 0.0
-    pause_s = parse_decimal(text)
-    if not math.isnan(pause_s):
+    try:
+        pause_s = float(text)
+    except ValueError:
+        pause_s = math.nan
+    if math.isfinite(pause_s):
         return pause_s
     log(Event.ATTEMPT_FAILED, target=engine.id, why=f"malformed Retry-After: {text!r}")
     return 0.0
 
 
-def parse_decimal(text: str) -> float:
-    """Return the number in a header, NaN if it is malformed or infinite."""
-    try:
-        number = float(text)
-    except ValueError:
-        return math.nan
-    return number if math.isfinite(number) else math.nan
-
-
 def check_identity(
     request: RoutedRequest, engine: Engine, response: aiohttp.ClientResponse, is_reused: bool
 ) -> None:
--- a/marjoramspool/request_limits.py
+++ b/marjoramspool/request_limits.py
@@ -29,6 +29,7 @@
     "RequestLimits",
     "allowance",
     "describe_limits",
+    "parse_limit",
 ]
 
 # Time constant of the decaying sums of requests.
@@ -86,6 +87,7 @@
         "clock",
         "known_share",
         "notices",
+        "on_news",
         "phase",
         "report_age_s",
         "reported",
@@ -104,6 +106,8 @@
         self.reported = reported
         self.share: Callable[[], float] = lambda: 1.0
         self.report_age_s: Callable[[], float] = lambda: 0.0
+        # Called when a limit began, changed or ended.
+        self.on_news: list[Callable[[], None]] = []
         self.notices: dict[EngineKey, LimitNotice] = {}
         self.sent: dict[EngineKey, WorkRate] = {}
         # Requests that an engine got or would have got with more room.
@@ -125,7 +129,7 @@
         self.record_notice(key, LimitNotice(limit_per_s, self.clock()))
 
     def record_notice(self, key: EngineKey, notice: LimitNotice) -> None:
-        """Record what this router or another observed, unless something newer is known."""
+        """Record an observation, unless a newer one is known."""
         known = self.notices.get(key)
         if known and known.observed_at >= notice.observed_at:
             return
@@ -133,6 +137,8 @@
         before, after = known.requests_per_s if known else None, notice.requests_per_s
         if is_change(before, after):
             log(Event.ENGINE_LIMITED, engine=key[0], requests_per_s=after, before=before)
+            for call in self.on_news:
+                call()
 
     def remove_engine(self, key: EngineKey) -> None:
         """Remove the state of an engine that is gone or has restarted."""
@@ -192,12 +198,15 @@
                 self.alone_since = now_s
         return self.known_share
 
-    def room(self, key: EngineKey) -> float:
-        """Return how many requests an engine may be sent now, by all routers that are heard."""
+    def room(self, key: EngineKey, part: float = 1.0) -> float:
+        """Return how many requests an engine may be sent now, by all routers that are heard.
+
+        With a `part` below 1, only that part of the limit is used.
+        """
         limit_per_s = self.limit_per_s(key)
         if limit_per_s is None:
             return math.inf
-        limit_per_s *= self.heard_share()
+        limit_per_s *= self.heard_share() * part
         if self.alone_since is not None:
             first_turn_at = self.alone_since + self.phase / limit_per_s
             if self.clock() < first_turn_at:
@@ -267,6 +276,16 @@
         return AllLimited(shortest_s * (1.0 + draw))
 
 
+def parse_limit(text: str | None) -> float | None:
+    """Return the limit that a header names, None for none; raise ValueError if it is malformed."""
+    if text is None:
+        return None
+    limit_per_s = float(text)
+    if not 0.0 <= limit_per_s < math.inf:
+        raise ValueError(f"{text!r} is no number of requests per second, from 0")
+    return limit_per_s
+
+
 def describe_limits(limits: RequestLimits) -> dict[str, str]:
     """Return a text on each engine with a limit, for operators."""
     return {
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -93,6 +93,8 @@
         self.sessions = Sessions(timings.connect_timeout_s)
         self.engines = EngineDispatcher(self.sessions)
         self.services = ServiceDispatcher(self.sessions)
+        for dispatcher in (self.engines, self.services):
+            dispatcher.on_limit.append(self.targets.record_limit)
         self.links = Links(
             settings.name,
             timings.owner_answer_timeout_s,
--- a/marjoramspool/routers/gossip.py
+++ b/marjoramspool/routers/gossip.py
@@ -9,6 +9,7 @@
 from marjoramspool.poison_parts import PoisonDetector
 from marjoramspool.routers import peers_pb2 as pb
 from marjoramspool.routers.convert import decode_member, encode_member
+from marjoramspool.routers.limit_gossip import apply_limits, encode_limits
 from marjoramspool.routers.links import Links
 from marjoramspool.routers.poison_gossip import encode_poison_report
 from marjoramspool.storage import Platform
@@ -65,6 +66,7 @@
         self.tasks: set[asyncio.Task] = set()
         configuration.changes.subscribe(lambda _: self.push())
         poison.on_news.append(self.push)
+        targets.limits.on_news.append(self.push)
 
     def silence_s(self) -> float:
         """Return the time since the last exchange with any other router, in seconds."""
@@ -81,6 +83,7 @@
             members_digest=self.membership.digest(),
             store_epoch=self.platform.epoch,
             poison=encode_poison_report(self.poison),
+            limits=encode_limits(self.targets.limits),
         )
 
     def drain_reports(self) -> list[pb.Evidence]:
@@ -105,6 +108,7 @@
         self.merge_members(reply.members)
         self.record_drain_reports(reply.leaving)
         apply_poison_reports(self.poison, reply.poison)
+        apply_limits(self.targets.limits, reply.limits)
         peer_versions = decode_versions(reply.versions)
         if peer_versions:
             self.schedule_fetch(address, peer_versions)
@@ -142,6 +146,7 @@
         self.merge_members(request.members)
         self.record_drain_reports(request.leaving)
         apply_poison_reports(self.poison, request.poison)
+        apply_limits(self.targets.limits, request.limits)
         self.schedule_fetch(sender.address, decode_versions(request.versions))
         members = self.membership.next_updates()
         if request.members_digest != self.membership.digest() and self.allow_full_sync():
@@ -159,6 +164,7 @@
             members_digest=self.membership.digest(),
             store_epoch=self.platform.epoch,
             poison=encode_poison_report(self.poison),
+            limits=encode_limits(self.targets.limits),
         )
 
     def allow_full_sync(self) -> bool:
--- a/marjoramspool/services/client.py
+++ b/marjoramspool/services/client.py
@@ -8,11 +8,12 @@
 from yarl import URL
 
 from marjoramspool.answer_bodies import read_body
+from marjoramspool.clock import now
 from marjoramspool.dispatch import Answer, Request, single_part
 from marjoramspool.document import Target
 from marjoramspool.events import Event, log
 from marjoramspool.failures import MayHaveRunError, NotSentError, SilentConnectionError
-from marjoramspool.http import Sessions
+from marjoramspool.http import LimitCallback, Sessions, report_limit
 
 __all__ = ["ServiceDispatcher"]
 
@@ -37,16 +38,19 @@
 class ServiceDispatcher:
     """Dispatcher to the targets of plain services."""
 
-    __slots__ = ("sessions",)
+    __slots__ = ("on_limit", "sessions")
 
     def __init__(self, sessions: Sessions):
         self.sessions = sessions
+        self.on_limit: list[LimitCallback] = []
 
     @asynccontextmanager
     async def open(self, request: Request, target: Target, attempt: str, reuse: bool):
         """Send an attempt and yield its answer, as `Dispatcher.open` specifies."""
+        sent_at = now()
         response = await self.send(request, target, attempt, reuse)
         try:
+            report_limit(response, target.address, sent_at, self.on_limit)
             if response.headers.get("X-Request-Id", attempt) != attempt:
                 log(Event.ANSWER_REJECTED, attempt=attempt, target=target.name)
                 raise MayHaveRunError(
--- a/marjoramspool/targets.py
+++ b/marjoramspool/targets.py
@@ -8,8 +8,9 @@
 
 from marjoramspool.document import Document, Target
 from marjoramspool.events import Event, log
+from marjoramspool.request_limits import EngineKey, RequestLimits
 
-__all__ = ["Decision", "LoadReport", "TargetState", "Targets"]
+__all__ = ["Decision", "LoadReport", "TargetState", "Targets", "limit_key"]
 
 DRAIN_REPORT_LIFETIME_S = 6.0
 EJECTION_FAILURE_THRESHOLD = 3
@@ -46,6 +47,11 @@
     details: dict[str, str | int | float]
 
 
+def limit_key(address: str) -> EngineKey:
+    """Return the key of a target's rate limit; a restarted one says that it has none."""
+    return address, 0
+
+
 class Targets:
     """Availability of targets for new requests.
 
@@ -53,10 +59,11 @@
     expires unless it is renewed.
     """
 
-    __slots__ = ("clock", "decisions", "states")
+    __slots__ = ("clock", "decisions", "limits", "states")
 
     def __init__(self, clock=time.monotonic):
         self.clock = clock
+        self.limits = RequestLimits()
         self.states: dict[str, TargetState] = {}
         self.decisions: Subject = Subject()
 
@@ -124,6 +131,10 @@
         else:
             self.remove_drain_report(address, "report")
 
+    def record_limit(self, address: str, limit_per_s: float | None, sent_at: float) -> None:
+        """Record the rate limit that an answer of a target names, None for none."""
+        self.limits.record_answer(limit_key(address), limit_per_s, sent_at)
+
     def record_success(self, address: str) -> None:
         """Record that a target answered, which ends its ejection."""
         state = self.state(address)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import re
+import time
 from collections import OrderedDict
 from collections.abc import Callable
 
@@ -87,10 +88,14 @@
         # Content that ends the engine, and what ends it.
         self.poison = b""
         self.on_poison: Callable[[], None] = lambda: None
+        # Requests per second that each answer names as the limit.
+        self.limit_per_s: float | None = None
+        self.arrived_at: list[float] = []
 
     def app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application(client_max_size=1 << 26, middlewares=[self.apply_faults])
+        app.on_response_prepare.append(self.name_limit)
         app.router.add_post("/v1/chat/completions", self.complete)
         app.router.add_get("/v1/streams/{attempt}", self.resume)
         app.router.add_delete("/v1/streams/{attempt}", self.cancel)
@@ -119,8 +124,14 @@
                 return web.Response(status=503)
         return await handler(request)
 
+    async def name_limit(self, _: web.Request, response: web.StreamResponse) -> None:
+        """Name the limit in an answer."""
+        if self.limit_per_s is not None:
+            response.headers["X-Requests-Per-Second"] = f"{self.limit_per_s}"
+
     async def complete(self, request: web.Request) -> web.StreamResponse:
         """Serve a chat completion."""
+        self.arrived_at.append(time.monotonic())
         data = await request.read()
         if self.poison and self.poison in data:
             self.on_poison()
--- a/standins/service.py
+++ b/standins/service.py
@@ -1,6 +1,7 @@
 """Stand-in for a plain service that counts the executions of each request."""
 
 import asyncio
+import time
 from collections import Counter
 
 import msgspec
@@ -24,18 +25,28 @@
         self.incarnation = 1
         self.is_draining = False
         self.silent_connections: set[int] = set()
+        # Requests per second that each answer names as the limit.
+        self.limit_per_s: float | None = None
+        self.arrived_at: list[float] = []
 
     def app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application()
+        app.on_response_prepare.append(self.name_limit)
         app.router.add_get("/load", self.load)
         app.router.add_get("/_executions", self.read_executions)
         self.faults.add_routes(app)
         app.router.add_route("*", "/{path:.*}", self.run)
         return app
 
+    async def name_limit(self, _: web.Request, response: web.StreamResponse) -> None:
+        """Name the limit in an answer."""
+        if self.limit_per_s is not None:
+            response.headers["X-Requests-Per-Second"] = f"{self.limit_per_s}"
+
     async def run(self, request: web.Request) -> web.StreamResponse:
         """Execute one request, with the armed faults before or after it."""
+        self.arrived_at.append(time.monotonic())
         await self.faults.thawed.wait()
         if id(request.transport) in self.silent_connections:
             await hang()
