Do not renew by hearsay what is known of a limit (LIMIT)

Seen once: test_target_limits, services, beside three test processes: 503 two seconds after the limit had ended. Cause: a report is older on arrival than it says, by its time on the way. Routers that repeat a limit to each other made it newer each time, until it was newer than its end, and was believed again. Ruled out: the stand-in (it names nothing any more), the owner's load reports (they end it within a poll). Change: a report of the same limit renews nothing; only the engine's own answers do.

test_a_limit_that_routers_repeat_to_each_other_ends fails before.

--- a/marjoramspool/peers/limit_reports.py
+++ b/marjoramspool/peers/limit_reports.py
@@ -26,4 +26,4 @@
     """Apply what another router reports of an engine's limit."""
     per_s = None if report.milli_per_s is None else report.milli_per_s / MILLI
     observed_at = limits.clock() - report.age_ms / MS
-    limits.record_notice(key, LimitNotice(per_s, observed_at))
+    limits.record_report(key, LimitNotice(per_s, observed_at))
--- a/marjoramspool/request_limits.py
+++ b/marjoramspool/request_limits.py
@@ -128,6 +128,16 @@
             return
         self.record_notice(key, LimitNotice(limit_per_s, self.clock()))
 
+    def record_report(self, key: EngineKey, notice: LimitNotice) -> None:
+        """Record what another router tells, unless it is known.
+
+        What is told of takes time on its way and seems newer than it is. If it renewed what is
+        known, routers that repeat it to each other would never believe in its end.
+        """
+        known = self.notices.get(key)
+        if known is None or known.requests_per_s != notice.requests_per_s:
+            self.record_notice(key, notice)
+
     def record_notice(self, key: EngineKey, notice: LimitNotice) -> None:
         """Record an observation, unless a newer one is known."""
         known = self.notices.get(key)
--- a/marjoramspool/routers/limit_gossip.py
+++ b/marjoramspool/routers/limit_gossip.py
@@ -30,4 +30,4 @@
     for message in messages:
         per_s = message.milli_per_s / MILLI if message.HasField("milli_per_s") else None
         notice = LimitNotice(per_s, now_s - message.age_ms / MS)
-        limits.record_notice(limit_key(message.target), notice)
+        limits.record_report(limit_key(message.target), notice)
--- a/marjoramspool/tests/test_request_limits.py
+++ b/marjoramspool/tests/test_request_limits.py
@@ -218,6 +218,27 @@
     assert not limits.recent_notices()
 
 
+def test_a_limit_that_routers_repeat_to_each_other_ends():
+    """Each report takes a while on its way, so that its age is told too low."""
+    clock = FakeClock()
+    first, second = RequestLimits(clock=clock), RequestLimits(clock=clock)
+    first.record_notice(KEY, LimitNotice(2.0, clock.now))
+    for step in range(100):
+        for source, receiver in ((first, second), (second, first)):
+            told = [
+                (key, n.requests_per_s, clock.now - n.observed_at)
+                for key, n in source.recent_notices().items()
+            ]
+            clock.now += 0.04
+            for key, limit_per_s, age_s in told:
+                receiver.record_report(key, LimitNotice(limit_per_s, clock.now - age_s))
+            if step == 50:
+                source.record_answer(KEY, None, clock.now)
+                clock.now += 0.001
+    assert first.limit_per_s(KEY) is None
+    assert second.limit_per_s(KEY) is None
+
+
 def test_a_restarted_engine_has_no_limit():
     limits = RequestLimits(clock=FakeClock())
     limits.record_notice(KEY, LimitNotice(1.0, 100.0))
