--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,13 +19,13 @@
 # recover.
 GAPS_S = (0.05, 0.3, 1.0, 2.5, 5.0)
 DURATIONS_S = (0.5, 1.5, 3.0)
-# Seeds below this one draw from the kinds that existed when they were first played.
-FIRST_SEED_OF_ALL_KINDS = 10_000
 # The store returns from a copy this old, and what was written since is written again after a delay.
 COPY_AGE_S = 2.0
 REWRITE_DELAY_S = 0.5
 STALE_REGISTRATION_S = 3.0
 PAUSE_S = 1.2
+# Long enough for a window of the rule on limits.
+LIMIT_S = 9.0
 ENGINE_FAULTS = ("shed", "error", "reset", "cut", "extra", "foreign", "bare", "unframed-cut")
 STORE_FAULTS = ("outage", "silent", "slow", "lose-reply")
 
@@ -45,9 +45,7 @@
     """Return the faults of a seed in the order of their start times."""
     rng = random.Random(seed)
     faults, start_s = [], 1.0
-    kinds = sorted(
-        FAULT_KINDS if seed >= FIRST_SEED_OF_ALL_KINDS else FAULT_KINDS.keys() - NEW_KINDS
-    )
+    kinds = sorted(kind for kind in FAULT_KINDS if seed >= FIRST_SEEDS.get(kind, 0))
     while start_s < length_s:
         (kind,) = rng.choices(kinds, [KIND_WEIGHTS.get(kind, 1) for kind in kinds])
         variant = rng.choice(VARIANTS.get(kind, ("",)))
@@ -235,6 +233,17 @@
     engine.retry_after_s = None
 
 
+async def name_limit(fleet: Fleet, fault: ScheduledFault) -> None:
+    """Have an engine name a limit in its answers."""
+    engine = select_engine(fleet, fault)
+    if any(arrival.limit_per_s is not None for arrival in engine.arrivals):
+        return
+    fleet.history.record_engine_disturbance(time.monotonic(), LIMIT_S, "limit")
+    engine.limit_per_s = float(fault.variant)
+    await asyncio.sleep(LIMIT_S)
+    engine.limit_per_s = None
+
+
 async def write_desired_states(fleet: Fleet, fault: ScheduledFault) -> None:
     """Write one to four desired states, 0.1 s apart."""
     for _ in range(1 + fault.random_value % 4):
@@ -277,8 +286,15 @@
     "restore store": restore_store,
     "announce departure": announce_departure,
     "ask for pause": ask_for_pause,
+    "name limit": name_limit,
+}
+# Seeds draw from the kinds that existed when they were first played.
+FIRST_SEEDS = {
+    "restore store": 10_000,
+    "announce departure": 10_000,
+    "ask for pause": 10_000,
+    "name limit": 20_000,
 }
-NEW_KINDS = {"restore store", "announce departure", "ask for pause"}
 # Kinds with many variants are drawn more often.
 KIND_WEIGHTS = {
     "fail engine": 4,
@@ -287,6 +303,7 @@
     "restore store": 3,
     "announce departure": 3,
     "ask for pause": 3,
+    "name limit": 4,
 }
 LINK_MODES = tuple(mode.value for mode in Mode if mode is not Mode.OPEN)
 VARIANTS = {
@@ -294,4 +311,5 @@
     "cut engine": LINK_MODES,
     "fail engine": ENGINE_FAULTS,
     "spoil store": STORE_FAULTS,
+    "name limit": ("1", "3"),
 }
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -1,5 +1,6 @@
 """Documented invariants of the fleet, checked against the history of observations."""
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 
@@ -27,6 +28,10 @@
 PAUSE_DELAY_S = 0.5
 MAX_ARRIVALS_IN_PAUSE = 2
 MIN_RECOVERY_REQUESTS = 10
+LIMIT_TOLD_S = 0.5
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA_REQUESTS = 5
 
 
 def check(history: History) -> list[Violation]:
@@ -43,6 +48,7 @@
         *check_draining(history),
         *check_announcements(history),
         *check_pauses(history),
+        *check_limits(history),
         *check_planned_stops(history, arrivals),
         *check_configuration(history),
         *check_configuration_order(history),
@@ -143,6 +149,29 @@
                 break
 
 
+def check_limits(history: History) -> Iterator[Violation]:
+    """Check that routers which passed on an engine's limit keep to it together."""
+    counted = defaultdict(list)
+    for engine, router, arrivals in arrivals_by_router(history):
+        told_at = next((a.at for _, a in arrivals if a.limit_per_s is not None), math.inf)
+        counted[engine] += [
+            arrival
+            for _, arrival in arrivals
+            if arrival.limit_per_s is not None
+            and arrival.at >= told_at + LIMIT_TOLD_S
+            and history.is_running(router, arrival.at - LIMIT_WINDOW_S, arrival.at)
+        ]
+    for engine in history.platform.engines:
+        named_at = next((a.at for a in engine.arrivals if a.limit_per_s is not None), math.inf)
+        due = [a for a in counted[engine.id] if a.at >= named_at + STABILIZATION_S]
+        for first in due:
+            count = sum(first.at <= a.at < first.at + LIMIT_WINDOW_S for a in due)
+            if count > LIMIT_FACTOR * first.limit_per_s * LIMIT_WINDOW_S + LIMIT_EXTRA_REQUESTS:
+                detail = f"{engine.id} got {count} in 4 s, {first.limit_per_s:g}/s allowed"
+                yield Violation("engine limits", detail)
+                break
+
+
 def check_planned_stops(history: History, arrivals: Counter) -> Iterator[Violation]:
     """Check that planned stops cut off no request that had reached an engine."""
     stops = [d for d in history.disturbances if d.is_planned]
--- a/soak/tests/test_invariants.py
+++ b/soak/tests/test_invariants.py
@@ -97,6 +97,17 @@
     assert not violated(history)
 
 
+def test_more_than_an_engine_named_as_its_limit_is_a_violation(history):
+    for number in range(20):
+        ask(history, f"r{number}", at=100.0 + number)
+        arrive(history, f"r{number}", at=100.0 + number).limit_per_s = 1.0
+    assert not violated(history)
+    for number in range(20, 32):
+        ask(history, f"r{number}", at=111.0)
+        arrive(history, f"r{number}", at=111.0 + number / 100).limit_per_s = 1.0
+    assert violated(history) == {"engine limits"}
+
+
 def test_work_for_an_engine_that_asked_for_a_pause_is_a_violation(history):
     ask(history, "first", at=97.0)
     arrive(history, "first", at=97.0).pause_s = 5.0
