--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -52,7 +52,7 @@
     not say that the request was not executed). While `is_leaving` is set, every response says so.
     While `retry_after_s` is set, requests are refused with it. While `limit_per_s` is set, every
     response names it. The engine ends when it begins to answer a request with a prompt part in
-    `poison`.
+    `poison`, or when it begins to run one with a body in `poison_bodies`.
     """
 
     id: str
@@ -66,6 +66,7 @@
     faults: Counter = field(default_factory=Counter)
     arrivals: list[Arrival] = field(default_factory=list)
     poison: frozenset[str] = frozenset()
+    poison_bodies: frozenset[bytes] = frozenset()
     cached_blocks: list[tuple[str, str, int, str]] = field(default_factory=list)
     lists: int = 0
     running: int = 0
@@ -163,6 +164,10 @@
             await self.stop()
             return False
         arrival.has_run = True
+        if arrival.body in self.poison_bodies:
+            await asyncio.sleep(self.piece_interval_s)
+            await self.stop()
+            return False
         if self.consume("mute"):
             arrival.is_disconnected = not await reader.read(1)
             return False
