Soak: restore one copy of the store at a time

Cause: three restorations overlapped; the third took the second's copy for what the operator had written last, and wrote version 6 over version 15, which no operator does. Ruled out: the routers, which had adopted version 15 at every epoch and read version 6 from the store only after the kill.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -186,21 +186,23 @@
     registrations of engines that are gone.
     """
     store = fleet.platform.store
-    snapshot = store.snapshot()
-    await asyncio.sleep(COPY_AGE_S)
-    fleet.history.record_disturbance(None, time.monotonic(), fault.duration_s, "store restored")
-    outage = Fault("outage", times=-1)
-    store.faults.arm(outage)
-    await asyncio.sleep(fault.duration_s)
-    written = {kind: dict(store.objects.get(kind, {})) for kind in ("config", "servers")}
-    await store.restore(snapshot)
-    store.faults.armed.remove(outage)
-    await asyncio.sleep(REWRITE_DELAY_S)
-    for kind, entries in written.items():
-        present = store.objects.get(kind, {})
-        for name, entry in entries.items():
-            if name not in present or present[name].spec != entry.spec:
-                await fleet.platform.put(kind, name, entry.spec)
+    # The operator would write an older state back if a second copy returned meanwhile.
+    async with fleet.restoring:
+        snapshot = store.snapshot()
+        await asyncio.sleep(COPY_AGE_S)
+        fleet.history.record_disturbance(None, time.monotonic(), fault.duration_s, "store restored")
+        outage = Fault("outage", times=-1)
+        store.faults.arm(outage)
+        await asyncio.sleep(fault.duration_s)
+        written = {kind: dict(store.objects.get(kind, {})) for kind in ("config", "servers")}
+        await store.restore(snapshot)
+        store.faults.armed.remove(outage)
+        await asyncio.sleep(REWRITE_DELAY_S)
+        for kind, entries in written.items():
+            present = store.objects.get(kind, {})
+            for name, entry in entries.items():
+                if name not in present or present[name].spec != entry.spec:
+                    await fleet.platform.put(kind, name, entry.spec)
     await asyncio.sleep(STALE_REGISTRATION_S)
     for name in store.objects.get("servers", {}).keys() - written["servers"].keys():
         if name in fleet.history.drain_starts:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -52,6 +52,7 @@
         self.routers: list[SoakRouter] = []
         self.links: dict[str, Link] = {}
         self.ready: set[int] = set()
+        self.restoring = asyncio.Lock()
         self.keys: tuple[str, ...] = ("key-0", "key-1", "key-2")
         # API keys that callers use, including revoked ones.
         self.caller_keys: tuple[str, ...] = self.keys
