--- a/bench/local.py
+++ b/bench/local.py
@@ -61,6 +61,7 @@
         self.engine_runners: list = []
         self.services: list[ServiceStandin] = []
         self.service_ports: list[int] = []
+        self.service_runners: list = []
         self.routers: list[Router] = []
         self.session: aiohttp.ClientSession | None = None
 
@@ -98,9 +99,10 @@
         executions: Counter = Counter()
         for _ in range(count):
             service = ServiceStandin(work_s, executions)
-            port, _ = await self.serve(service.app())
+            port, runner = await self.serve(service.app())
             self.services.append(service)
             self.service_ports.append(port)
+            self.service_runners.append(runner)
         return executions
 
     async def add_routers(self, count: int, extra: str = "", domains: int = 4, **timings) -> None:
--- a/marjoramspool/callers/requests.py
+++ b/marjoramspool/callers/requests.py
@@ -110,7 +110,9 @@
         headers=dict(http_request.headers),
         body=body,
         deadline=time.monotonic() + document.deadline_s,
-        parts=(hashing.digest(f"{http_request.method} {http_request.raw_path}\0".encode() + body),),
+        parts=(
+            hashing.content_id(account.name, http_request.method, http_request.raw_path, (), body),
+        ),
         key=key,
         is_non_idempotent=document.is_non_idempotent(http_request.method, http_request.path),
     )
--- a/marjoramspool/engine_selector.py
+++ b/marjoramspool/engine_selector.py
@@ -21,7 +21,7 @@
 from marjoramspool.peers.messages import incarnation_id
 from marjoramspool.poison_parts import PoisonDetector, Quarantine
 from marjoramspool.prefix_caches import PrefixCaches
-from marjoramspool.prompts import Part, Prompt
+from marjoramspool.prompts import Part
 from marjoramspool.queue_rank import queue_rank
 from marjoramspool.request_limits import AllLimited, RequestLimits
 from marjoramspool.requests import RoutedRequest
@@ -173,14 +173,14 @@
     ) -> Placement | Shed | AllPaused | AllLimited | Quarantine | None:
         """Return a placement of a request at the best engine; None if no engine is usable.
 
-        A request with a quarantined prompt part goes to no engine.
+        A request with quarantined content goes to no engine.
         A request that has not been sent to any engine yet is shed if it would wait too long there.
         """
         serving = self.engines.usable(request.service)
         if all_paused := self.pauses.all_paused(serving, hashing.fraction(request.id)):
             return all_paused
         prompt = request.prompt
-        if prompt and (quarantine := self.poison.find_quarantine(prompt.part_ids)):
+        if self.poison.is_watching and (quarantine := self.poison.find_quarantine(request.parts)):
             return quarantine
         parts = self.shared_parts.select_shareable(prompt, request.id) if prompt else ()
         tokens = prompt.input_tokens if prompt else 0
@@ -380,11 +380,11 @@
             used_limit=self.limits.used(engine.key),
         )
 
-    def record_end(self, placement: Placement, prompt: Prompt) -> None:
-        """Record that an engine ended while the request of a placement had no answer."""
+    def record_end(self, placement: Placement, parts: tuple[int, ...]) -> None:
+        """Record that an engine ended while a request with some parts had no answer."""
         engine = placement.engine
         incarnation = incarnation_id(engine.id, engine.started_ms)
-        self.poison.record_end(incarnation, placement.placed_at, prompt.part_ids)
+        self.poison.record_end(incarnation, placement.placed_at, parts)
 
     def revert_placement(self, placement: Placement) -> None:
         """Drop the parts of a placement whose engine refused or failed the request."""
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -126,6 +126,7 @@
             lambda: self.discovery.is_settled,
         )
         self.selector.limits.share = lambda: self.load_broadcast.heard_share(self.fleet_size())
+        self.selector.poison.is_trial_router = self.directory.is_first
         self.quarantine_store = QuarantineStore(self.store, self.selector.poison)
         self.startup_wait = StartupWait(
             lambda: self.has_initial_state and self.quarantine_store.is_listed
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -87,10 +87,10 @@
             self.problem = Problem(503, why, "retry after the given time", refusal.retry_after_s)
 
     def record_quarantine(self, quarantine: Quarantine, retry_after_s: float) -> None:
-        """Record that a part of the prompt ends engines; keep the problem of a possible run."""
+        """Record that the content of a request ends engines; keep the problem of a possible run."""
         if not self.possible_runs:
-            why = f"engines end under the prompt part {quarantine.part:x}, which is quarantined"
-            self.problem = Problem(503, why, "send the request without the part", retry_after_s)
+            why = f"engines end under content of the request, quarantined as {quarantine.part:x}"
+            self.problem = Problem(503, why, "send the request without the content", retry_after_s)
 
 
 class Forwarding:
@@ -267,23 +267,24 @@
         if history.answered_at is None or now() - history.answered_at < delay_s:
             return
         history.answered_at = None
-        if request.prompt:
-            self.selector.poison.record_answer(request.prompt.part_ids)
+        poison = self.selector.poison
+        # The hash of a long body is needed only while engines end.
+        poison.record_answer(request.parts if poison.is_watching else request.prompt_part_ids)
 
     async def record_if_ended(self, request: RoutedRequest, placement: Placement) -> None:
         """Record the end of an engine at which a request had no answer yet, if it has ended."""
         engine = placement.engine
-        if request.prompt is None or not await self.client.has_ended(engine):
+        if not await self.client.has_ended(engine):
             return
         log(
             Event.ENGINE_ENDED,
             request=request.id,
             engine=engine.id,
-            parts=[f"{part.id:x}" for part in request.prompt.parts],
+            parts=[f"{part:x}" for part in request.parts],
             sent_s=round(now() - placement.placed_at, 3),
         )
         self.metrics.count("engines_ended")
-        self.selector.record_end(placement, request.prompt)
+        self.selector.record_end(placement, request.parts)
 
     def record_placement(
         self, request: RoutedRequest, placement: Placement, history: AttemptHistory
--- a/marjoramspool/hashing.py
+++ b/marjoramspool/hashing.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-__all__ = ["digest", "fraction", "long_digest", "rank", "score"]
+__all__ = ["content_id", "digest", "fraction", "long_digest", "rank", "score"]
 
 HASH_SPACE = 1 << 64
 
@@ -25,6 +25,15 @@
     return xxhash.xxh3_128_hexdigest(encode(text))
 
 
+def content_id(
+    account: str, method: str, path: str, prompt_parts: tuple[int, ...], body: bytes
+) -> int:
+    """Return the 64-bit hash of a request's content, the same for each of its repeats."""
+    state = xxhash.xxh3_64(f"{account}\0{method} {path}\0{prompt_parts}\0".encode())
+    state.update(body)
+    return state.intdigest()
+
+
 def encode(text: str | bytes) -> bytes:
     """Return a text as bytes, in UTF-8 if it is a string."""
     return text.encode() if isinstance(text, str) else text
--- a/marjoramspool/membership.py
+++ b/marjoramspool/membership.py
@@ -102,6 +102,11 @@
         self.version()
         return {m.name for m in self.live_members() if m.name not in self.unresponsive_until}
 
+    def is_first(self, key: int) -> bool:
+        """Return whether this router ranks first for a key among those that respond."""
+        names = self.responsive_names() | {self.local_member.name}
+        return hashing.rank(key, names)[0] == self.local_member.name
+
     def version(self) -> int:
         """Return a number that changes whenever the responsive routers may have changed."""
         now = self.clock()
--- a/marjoramspool/peers/directory.py
+++ b/marjoramspool/peers/directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from marjoramspool import hashing
 from marjoramspool.clock import now
 from marjoramspool.events import Event, log
 
@@ -122,6 +123,11 @@
             or (peer.last_seen is None and now_s - peer.added_at < NEW_PEER_GRACE_S)
         ]
 
+    def is_first(self, key: int) -> bool:
+        """Return whether this router ranks first for a key among those that are live."""
+        names = [peer.address for peer in self.live_peers()]
+        return hashing.rank(key, [*names, self.local_address])[0] == self.local_address
+
     def size(self) -> int:
         """Return an upper bound of the fleet size, including this router."""
         return max(MIN_FLEET_SIZE, 1 + len(self.peers))
--- a/marjoramspool/poison_parts.py
+++ b/marjoramspool/poison_parts.py
@@ -1,9 +1,13 @@
-"""Detection of poison requests: prompt parts under which one engine after another ends.
+"""Detection of poison requests: parts of requests under which one engine after another ends.
 
 Fault: some content ends every engine that begins to answer it. Each request with it, and each
 retry, takes one more engine, and with it the sound requests that are in flight there. A part is
 quarantined once several engines have ended under it and none has answered it meanwhile. Whatever
 else was in flight there is a victim, which the answers to other requests show.
+
+The parts of a request are those of its prompt, which others share, and last its whole content,
+which only its repeats share. After two ends a content is suspended: one router of the fleet lets
+one request with it pass at a time, until an engine answers it or a third one ends.
 """
 
 import math
@@ -32,6 +36,11 @@
 MAX_ENDS = 256
 MAX_ANSWERED_PARTS = 4096
 MAX_QUARANTINED = 64
+# Engines that end under a content before it is suspended.
+MIN_SUSPENDED_STRIKES = 2
+SUSPENSION_RETRY_AFTER_S = 1.0
+# A request that a suspension let pass is given up after this time.
+TRIAL_TIMEOUT_S = 3.0
 FIRST_QUARANTINE_S = 60.0
 # The time until the next probe doubles this often, to an hour and four minutes.
 MAX_DOUBLINGS = 6
@@ -67,6 +76,10 @@
         """Return whether an unanswered attempt had a part."""
         return any(part in parts for parts in self.attempts)
 
+    def is_content(self, part: int) -> bool:
+        """Return whether a part is the whole content of an unanswered attempt."""
+        return any(parts[-1:] == (part,) for parts in self.attempts)
+
     def latest_first(self) -> list[UnansweredAttempt]:
         """Return the attempts, those sent last first."""
         attempts = [UnansweredAttempt(sent_at, parts) for parts, sent_at in self.attempts.items()]
@@ -100,6 +113,7 @@
         "check_at",
         "clock",
         "ends",
+        "is_trial_router",
         "own_answers",
         "own_ends",
         "on_lifted",
@@ -107,6 +121,7 @@
         "on_quarantined",
         "quarantined",
         "suspects",
+        "trial_until",
     )
 
     def __init__(self, clock: Callable[[], float] = now):
@@ -124,12 +139,23 @@
         self.on_news: list[Callable[[], None]] = []
         # When each part was last unanswered at an end.
         self.suspects: dict[int, float] = {}
+        # Whether this router is the one of the fleet that tries a suspended content.
+        self.is_trial_router: Callable[[int], bool] = lambda content: True
+        # Until when a request with a suspended content is being tried.
+        self.trial_until: dict[int, float] = {}
         # When the ends are to be looked at again, None if nothing has changed.
         self.check_at: float | None = None
 
+    @property
+    def is_watching(self) -> bool:
+        """Return whether anything is quarantined, or engines have ended under requests."""
+        return bool(self.quarantined or self.suspects)
+
     def record_end(self, incarnation: int, sent_at: float, parts: tuple[int, ...]) -> None:
         """Record that an engine ended while this router had an unanswered attempt there."""
         now_s = self.clock()
+        for content in parts[-1:]:
+            self.trial_until.pop(content, None)
         attempt = UnansweredAttempt(sent_at, parts)
         self.own_ends.setdefault(incarnation, EngineEnd(now_s)).add([attempt])
         self.add_attempts(incarnation, now_s, [attempt])
@@ -158,6 +184,7 @@
                 self.own_answers[part] = now_s
                 self.notify_news()
             self.answered_at[part] = now_s
+            self.trial_until.pop(part, None)
             self.lift(part)
         while len(self.answered_at) > MAX_ANSWERED_PARTS:
             self.answered_at.popitem(last=False)
@@ -188,7 +215,26 @@
                 continue
             quarantine.refused_at = self.clock()
             return quarantine
-        return None
+        return self.find_suspension(parts[-1])
+
+    def find_suspension(self, content: int) -> Quarantine | None:
+        """Return the suspension that forbids a request, None if there is none.
+
+        One router lets a request pass after two ends, and no other before its outcome; after the
+        third end none passes, also while other routers may still report what they had there.
+        """
+        if content not in self.suspects:
+            return None
+        ends = [end for end in self.ends.values() if not self.is_explained(end, content)]
+        strikes = self.count_strikes(content, ends)
+        if strikes < MIN_SUSPENDED_STRIKES:
+            return None
+        now_s = self.clock()
+        is_tried = self.trial_until.get(content, -math.inf) > now_s
+        if strikes < MIN_STRIKES and not is_tried and self.is_trial_router(content):
+            self.trial_until[content] = now_s + TRIAL_TIMEOUT_S
+            return None
+        return Quarantine(content, now_s + SUSPENSION_RETRY_AFTER_S)
 
     def check(self) -> None:
         """Quarantine the parts under which enough engines have ended, if there is new evidence."""
@@ -213,28 +259,32 @@
 
     def find_poison(self, now_s: float) -> int | None:
         """Return the part that explains the most ends, None if no part has enough strikes."""
-        settled = [
-            end
-            for end in self.ends.values()
-            if now_s - end.ended_at >= SETTLE_S and not self.is_explained(end)
-        ]
+        settled = [end for end in self.ends.values() if now_s - end.ended_at >= SETTLE_S]
         if len(settled) < MIN_STRIKES:
             return None
         suspects = {part for end in settled for parts in end.attempts for part in parts}
-        poisons = [
-            part
-            for part in suspects - self.quarantined.keys()
-            if self.count_strikes(part, settled) >= MIN_STRIKES
-        ]
-        return max(poisons, key=lambda part: self.rank(part, settled), default=None)
+        poisons = {}
+        for part in suspects - self.quarantined.keys():
+            ends = [end for end in settled if not self.is_explained(end, part)]
+            if self.count_strikes(part, ends) >= MIN_STRIKES:
+                poisons[part] = self.rank(part, ends)
+        return max(poisons, key=poisons.get, default=None)
 
     def rank(self, part: int, ends: list[EngineEnd]) -> tuple[int, bool, int]:
         """Return the rank of a suspect: by ends that it explains, then never answered before."""
         return sum(end.contains(part) for end in ends), part not in self.answered_at, part
 
-    def is_explained(self, end: EngineEnd) -> bool:
-        """Return whether a quarantined part that several requests shared was at an end."""
-        return any(part in self.quarantined for parts in end.attempts for part in parts[:-1])
+    def is_explained(self, end: EngineEnd, suspect: int) -> bool:
+        """Return whether an end says nothing of a suspect, since something quarantined was there.
+
+        A quarantined content may be a victim itself, so it speaks only for other contents.
+        """
+        is_content = end.is_content(suspect)
+        return any(
+            part in self.quarantined
+            for parts in end.attempts
+            for part in (parts if is_content else parts[:-1])
+        )
 
     def count_strikes(self, part: int, ends: list[EngineEnd]) -> int:
         """Return how many engines ended, one after the other, since a part was last answered.
--- a/marjoramspool/requests.py
+++ b/marjoramspool/requests.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from marjoramspool import hashing
 from marjoramspool.clock import now
 from marjoramspool.prompts import Prompt
 from marjoramspool.routes import ClientAccount, Route, RouteKind
@@ -27,6 +28,27 @@
     prompt: Prompt | None = None
     after_event: int | None = None
     clock: Callable[[], float] = now
+    known_content_id: int | None = None
+
+    @property
+    def content_id(self) -> int:
+        """Return the hash of what repeats of this request have in common: all but the headers."""
+        if self.known_content_id is None:
+            account = self.account.name if self.account else ""
+            self.known_content_id = hashing.content_id(
+                account, self.method, self.path, self.prompt_part_ids, self.body
+            )
+        return self.known_content_id
+
+    @property
+    def prompt_part_ids(self) -> tuple[int, ...]:
+        """Return the ids of the prompt's parts, none without a prompt."""
+        return self.prompt.part_ids if self.prompt else ()
+
+    @property
+    def parts(self) -> tuple[int, ...]:
+        """Return what requests may share, the content last, which only repeats share."""
+        return *self.prompt_part_ids, self.content_id
 
     @property
     def is_stream(self) -> bool:
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -106,6 +106,7 @@
         )
         self.links.local_grants_by_owner = self.admission_controller.grants_by_owner
         self.poison = PoisonDetector()
+        self.poison.is_trial_router = self.membership.is_first
         self.quarantine_store = QuarantineStore(self.platform.store, self.poison)
         self.claims = Claims(
             self.platform,
--- a/marjoramspool/tests/test_poison_parts.py
+++ b/marjoramspool/tests/test_poison_parts.py
@@ -166,3 +166,89 @@
     site = Site()
     site.detector.adopt(POISON, 2**32 - 1)
     assert site.detector.quarantined[POISON].retry_after_s(site.now_s) < 5000.0
+
+
+def refuses(site, content):
+    return site.detector.find_quarantine((content,)) is not None
+
+
+def test_a_request_that_came_three_times_is_quarantined_and_its_victims_are_not():
+    """Other requests were in flight at the same engines, and are repeated as well."""
+    site = Site()
+    for _ in range(MIN_STRIKES):
+        site.end_engine((POISON,), (SOUND,))
+        site.passes(0.2)
+        site.detector.record_answer((OTHER,))
+        site.end_engine((POISON,), (OTHER,))
+        site.passes(0.2)
+    site.passes(SETTLE_S)
+    assert refuses(site, POISON)
+    assert POISON in site.detector.quarantined
+    assert not refuses(site, SOUND)
+    assert not refuses(site, OTHER)
+
+
+def test_after_two_ends_one_router_lets_one_request_pass_at_a_time():
+    site = Site()
+    site.end_engine((POISON,))
+    site.passes(0.2)
+    assert not refuses(site, POISON)
+    site.end_engine((POISON,))
+    site.detector.is_trial_router = lambda content: False
+    assert refuses(site, POISON)
+    site.detector.is_trial_router = lambda content: True
+    assert not refuses(site, POISON)
+    assert refuses(site, POISON)
+    site.passes(0.2)
+    site.end_engine((POISON,))
+    # Nobody tries it before the others have told what they had at the engine.
+    assert refuses(site, POISON)
+    assert not site.detector.quarantined
+    site.passes(SETTLE_S)
+    assert refuses(site, POISON)
+    assert site.detector.quarantined
+
+
+def test_an_answer_ends_a_suspension():
+    site = Site()
+    for _ in range(2):
+        site.end_engine((SOUND,))
+        site.passes(0.2)
+    site.detector.is_trial_router = lambda content: False
+    assert refuses(site, SOUND)
+    site.detector.record_reported_answer(SOUND)
+    assert not refuses(site, SOUND)
+
+
+def test_a_trial_that_comes_to_nothing_is_followed_by_another():
+    site = Site()
+    for _ in range(2):
+        site.end_engine((SOUND,))
+        site.passes(0.2)
+    assert not refuses(site, SOUND)
+    assert refuses(site, SOUND)
+    site.passes(5.0)
+    assert not refuses(site, SOUND)
+
+
+def test_a_lookup_that_many_send_alike_outlives_engines_that_lose_power_together():
+    """All engines of a failure domain end at once, twice; lookups were in flight at each."""
+    site = Site()
+    for _ in range(2):
+        for _ in range(4):
+            site.end_engine((SOUND,))
+        site.passes(1.0)
+        site.detector.record_answer((SOUND,))
+        site.passes(1.0)
+    assert not refuses(site, SOUND)
+
+
+def test_a_lookup_that_many_send_alike_outlives_a_release():
+    """Engines end one after the other, and the lookup is answered by others meanwhile."""
+    site = Site()
+    for _ in range(6):
+        site.end_engine((SOUND,))
+        site.passes(0.1)
+        site.detector.record_answer((SOUND,))
+        site.passes(0.9)
+        assert not refuses(site, SOUND)
--- a/standins/service.py
+++ b/standins/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections import Counter
+from collections.abc import Callable
 
 import msgspec
 from aiohttp import web
@@ -25,6 +26,9 @@
         self.incarnation = 1
         self.is_draining = False
         self.silent_connections: set[int] = set()
+        # Body that ends the target, and what ends it.
+        self.poison = ""
+        self.on_poison: Callable[[], None] = lambda: None
         # Requests per second that each answer names as the limit.
         self.limit_per_s: float | None = None
         self.arrived_at: list[float] = []
@@ -51,6 +55,10 @@
         if id(request.transport) in self.silent_connections:
             await hang()
         body = (await request.read()).decode()
+        if self.poison and body == self.poison:
+            self.on_poison()
+            abort_connection(request)
+            return web.Response(status=503)
         if self.faults.consume("silent"):
             self.silent_connections.add(id(request.transport))
             await hang()
