Let an account that is alone in the queue fill it

Cause of refusals with room in the queue: an account alone got half of it; what it was to protect others from is done by eviction, which takes the places of whoever uses most. The new test failed before.

--- a/marjoramspool/cell.py
+++ b/marjoramspool/cell.py
@@ -202,8 +202,8 @@
     def account_queue_limit(self, request: AdmissionRequest, capacity: int) -> int:
         """Return the most requests that an account may queue.
 
-        It is half of the capacity while no other account has queued requests, else the weighted
-        share.
+        It is the whole capacity while no other account has queued requests, which may evict its
+        own then, else the weighted share.
         """
         others = {
             entry.request.account: entry.request.weight
@@ -211,7 +211,7 @@
             if entry.request.account != request.account
         }
         if not others:
-            return max(1, capacity // 2)
+            return capacity
         share = request.weight / (request.weight + sum(others.values()))
         return max(1, math.ceil(capacity * share))
 
--- a/marjoramspool/tests/test_cell.py
+++ b/marjoramspool/tests/test_cell.py
@@ -185,6 +185,19 @@
         task.cancel()
 
 
+async def test_an_account_alone_may_fill_the_queue():
+    cell, _, _ = make_cell(engines=2, slots=5, reserve=0.0)
+    await fill(cell)
+    waiting = [
+        asyncio.create_task(cell.admit(make_request(n, urgency=6, queue_wait_s=5), "r1"))
+        for n in range(11)
+    ]
+    await run_ready_tasks()
+    assert [task.done() for task in waiting] == [False] * 10 + [True]
+    for task in waiting:
+        task.cancel()
+
+
 async def test_a_full_queue_evicts_for_an_account_below_its_share():
     cell, _, _ = make_cell(engines=1, slots=4, reserve=0.0)
     await fill(cell)
