--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,7 +12,7 @@
 from soak.fleet import Fleet
 from soak.history import Sent
 
-__all__ = ["run_caller"]
+__all__ = ["run_caller", "send_poison"]
 
 CONNECT_TIMEOUT_S = 1.0
 PAUSE_RANGE_S = (0.02, 0.25)
@@ -25,6 +25,7 @@
 # Range of times after which a caller disconnects without waiting for the answer.
 DISCONNECT_RANGE_S = (0.0, 0.15)
 DISCONNECT_SHARE = 0.03
+POISON_PERIOD_S = 0.2
 
 request_numbers = itertools.count(1)
 
@@ -55,6 +56,21 @@
     return Sent(name, kind, path, key, router, start, time.monotonic())
 
 
+async def send_poison(fleet: Fleet, content: bytes, until: float) -> None:
+    """Send the same content again and again, at any router, until a time."""
+    rng = random.Random(content)
+    key = fleet.keys[0]
+    async with new_session(CONNECT_TIMEOUT_S) as session, asyncio.TaskGroup() as group:
+        while time.monotonic() < until:
+            router = rng.choice(fleet.routers_in_rotation())
+            start = fleet.routers[router].starts
+            name = f"p{next(request_numbers)}"
+            sent = Sent(name, "poison", "/lookup/poison", key, router, start, time.monotonic())
+            sent.content = content
+            group.create_task(send_request(fleet, session, sent, rng))
+            await asyncio.sleep(POISON_PERIOD_S)
+
+
 async def send_request(
     fleet: Fleet, session: aiohttp.ClientSession, sent: Sent, rng: random.Random
 ) -> None:
@@ -77,7 +93,7 @@
     try:
         async with (
             asyncio.timeout(timeout_s),
-            session.request(method, url, headers=headers) as response,
+            session.request(method, url, headers=headers, data=sent.content or None) as response,
         ):
             sent.status = response.status
             sent.is_signed = "X-Response-Signature" in response.headers
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from soak.callers import send_poison
 from soak.fleet import Fleet
 from soak.links import Mode
 from standins.faults import Fault
@@ -26,6 +27,7 @@
 PAUSE_S = 1.2
 # Long enough for a window of the rule on limits.
 LIMIT_S = 9.0
+POISON_S = 12.0
 ENGINE_FAULTS = ("shed", "error", "reset", "cut", "extra", "foreign", "bare", "unframed-cut")
 STORE_FAULTS = ("outage", "silent", "slow", "lose-reply")
 
@@ -246,6 +248,17 @@
     engine.limit_per_s = None
 
 
+async def repeat_poison(fleet: Fleet, fault: ScheduledFault) -> None:
+    """Repeat a request that ends every target which runs it."""
+    content = f"poison {fault.random_value}".encode()
+    fleet.poison_bodies |= {content}
+    for engine in fleet.platform.engines:
+        if engine.service == "desk":
+            engine.poison_bodies = fleet.poison_bodies
+    fleet.history.record_engine_disturbance(time.monotonic(), POISON_S, "poison")
+    await send_poison(fleet, content, time.monotonic() + POISON_S)
+
+
 async def write_desired_states(fleet: Fleet, fault: ScheduledFault) -> None:
     """Write one to four desired states, 0.1 s apart."""
     for _ in range(1 + fault.random_value % 4):
@@ -264,7 +277,11 @@
 def select_engine(fleet: Fleet, fault: ScheduledFault):
     """Return an engine that is not draining."""
     draining = fleet.history.drain_starts
-    candidates = [engine for engine in fleet.platform.engines if engine.id not in draining]
+    candidates = [
+        engine
+        for engine in fleet.platform.engines
+        if engine.id not in draining and engine.id not in fleet.ended_engines
+    ]
     return candidates[fault.random_value % len(candidates)]
 
 
@@ -289,6 +306,7 @@
     "announce departure": announce_departure,
     "ask for pause": ask_for_pause,
     "name limit": name_limit,
+    "repeat poison": repeat_poison,
 }
 # Seeds draw from the kinds that existed when they were first played.
 FIRST_SEEDS = {
@@ -296,6 +314,7 @@
     "announce departure": 10_000,
     "ask for pause": 10_000,
     "name limit": 20_000,
+    "repeat poison": 30_000,
 }
 # Kinds with many variants are drawn more often.
 KIND_WEIGHTS = {
@@ -306,6 +325,7 @@
     "announce departure": 3,
     "ask for pause": 3,
     "name limit": 4,
+    "repeat poison": 4,
 }
 LINK_MODES = tuple(mode.value for mode in Mode if mode is not Mode.OPEN)
 VARIANTS = {
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -22,6 +22,7 @@
 
 SHUTDOWN_GRACE_S = 6.0
 RESTART_DELAY_S = 0.3
+ENGINE_RESTART_S = 1.5
 STARTUP_S = 3.0
 POLL_INTERVAL_S = 1.0
 EVENT_INTERVAL_S = 0.02
@@ -53,6 +54,10 @@
         self.links: dict[str, Link] = {}
         self.ready: set[int] = set()
         self.restoring = asyncio.Lock()
+        self.ended_engines: set[str] = set()
+        self.restarts: set[asyncio.Task] = set()
+        # Contents that end the targets that run them.
+        self.poison_bodies: frozenset[bytes] = frozenset()
         self.keys: tuple[str, ...] = ("key-0", "key-1", "key-2")
         # API keys that callers use, including revoked ones.
         self.caller_keys: tuple[str, ...] = self.keys
@@ -83,6 +88,8 @@
 
     async def stop_all(self) -> None:
         """Stop all tasks and router processes."""
+        for task in self.restarts:
+            task.cancel()
         await self.tasks.stop()
         await asyncio.gather(*[router.process.end() for router in self.routers])
 
@@ -95,12 +102,32 @@
             is_stream=is_stream,
             pieces=STREAM_EVENTS,
             piece_interval_s=EVENT_INTERVAL_S,
+            poison_bodies=self.poison_bodies,
         )
         link = Link(lambda: engine.address)
         self.links[engine.id] = await self.stack.enter_async_context(link)
+        engine.on_poisoned = lambda: self.replace_ended(engine)
         await self.register(engine)
         return engine
 
+    def replace_ended(self, engine: PlatformEngine) -> None:
+        """Refuse connections to an engine that ends, and start another later."""
+        if engine.id in self.ended_engines:
+            return
+        self.ended_engines.add(engine.id)
+        self.links[engine.id].server.close()
+        task = asyncio.create_task(self.restart_engine(engine))
+        self.restarts.add(task)
+        task.add_done_callback(self.restarts.discard)
+
+    async def restart_engine(self, engine: PlatformEngine) -> None:
+        """Remove the registration of an engine that ended, and start another."""
+        await asyncio.sleep(ENGINE_RESTART_S)
+        self.history.drain_starts.setdefault(engine.id, time.monotonic())
+        if engine.id in self.platform.store.objects["servers"]:
+            await self.platform.remove_object("servers", engine.id)
+        await self.add_engine(engine.service)
+
     async def register(self, engine: PlatformEngine, **changes) -> None:
         """Write an engine's registry entry, with the address of its link."""
         entry = engine.registration(address=self.links[engine.id].address, **changes)
--- a/soak/history.py
+++ b/soak/history.py
@@ -23,6 +23,7 @@
     body: bytes | None = None
     is_signed: bool = False
     has_left: bool = False
+    content: bytes = b""
 
 
 @dataclass(slots=True, frozen=True)
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -32,6 +32,8 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA_REQUESTS = 5
+MIN_POISON_ENDS = 3
+MAX_LATE_POISON = 3
 
 
 def check(history: History) -> list[Violation]:
@@ -49,6 +51,7 @@
         *check_announcements(history),
         *check_pauses(history),
         *check_limits(history),
+        *check_poison(history),
         *check_planned_stops(history, arrivals),
         *check_configuration(history),
         *check_configuration_order(history),
@@ -172,6 +175,32 @@
                 break
 
 
+def check_poison(history: History) -> Iterator[Violation]:
+    """Check that a request under which three engines ended is kept from them."""
+    routers = {sent.id: sent for sent in history.requests if sent.kind == "poison"}
+    ends, arrivals = defaultdict(list), defaultdict(list)
+    for engine in history.platform.engines:
+        runs = [a for a in engine.arrivals if a.id in routers and a.has_run]
+        for arrival in runs:
+            arrivals[arrival.body].append(arrival)
+        for body in {a.body for a in runs}:
+            ends[body].append(min(a.at for a in runs if a.body == body))
+    for content, ended_at in ends.items():
+        if len(ended_at) < MIN_POISON_ENDS:
+            continue
+        due = sorted(ended_at)[MIN_POISON_ENDS - 1] + STABILIZATION_S
+        late = [
+            arrival
+            for arrival in arrivals[content]
+            if arrival.at > due
+            and history.is_undisturbed(
+                routers[arrival.id].router, arrival.at - STABILIZATION_S, arrival.at
+            )
+        ]
+        if len(late) > MAX_LATE_POISON:
+            yield Violation("poison requests", f"{content!r} reached engines {len(late)} times")
+
+
 def check_planned_stops(history: History, arrivals: Counter) -> Iterator[Violation]:
     """Check that planned stops cut off no request that had reached an engine."""
     stops = [d for d in history.disturbances if d.is_planned]
@@ -307,7 +336,7 @@
     requests = [
         s
         for s in finished_requests(history)
-        if s.sent >= history.recovery_start and s.kind != "probe"
+        if s.sent >= history.recovery_start and s.kind not in ("probe", "poison")
     ]
     served = sum(s.status == 200 and s.body is not None for s in requests if s.status != 401)
     authorized = sum(s.status != 401 for s in requests)
--- a/soak/tests/test_invariants.py
+++ b/soak/tests/test_invariants.py
@@ -108,6 +108,18 @@
     assert violated(history) == {"engine limits"}
 
 
+def test_a_request_that_ended_three_engines_and_reaches_more_is_a_violation(history):
+    history.platform.engines.append(PlatformEngine("i-2", "desk"))
+    for number in range(7):
+        late_s = 0.0 if number < 3 else 20.0
+        name, at = f"p{number}", 100.0 + number + late_s
+        ask(history, name, "poison", at=at, status=502, body=b"failed", content=b"bad")
+        arrive(history, name, engine=min(number, 2), at=at).body = b"bad"
+        if number == 5:
+            assert not violated(history)
+    assert violated(history) == {"poison requests"}
+
+
 def test_work_for_an_engine_that_asked_for_a_pause_is_a_violation(history):
     ask(history, "first", at=97.0)
     arrive(history, "first", at=97.0).pause_s = 5.0
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -6,6 +6,7 @@
 import asyncio
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -67,6 +68,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     poison: frozenset[str] = frozenset()
     poison_bodies: frozenset[bytes] = frozenset()
+    on_poisoned: Callable[[], None] = lambda: None
     cached_blocks: list[tuple[str, str, int, str]] = field(default_factory=list)
     lists: int = 0
     running: int = 0
@@ -160,13 +162,11 @@
             writer.write(self.head(503, arrival.id, 0, **{"X-Not-Executed": "1"}))
             return True
         if self.poison & prompt_parts(arrival):
-            await asyncio.sleep(self.piece_interval_s)
-            await self.stop()
+            await self.end_poisoned()
             return False
         arrival.has_run = True
         if arrival.body in self.poison_bodies:
-            await asyncio.sleep(self.piece_interval_s)
-            await self.stop()
+            await self.end_poisoned()
             return False
         if self.consume("mute"):
             arrival.is_disconnected = not await reader.read(1)
@@ -184,6 +184,12 @@
             return await self.stream(arrival, reader, writer)
         return await self.plain(arrival, writer)
 
+    async def end_poisoned(self) -> None:
+        """End as a process that crashes, shortly after it began to run a request."""
+        await asyncio.sleep(self.piece_interval_s)
+        self.on_poisoned()
+        await self.stop()
+
     async def plain(self, arrival: Arrival, writer) -> bool:
         """Send a short response."""
         body = f"answer to {arrival.id}".encode()
