Stay ready while the store must be listed again

Cause: the same field said where to go on watching and whether anything is known. Now a listing that is due is a flag of its own, and what is known stays in force.

--- a/marjoramspool/platform/tests/test_desired_state.py
+++ b/marjoramspool/platform/tests/test_desired_state.py
@@ -6,6 +6,7 @@
 
 from bench.local import wait_until
 from bench.platform_fleet import KEY, route
+from marjoramspool.platform.store import PlatformError, Store
 
 LOOKUP = route("/lookup/", "idempotent", "desk")
 LOOKUP_DEEPER = route("/lookup/deeper/", "idempotent", "other")
@@ -234,3 +235,20 @@
     await wait_until(
         lambda: not router.selector.caches.caches, "the entries of its cache are removed"
     )
+
+
+async def test_a_router_that_must_list_again_while_the_store_is_away_stays_ready(site, monkeypatch):
+    """The store has dropped its history, and goes away before a router has listed anew."""
+    await start_site(site)
+
+    async def fail(*_, **__):
+        raise PlatformError("the store is away")
+
+    monkeypatch.setattr(Store, "list_objects", fail)
+    site.store.compact_history()
+    site.store.compacted_revision = 10**9
+    async with site.store.changed:
+        site.store.changed.notify_all()
+    await wait_until(lambda: site.routers[0].engine_watcher.has_failed, "the listing failed", 4.0)
+    assert await site.readiness() == 200
+    assert (await site.send("/lookup/x", "r1"))[0] == 200
--- a/marjoramspool/store_watchers.py
+++ b/marjoramspool/store_watchers.py
@@ -56,13 +56,23 @@
 class StoreWatcher:
     """Replica of the store objects of one kind: a listing, then watches from its revision."""
 
-    __slots__ = ("has_failed", "kind", "recovered_at", "revision", "store", "watch_role")
+    __slots__ = (
+        "has_failed",
+        "is_listing_due",
+        "kind",
+        "recovered_at",
+        "revision",
+        "store",
+        "watch_role",
+    )
 
     def __init__(self, store: Store, kind: str, watch_role: Callable[[], WatchRole]):
         self.store = store
         self.kind = kind
         self.watch_role = watch_role
         self.revision: int | None = None
+        # What is known stays in force until it is listed again.
+        self.is_listing_due = True
         self.has_failed = False
         self.recovered_at: float | None = None
 
@@ -77,7 +87,7 @@
                 await self.sync_once()
                 backoff_s = INITIAL_BACKOFF_S
             except HistoryGoneError:
-                self.revision = None
+                self.is_listing_due = True
             except PlatformError:
                 self.has_failed = True
                 # Jitter keeps the routers from reconnecting simultaneously after an outage.
@@ -86,11 +96,12 @@
 
     async def sync_once(self) -> None:
         """Make one list or watch call and apply its result."""
-        if self.revision is None:
+        if self.revision is None or self.is_listing_due:
             listing = await self.store.list_objects(self.kind)
             self.record_store_answer()
             self.apply_listing(listing.objects, listing.revision)
             self.revision = listing.revision
+            self.is_listing_due = False
         else:
             # The first watch after an outage returns without waiting, to separate the changes
             # made during the outage from later ones.
