Serve a cell's queue when engines get room by time alone (LIMIT)

Seen by a trace of it: 31 requests waited at the owner, no engine had any load, every limit had ended, and each new request queued behind them. Cause: the queue was served only when an attempt ended; a limit that has room again, or an ejection that ends, ends no attempt. Class: a wait for an event that time brings.

--- a/marjoramspool/cell.py
+++ b/marjoramspool/cell.py
@@ -28,6 +28,7 @@
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 30.0
 INITIAL_SERVICE_TIME_S = 0.5
+QUEUE_CHECK_PERIOD_S = 0.1
 SERVICE_TIME_SMOOTHING = 0.05
 
 
@@ -61,6 +62,7 @@
         "loads",
         "on_granted",
         "policy",
+        "served_at",
         "service_time_s",
         "sessions",
         "urgent_reserve",
@@ -85,6 +87,8 @@
         self.loads: Counter = Counter()
         self.account_loads: Counter = Counter()
         self.waiting: list[QueueEntry] = []
+        # When the queue was served last.
+        self.served_at = -math.inf
         self.last_sequence = 0
         self.service_time_s = INITIAL_SERVICE_TIME_S
         self.grant_times: dict[tuple[str, str, str], list[float]] = {}
@@ -124,6 +128,7 @@
 
     def admit_now(self, request: AdmissionRequest, session: str) -> Admission | None:
         """Grant or refuse without waiting; return None if the request has to be queued."""
+        self.serve_waiting_if_due()
         is_holder_only = self.should_wait_for_holder(request)
         if not self.has_requests_ahead(request):
             granted = self.grant_now(request, session, is_holder_only)
@@ -264,7 +269,7 @@
         if entry.is_holder_only:
             holder_wait_s = min(request.holder_wait_s, remaining_s)
             remaining_s -= holder_wait_s
-            await asyncio.wait([decision], timeout=holder_wait_s)
+            await self.wait_in_queue(decision, holder_wait_s)
             if decision.done():
                 return decision.result()
             entry.is_holder_only = False
@@ -276,7 +281,7 @@
                 if refused:
                     return refused
                 self.waiting.append(entry)
-        await asyncio.wait([decision], timeout=remaining_s)
+        await self.wait_in_queue(decision, remaining_s)
         if decision.done():
             return decision.result()
         estimate_s = self.estimate_wait_s(request, self.usable_engines())
@@ -284,8 +289,25 @@
             "no engine became free within the allowed wait", clamp_retry_after(estimate_s)
         )
 
+    async def wait_in_queue(self, decision: asyncio.Future, timeout_s: float) -> None:
+        """Wait for a decision; serve the queue meanwhile, for engines that get room by time alone.
+
+        No attempt ends then that would serve it: a rate limit allows more, an ejection ends.
+        """
+        remaining_s = timeout_s
+        while remaining_s > 0.0 and not decision.done():
+            await asyncio.wait([decision], timeout=min(remaining_s, QUEUE_CHECK_PERIOD_S))
+            remaining_s -= QUEUE_CHECK_PERIOD_S
+            self.serve_waiting_if_due()
+
+    def serve_waiting_if_due(self) -> None:
+        """Serve the queue, if there is one, unless that was done a moment ago."""
+        if self.waiting and self.clock() - self.served_at >= QUEUE_CHECK_PERIOD_S:
+            self.serve_waiting()
+
     def serve_waiting(self) -> None:
         """Admit queued requests in fair order while engines have room."""
+        self.served_at = self.clock()
         while self.serve_one():
             pass
 
--- a/marjoramspool/tests/test_cell.py
+++ b/marjoramspool/tests/test_cell.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections import Counter
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -185,6 +186,25 @@
         task.cancel()
 
 
+async def test_a_queue_is_served_when_a_rate_limit_has_room_again():
+    """The last attempts ended while the limit had none, so that nothing else wakes the queue."""
+    cell, views, clock = make_cell(engines=1, slots=4, reserve=0.0)
+    engines = await fill(cell)
+    waiting = asyncio.create_task(cell.admit(make_request(9, queue_wait_s=5), "r1"))
+    await run_ready_tasks()
+    views[0] = replace(views[0], room=0.0)
+    for engine in engines:
+        cell.release("r1", engine, "long")
+    await run_ready_tasks()
+    assert not waiting.done()
+    assert not cell.loads
+    views[0] = replace(views[0], room=math.inf)
+    clock.now += 1.0
+    async with asyncio.timeout(1.0):
+        assert isinstance(await waiting, Granted)
+    assert isinstance(cell.admit_now(make_request(10), "r1"), Granted)
+
+
 async def test_an_account_alone_may_fill_the_queue():
     cell, _, _ = make_cell(engines=2, slots=5, reserve=0.0)
     await fill(cell)
