--- a/marjoramspool/request_limits.py
+++ b/marjoramspool/request_limits.py
@@ -38,6 +38,8 @@
 MIN_LIMIT_PER_S = 0.2
 # How long it is told that an engine names no limit any more.
 END_RETENTION_S = 10.0
+# How long a report may take on its way from another router.
+MAX_TRANSIT_S = 1.0
 # The share of the routers that is heard is found again after this time.
 SHARE_AGE_S = 0.05
 # Part of an allowance for which less urgent requests draw, so that urgent ones find room.
@@ -129,13 +131,16 @@
         self.record_notice(key, LimitNotice(limit_per_s, self.clock()))
 
     def record_report(self, key: EngineKey, notice: LimitNotice) -> None:
-        """Record what another router tells, unless it is known.
+        """Record what another router tells, unless it is known or may be older than what is.
 
         What is told of takes time on its way and seems newer than it is. If it renewed what is
         known, routers that repeat it to each other would never believe in its end.
         """
         known = self.notices.get(key)
-        if known is None or known.requests_per_s != notice.requests_per_s:
+        if known is None or (
+            known.requests_per_s != notice.requests_per_s
+            and notice.observed_at > known.observed_at + MAX_TRANSIT_S
+        ):
             self.record_notice(key, notice)
 
     def record_notice(self, key: EngineKey, notice: LimitNotice) -> None:
--- a/marjoramspool/tests/test_request_limits.py
+++ b/marjoramspool/tests/test_request_limits.py
@@ -239,6 +239,21 @@
     assert second.limit_per_s(KEY) is None
 
 
+def test_a_report_that_was_long_on_its_way_does_not_revive_a_limit():
+    clock = FakeClock()
+    limits = RequestLimits(clock=clock)
+    limits.record_notice(KEY, LimitNotice(2.0, clock.now))
+    told_age_s = 0.0
+    clock.now += 0.2
+    limits.record_answer(KEY, None, clock.now)
+    clock.now += 0.6
+    limits.record_report(KEY, LimitNotice(2.0, clock.now - told_age_s))
+    assert limits.limit_per_s(KEY) is None
+    clock.now += 2.0
+    limits.record_report(KEY, LimitNotice(2.0, clock.now - told_age_s))
+    assert limits.limit_per_s(KEY) == 2.0
+
+
 def test_a_restarted_engine_has_no_limit():
     limits = RequestLimits(clock=FakeClock())
     limits.record_notice(KEY, LimitNotice(1.0, 100.0))
