--- a/marjoramspool/engines/client.py
+++ b/marjoramspool/engines/client.py
@@ -30,7 +30,7 @@
     TargetRefusedError,
 )
 from marjoramspool.http import LimitCallback, Sessions, report_limit
-from marjoramspool.targets import LoadReport
+from marjoramspool.targets import LoadReport, limit_key
 
 __all__ = ["EngineDispatcher"]
 
@@ -83,7 +83,7 @@
             report = msgspec.json.decode(body, type=Report)
         except (aiohttp.ClientError, MayHaveRunError, TimeoutError, msgspec.MsgspecError):
             return None
-        report_limit(response, address, sent_at, self.on_limit)
+        report_limit(response, limit_key(address), sent_at, self.on_limit)
         self.load_report_bytes += len(body) + sum(
             len(k) + len(v) + 4 for k, v in response.raw_headers
         )
@@ -99,7 +99,7 @@
         send_task = asyncio.create_task(self.send(request, target, attempt, reuse))
         response = await self.wait_with_liveness_checks(send_task, request, target, attempt)
         try:
-            report_limit(response, target.address, sent_at, self.on_limit)
+            report_limit(response, limit_key(target.address), sent_at, self.on_limit)
             if response.status in NOT_RUN_STATUSES:
                 raise TargetRefusedError(f"engine {target.name} answered {response.status}")
             if request.is_stream and response.content_type == SSE:
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -95,11 +95,7 @@
         self.sessions = EngineSessions()
         self.sessions.on_departure.append(self.engines.record_announcement)
         self.sessions.on_pause.append(self.selector.pauses.record)
-        self.sessions.on_limit.append(
-            lambda engine, limit_per_s, sent_at: self.selector.limits.record_answer(
-                engine.key, limit_per_s, sent_at
-            )
-        )
+        self.sessions.on_limit.append(self.selector.limits.record_answer)
         self.forwarding = Forwarding(
             self.selector, self.sessions, settings.bounds, self.directory.size, self.metrics
         )
--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -2,22 +2,29 @@
 
 import asyncio
 import functools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
 from marjoramspool.answer_bodies import AnswerMemory
 from marjoramspool.events import Event, log
-from marjoramspool.request_limits import parse_limit
+from marjoramspool.request_limits import EngineKey, parse_limit
 
-__all__ = ["LimitCallback", "Sessions", "is_refusing_connections", "new_session", "report_limit"]
+__all__ = [
+    "SUCCESS_STATUSES",
+    "LimitCallback",
+    "Sessions",
+    "is_refusing_connections",
+    "new_session",
+    "report_limit",
+]
 
 # Header in which a target names the requests per second that it takes from all routers together.
 LIMIT_HEADER = "X-Requests-Per-Second"
-MIN_ERROR_STATUS = 400
-# Takes the address of a target, its limit or None for none, and when the request was sent.
-LimitCallback = Callable[[str, float | None, float], None]
+SUCCESS_STATUSES = range(200, 300)
+# Takes a target's key, its limit or None for none, and when the request was sent.
+LimitCallback = Callable[[EngineKey, float | None, float], None]
 
 MAX_DISCARDED_BYTES = 256 << 10
 # Short, since a retry may wait for the result.
@@ -77,19 +84,23 @@
 
 
 def report_limit(
-    response: aiohttp.ClientResponse, address: str, sent_at: float, calls: list[LimitCallback]
+    response: aiohttp.ClientResponse,
+    key: EngineKey,
+    sent_at: float,
+    calls: Iterable[LimitCallback],
+    header: str = LIMIT_HEADER,
 ) -> None:
     """Pass on the rate limit that an answer names; a success without one says there is none."""
-    text = response.headers.get(LIMIT_HEADER)
-    if text is None and response.status >= MIN_ERROR_STATUS:
+    text = response.headers.get(header)
+    if text is None and response.status not in SUCCESS_STATUSES:
         return
     try:
         limit_per_s = parse_limit(text)
     except ValueError as error:
-        log(Event.ATTEMPT_FAILED, target=address, why=f"malformed {LIMIT_HEADER}: {error}")
+        log(Event.ATTEMPT_FAILED, target=key[0], why=f"malformed {header}: {error}")
         return
     for call in calls:
-        call(address, limit_per_s, sent_at)
+        call(key, limit_per_s, sent_at)
 
 
 async def is_refusing_connections(address: str) -> bool:
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -26,11 +26,16 @@
     ResetError,
     TargetRefusedError,
 )
-from marjoramspool.http import is_refusing_connections, new_session
+from marjoramspool.http import (
+    SUCCESS_STATUSES,
+    LimitCallback,
+    is_refusing_connections,
+    new_session,
+    report_limit,
+)
 from marjoramspool.keepalive import keepalive_socket
 from marjoramspool.platform.headers import filter_answer_headers
 from marjoramspool.prompts import Part
-from marjoramspool.request_limits import parse_limit
 from marjoramspool.requests import RoutedRequest
 
 __all__ = ["EngineSessions"]
@@ -38,7 +43,6 @@
 MS = 1000.0
 CONNECT_TIMEOUT_S = 0.4
 POOL_IDLE_TIMEOUT_S = 3.0
-SUCCESS_STATUSES = range(200, 300)
 # Clients infer from these statuses that the request did not run, so they are not passed on from an
 # engine that may have run it.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
@@ -62,7 +66,7 @@
     `pooled` reuses connections, `fresh` opens a new one for each request. Answers in which an
     engine announces its departure call `on_departure`; refusals that ask for a pause call
     `on_pause` with its length in seconds; answers that tell a rate limit, or that there is none,
-    call `on_limit` with the requests per second or None, and when the request was sent.
+    call `on_limit` with the engine's key, the limit or None, and when the request was sent.
     """
 
     __slots__ = ("fresh", "memory", "on_departure", "on_limit", "on_pause", "pooled")
@@ -71,7 +75,7 @@
         self.memory = AnswerMemory()
         self.on_departure: list[Callable[[Engine], None]] = []
         self.on_pause: list[Callable[[Engine, float], None]] = []
-        self.on_limit: list[Callable[[Engine, float | None, float], None]] = []
+        self.on_limit: list[LimitCallback] = []
 
     async def __aenter__(self):
         trace = aiohttp.TraceConfig()
@@ -100,7 +104,8 @@
         response = await self.send(request, engine, headers, context)
         try:
             check_identity(request, engine, response, context.is_reused)
-            self.read_notices(engine, response, sent_at)
+            report_limit(response, engine.key, sent_at, self.on_limit, "Server-Limit")
+            self.read_notices(engine, response)
             check_answer(engine, response)
             if response.status in SUCCESS_STATUSES and response.content_type == SSE:
                 events = read_events(response)
@@ -111,32 +116,16 @@
         finally:
             response.close()
 
-    def read_notices(
-        self, engine: Engine, response: aiohttp.ClientResponse, sent_at: float
-    ) -> None:
+    def read_notices(self, engine: Engine, response: aiohttp.ClientResponse) -> None:
         """Pass on what an engine says of itself beside its answer."""
         if response.headers.get("Server-Leaving") == "1":
             for call in self.on_departure:
                 call(engine)
-        self.read_limit(engine, response, sent_at)
         pause_s = requested_pause_s(engine, response)
         if pause_s > 0.0:
             for call in self.on_pause:
                 call(engine, pause_s)
 
-    def read_limit(self, engine: Engine, response: aiohttp.ClientResponse, sent_at: float) -> None:
-        """Pass on the rate limit that an answer names; a success without one says there is none."""
-        text = response.headers.get("Server-Limit")
-        if text is None and response.status not in SUCCESS_STATUSES:
-            return
-        try:
-            limit_per_s = parse_limit(text)
-        except ValueError as error:
-            log(Event.ATTEMPT_FAILED, target=engine.id, why=f"malformed Server-Limit: {error}")
-            return
-        for call in self.on_limit:
-            call(engine, limit_per_s, sent_at)
-
     async def list_cache(self, engine: Engine) -> tuple[Part, ...] | None:
         """Return the prompt parts in an engine's cache, None if the listing fails."""
         url = f"http://{engine.address}{CACHE_LIST_PATH}"
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -94,7 +94,7 @@
         self.engines = EngineDispatcher(self.sessions)
         self.services = ServiceDispatcher(self.sessions)
         for dispatcher in (self.engines, self.services):
-            dispatcher.on_limit.append(self.targets.record_limit)
+            dispatcher.on_limit.append(self.targets.limits.record_answer)
         self.links = Links(
             settings.name,
             timings.owner_answer_timeout_s,
--- a/marjoramspool/services/client.py
+++ b/marjoramspool/services/client.py
@@ -14,6 +14,7 @@
 from marjoramspool.events import Event, log
 from marjoramspool.failures import MayHaveRunError, NotSentError, SilentConnectionError
 from marjoramspool.http import LimitCallback, Sessions, report_limit
+from marjoramspool.targets import limit_key
 
 __all__ = ["ServiceDispatcher"]
 
@@ -50,7 +51,7 @@
         sent_at = now()
         response = await self.send(request, target, attempt, reuse)
         try:
-            report_limit(response, target.address, sent_at, self.on_limit)
+            report_limit(response, limit_key(target.address), sent_at, self.on_limit)
             if response.headers.get("X-Request-Id", attempt) != attempt:
                 log(Event.ANSWER_REJECTED, attempt=attempt, target=target.name)
                 raise MayHaveRunError(
--- a/marjoramspool/targets.py
+++ b/marjoramspool/targets.py
@@ -131,10 +131,6 @@
         else:
             self.remove_drain_report(address, "report")
 
-    def record_limit(self, address: str, limit_per_s: float | None, sent_at: float) -> None:
-        """Record the rate limit that an answer of a target names, None for none."""
-        self.limits.record_answer(limit_key(address), limit_per_s, sent_at)
-
     def record_success(self, address: str) -> None:
         """Record that a target answered, which ends its ejection."""
         state = self.state(address)
