--- a/marjoramspool/engines/tests/test_target_limits.py
+++ b/marjoramspool/engines/tests/test_target_limits.py
@@ -2,59 +2,26 @@
 
 import asyncio
 import time
-from contextlib import asynccontextmanager
-from itertools import count
 
 import pytest
 
+from bench.traffic import most_in_window, traffic
+
 ROUTERS = 4
 LIMIT_PER_S = 2.0
 STABLE_S = 3.0
 WINDOW_S = 4.0
 ALLOWED = 1.5 * LIMIT_PER_S * WINDOW_S + 5
-MAX_REFUSAL_S = 0.5
-
-
-async def ask_engine(fleet, number):
-    index = number % len(fleet.routers)
-    status, headers, _ = await fleet.chat(f"chat {number}", index)
-    return status, headers
-
-
-async def ask_service(fleet, number):
-    index = number % len(fleet.routers)
-    status, headers, _ = await fleet.post("/services/field-desk/lookups", b"%d" % number, index)
-    return status, headers
-
-
-@asynccontextmanager
-async def traffic(fleet, ask, per_s=40.0):
-    """Send requests at all routers until the end of the block; yield their results."""
-    results, tasks = [], set()
-
-    async def send(number):
-        started = time.monotonic()
-        status, headers = await ask(fleet, number)
-        results.append((status, headers, time.monotonic() - started))
+PER_S = 40.0
 
-    async def run():
-        for number in count():
-            await asyncio.sleep(1.0 / per_s)
-            task = asyncio.create_task(send(number))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
 
-    running = asyncio.create_task(run())
-    try:
-        yield results
-    finally:
-        running.cancel()
-        await asyncio.gather(running, *tasks, return_exceptions=True)
+def ask_engine(fleet, number):
+    return fleet.chat(f"chat {number}", number % len(fleet.routers))
 
 
-def most_in_window(target, since):
-    times = [at for at in target.arrived_at if at >= since]
-    return max((sum(s <= at < s + WINDOW_S for at in times) for s in times), default=0)
+def ask_service(fleet, number):
+    path = "/services/field-desk/lookups"
+    return fleet.post(path, b"%d" % number, number % len(fleet.routers))
 
 
 async def start_fleet(fleet, kind):
@@ -75,9 +42,9 @@
 @pytest.mark.parametrize("kind", ["engines", "services"])
 async def test_targets_that_name_a_limit_get_no_more_than_it_allows(fleet, kind):
     targets, ask = await start_fleet(fleet, kind)
-    async with traffic(fleet, ask) as results:
+    async with traffic(lambda number: ask(fleet, number), PER_S) as results:
         await asyncio.sleep(1.0)
-        assert {status for status, _, _ in results} == {200}
+        assert {result.status for result in results} == {200}
         for target in targets:
             target.limit_per_s = LIMIT_PER_S
         named_at = time.monotonic()
@@ -87,8 +54,8 @@
         await asyncio.sleep(2.0)
         results.clear()
         await asyncio.sleep(1.0)
-        assert {status for status, _, _ in results} == {200}
+        assert {result.status for result in results} == {200}
     for target in targets:
         target.arrived_at = [at for at in target.arrived_at if at < named_at + STABLE_S + WINDOW_S]
-        most = most_in_window(target, named_at + STABLE_S)
+        most = most_in_window(target.arrived_at, named_at + STABLE_S, WINDOW_S)
         assert 0.6 * LIMIT_PER_S * WINDOW_S <= most <= ALLOWED
--- a/marjoramspool/platform/tests/test_engine_limits.py
+++ b/marjoramspool/platform/tests/test_engine_limits.py
@@ -5,12 +5,11 @@
 
 import asyncio
 import time
-from contextlib import asynccontextmanager
-from itertools import count
 
 import pytest
 
 from bench.platform_fleet import route
+from bench.traffic import most_in_window, traffic
 
 LOOKUP = route("/lookup/", "idempotent", "desk")
 # By the requirements, from this long after an engine first named its limit.
@@ -31,35 +30,18 @@
     return added
 
 
-@asynccontextmanager
-async def traffic(site, per_s, path="/lookup/x"):
+def requests(site, per_s, path="/lookup/x"):
     """Send requests at all routers until the end of the block; yield their results."""
-    results, tasks = [], set()
 
     async def send(number):
-        started = time.monotonic()
-        status, headers, _ = await site.send(path, f"q{number}", number % len(site.routers))
-        results.append((status, headers, time.monotonic() - started))
-
-    async def run():
-        for number in count():
-            await asyncio.sleep(1.0 / per_s)
-            task = asyncio.create_task(send(number))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-
-    running = asyncio.create_task(run())
-    try:
-        yield results
-    finally:
-        running.cancel()
-        await asyncio.gather(running, *tasks, return_exceptions=True)
-
-
-def most_in_window(engine, since):
+        return await site.send(path, f"q{number}", number % len(site.routers))
+
+    return traffic(send, per_s)
+
+
+def most_arrivals(engine, since):
     """Return the most requests that reached an engine in any window that begins after a time."""
-    times = sorted(a.at for a in engine.arrivals if a.at >= since)
-    return max((sum(start <= at < start + WINDOW_S for at in times) for start in times), default=0)
+    return most_in_window([arrival.at for arrival in engine.arrivals], since, WINDOW_S)
 
 
 def allowed(limit_per_s):
@@ -75,43 +57,43 @@
 @pytest.mark.parametrize(("routers", "limit_per_s"), [(8, 1.0), (3, 6.0)])
 async def test_engines_that_name_a_limit_get_no_more_than_it_allows(site, routers, limit_per_s):
     engines = await start_site(site, routers, 2)
-    async with traffic(site, 40.0) as results:
+    async with requests(site, 40.0) as results:
         await asyncio.sleep(1.0)
-        assert {status for status, _, _ in results} == {200}
+        assert {result.status for result in results} == {200}
         for engine in engines:
             engine.limit_per_s = limit_per_s
         named_at = time.monotonic()
         await asyncio.sleep(STABLE_S + WINDOW_S + 1.0)
     for engine in engines:
-        most = most_in_window(engine, named_at + STABLE_S)
+        most = most_arrivals(engine, named_at + STABLE_S)
         assert most <= allowed(limit_per_s)
         # An engine in need gets what it named, not far less.
         assert most >= 0.7 * limit_per_s * WINDOW_S
-    refused = [result for result in results if result[0] == 503]
+    refused = [result for result in results if result.status == 503]
     assert refused
-    assert all(float(headers["Retry-After"]) > 0.0 for _, headers, _ in refused)
-    assert max(waited_s for _, _, waited_s in refused) < MAX_REFUSAL_S
+    assert all(float(result.headers["Retry-After"]) > 0.0 for result in refused)
+    assert max(result.waited_s for result in refused) < MAX_REFUSAL_S
 
 
 async def test_routers_with_relays_keep_to_a_small_limit(site):
     (engine,) = await start_site(site, 16, 1)
-    async with traffic(site, 60.0):
+    async with requests(site, 60.0):
         await asyncio.sleep(1.0)
         engine.limit_per_s = 1.0
         named_at = time.monotonic()
         await asyncio.sleep(STABLE_S + WINDOW_S + 1.0)
-    assert most_in_window(engine, named_at + STABLE_S) <= allowed(1.0)
+    assert most_arrivals(engine, named_at + STABLE_S) <= allowed(1.0)
 
 
 async def test_routers_that_hear_no_other_keep_to_a_limit_together(site):
     (engine,) = await start_site(site, 6, 1)
-    async with traffic(site, 60.0):
+    async with requests(site, 60.0):
         engine.limit_per_s = 2.0
         named_at = time.monotonic()
         await asyncio.sleep(1.0)
         cut_off(site)
         await asyncio.sleep(STABLE_S + WINDOW_S)
-    assert most_in_window(engine, named_at + STABLE_S) <= allowed(2.0)
+    assert most_arrivals(engine, named_at + STABLE_S) <= allowed(2.0)
 
 
 async def test_retries_and_resumed_streams_count_against_a_limit(site):
@@ -119,7 +101,7 @@
     engines = [await site.add_engine("model", is_stream=True) for _ in range(2)]
     await site.configure(chat)
     await site.add_router()
-    async with traffic(site, 40.0, "/chat/x"):
+    async with requests(site, 40.0, "/chat/x"):
         for engine in engines:
             engine.limit_per_s = 4.0
             engine.faults["cut"] = 1000
@@ -128,12 +110,12 @@
     resumed = [a for e in engines for a in e.arrivals if "last-event-id" in a.headers]
     assert resumed
     for engine in engines:
-        assert most_in_window(engine, named_at + STABLE_S) <= allowed(4.0)
+        assert most_arrivals(engine, named_at + STABLE_S) <= allowed(4.0)
 
 
 async def test_requests_go_to_engines_without_a_limit_and_return_when_it_ends(site):
     limited, other = await start_site(site, 3, 2)
-    async with traffic(site, 40.0) as results:
+    async with requests(site, 40.0) as results:
         limited.limit_per_s = 1.0
         await asyncio.sleep(2.0)
         before = len(limited.arrivals)
@@ -144,7 +126,7 @@
         before = len(limited.arrivals)
         await asyncio.sleep(1.0)
         assert len(limited.arrivals) - before >= 10
-    assert {status for status, _, _ in results} == {200}
+    assert {result.status for result in results} == {200}
     assert len(other.arrivals) > len(limited.arrivals)
 
 
