--- a/marjoramspool/engine_selector.py
+++ b/marjoramspool/engine_selector.py
@@ -280,13 +280,7 @@
     def is_urgent(self, request: RoutedRequest) -> bool:
         """Return whether no route to the service of a request has a higher priority."""
         table = self.table()
-        routes = table.routes if table else ()
-        priorities = (
-            route.priority
-            for route in routes
-            if any(split.service == request.service for split in route.traffic_splits)
-        )
-        return request.priority <= min(priorities, default=request.priority)
+        return table is None or request.priority <= table.highest_priority(request.service)
 
     def ring(self, service: str, engines: list[Engine]) -> EngineRing:
         """Return the ring of a service, made anew when its engines have changed."""
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass, field
 
+from marjoramspool.attempt_history import DEFAULT_RETRY_AFTER_S, AttemptHistory
 from marjoramspool.attempts import (
     Attempt,
     EngineClient,
@@ -39,7 +39,6 @@
 
 __all__ = ["Forwarding"]
 
-DEFAULT_RETRY_AFTER_S = 0.1
 MIN_SERVER_ERROR_STATUS = 500
 # Share of the latency target after which a retryable request moves to another engine, so that the
 # retry can still meet the target.
@@ -51,48 +50,6 @@
 MIN_REMAINING_S = 0.02
 
 
-@dataclass(slots=True)
-class AttemptHistory:
-    """Attempts of one request.
-
-    `possible_runs` counts the attempts that ran or may have run; `problem` is reported to the
-    caller if no engine answers.
-    """
-
-    tried_engines: set[str] = field(default_factory=set)
-    possible_runs: int = 0
-    attempts_started: int = 0
-    placement: Placement | None = None
-    # When the answer of the last attempt began, None once the engine has outlived its beginning.
-    answered_at: float | None = None
-    problem: Problem = Problem(
-        503, "no usable engine for the request", "retry the request", DEFAULT_RETRY_AFTER_S
-    )
-
-    def record_not_run(self, error: AttemptError) -> None:
-        """Record an attempt that did not run; keep the problem of an earlier one that may have."""
-        if not self.possible_runs:
-            self.problem = Problem(503, str(error), "retry the request", DEFAULT_RETRY_AFTER_S)
-
-    def record_all_paused(self, pause: AllPaused) -> None:
-        """Record that all engines are paused; keep the problem of an attempt that may have run."""
-        if not self.possible_runs:
-            why = "all engines of the service refuse requests for a time"
-            self.problem = Problem(503, why, "retry after the given time", pause.retry_after_s)
-
-    def record_all_limited(self, refusal: AllLimited) -> None:
-        """Record that no engine has room; keep the problem of an attempt that may have run."""
-        if not self.possible_runs:
-            why = "all engines of the service have reached the rate limits that they named"
-            self.problem = Problem(503, why, "retry after the given time", refusal.retry_after_s)
-
-    def record_quarantine(self, quarantine: Quarantine, retry_after_s: float) -> None:
-        """Record that the content of a request ends engines; keep the problem of a possible run."""
-        if not self.possible_runs:
-            why = f"engines end under content of the request, quarantined as {quarantine.part:x}"
-            self.problem = Problem(503, why, "send the request without the content", retry_after_s)
-
-
 class Forwarding:
     """Forwarder of routed requests to engines.
 
--- a/marjoramspool/routes.py
+++ b/marjoramspool/routes.py
@@ -1,6 +1,7 @@
 """Route table: routes, services, client accounts and limits for clients."""
 
 import enum
+import math
 from dataclasses import dataclass, field
 
 from marjoramspool import hashing
@@ -121,6 +122,15 @@
         for route in sorted(self.routes, key=lambda route: len(route.prefix), reverse=True):
             self.routes_by_host[route.host] = (*self.routes_by_host.get(route.host, ()), route)
 
+    def highest_priority(self, service: str) -> float:
+        """Return the most urgent priority of the routes to a service; 0 is the highest."""
+        priorities = (
+            route.priority
+            for route in self.routes
+            if any(split.service == service for split in route.traffic_splits)
+        )
+        return min(priorities, default=math.inf)
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a host whose prefix is the longest match for a path."""
         for route in self.routes_by_host.get(host, ()):
