--- a/marjoramspool/engine_list.py
+++ b/marjoramspool/engine_list.py
@@ -23,7 +23,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Engine:
-    """A registered engine; `started_ms` identifies its incarnation."""
+    """A registered engine; `started_ms` identifies its incarnation.
+
+    `version` is that of its software, empty if it is unknown.
+    """
 
     id: str
     service: str
@@ -32,6 +35,7 @@
     slots: int
     is_draining: bool
     started_ms: int
+    version: str = ""
 
     @property
     def key(self) -> tuple[str, int]:
@@ -86,7 +90,9 @@
     def digest(self) -> int:
         """Return a hash of the registered engines and their drain states."""
         if self.cached_digest is None:
-            names = sorted(f"{e.id}/{e.started_ms}/{e.is_draining}" for e in self.engines.values())
+            names = sorted(
+                f"{e.id}/{e.started_ms}/{e.is_draining}/{e.version}" for e in self.engines.values()
+            )
             self.cached_digest = hashing.digest(",".join(names)) & 0xFFFFFFFF
         return self.cached_digest
 
@@ -112,6 +118,7 @@
                 engine=engine.id,
                 service=engine.service,
                 address=engine.address,
+                version=engine.version,
                 leaving=engine.is_draining,
                 revision=self.revision,
             )
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -179,7 +179,7 @@
         """Send one attempt; the stack owns its placement and its connection."""
         engine = placement.engine
         stack.enter_context(placement)
-        self.record_placement(request, placement, history)
+        self.record_placement(request, placement, history, after_event)
         try:
             async with asyncio.timeout(self.attempt_timeout_s(request, placement, history)):
                 opening = self.client.open(request, make_attempt(placement, after_event))
@@ -244,7 +244,11 @@
         self.selector.record_end(placement, request.parts)
 
     def record_placement(
-        self, request: RoutedRequest, placement: Placement, history: AttemptHistory
+        self,
+        request: RoutedRequest,
+        placement: Placement,
+        history: AttemptHistory,
+        after_event: int | None,
     ) -> None:
         """Record an attempt at an engine; log the load and cache state that decided the choice."""
         if not history.attempts_started:
@@ -259,6 +263,9 @@
             request=request.id,
             engine=placement.engine.id,
             attempt=history.attempts_started,
+            version=placement.engine.version,
+            after=after_event,
+            resumes=request.first_request,
             subject=request.prompt.shared_part_id if request.prompt else None,
             tokens=request.prompt.input_tokens if request.prompt else None,
             held=candidate.cached_tokens,
@@ -375,7 +382,14 @@
             raise BrokenAnswerError(
                 f"{failure}; no other engine resumed the stream after event {last_event_id}"
             )
-        log(Event.STREAM_RESUMED, request=request.id, after=last_event_id)
+        engine = history.placement.engine
+        log(
+            Event.STREAM_RESUMED,
+            request=request.id,
+            after=last_event_id,
+            engine=engine.id,
+            version=engine.version,
+        )
         return outcome.events
 
 
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -192,6 +192,8 @@
     slots: int
     is_draining: bool
     started_ms: int
+    # Version of its software, empty in the entries of a router of an earlier release.
+    version: str = ""
 
 
 class TableState(msgspec.Struct, array_like=True, frozen=True):
--- a/marjoramspool/peers/state_transfer.py
+++ b/marjoramspool/peers/state_transfer.py
@@ -20,7 +20,14 @@
     """Return all registered engines as message entries."""
     return tuple(
         EngineEntry(
-            e.id, e.service, e.address, e.failure_domain, e.slots, e.is_draining, e.started_ms
+            e.id,
+            e.service,
+            e.address,
+            e.failure_domain,
+            e.slots,
+            e.is_draining,
+            e.started_ms,
+            e.version,
         )
         for e in engines.engines.values()
     )
@@ -34,11 +41,23 @@
 ) -> None:
     """Replace the engine list by that of another router, as `EngineList.replace_all` does."""
     engines.revision = revision
-    listed = (
-        Engine(e.id, e.service, e.address, e.failure_domain, e.slots, e.is_draining, e.started_ms)
-        for e in entries
+    engines.replace_all((import_engine(engines, entry) for entry in entries), renewals_until)
+
+
+def import_engine(engines: EngineList, entry: EngineEntry) -> Engine:
+    """Return the engine of an entry; a version that the entry lacks is kept if it is known."""
+    known = engines.engines.get(entry.id)
+    is_same = known is not None and known.started_ms == entry.started_ms
+    return Engine(
+        entry.id,
+        entry.service,
+        entry.address,
+        entry.failure_domain,
+        entry.slots,
+        entry.is_draining,
+        entry.started_ms,
+        entry.version or (known.version if is_same else ""),
     )
-    engines.replace_all(listed, renewals_until)
 
 
 def export_caches(selector: EngineSelector) -> tuple[CacheUpdate, ...]:
--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -248,6 +248,7 @@
             headers.get("X-Model"), headers.get("X-Token-Count"), headers.get("X-Prompt-Prefix")
         ),
         after_event=int(last_event) if is_stream and last_event.isdigit() else None,
+        first_request=headers.get("Resumes") if is_stream else None,
     )
 
 
--- a/marjoramspool/platform/registry.py
+++ b/marjoramspool/platform/registry.py
@@ -20,6 +20,8 @@
     zone: str = ""
     # Start time in Unix milliseconds; it distinguishes restarts under the same id.
     born: int = 0
+    # Version of the engine's software; that of its model's weights is in other fields.
+    version: str = ""
 
 
 def decode_engine(name: str, *payloads: msgspec.Raw) -> Engine | None:
@@ -46,6 +48,7 @@
             slots=fields.slots,
             is_draining=fields.state == "draining",
             started_ms=fields.born,
+            version=fields.version,
         )
     log(Event.REGISTRATION_UNREADABLE, engine=name, fault=str(reason))
     return None
--- a/marjoramspool/requests.py
+++ b/marjoramspool/requests.py
@@ -26,7 +26,10 @@
     received: float
     deadline: float
     prompt: Prompt | None = None
+    # The last event that the caller has, if it resumes a stream, and the id of the request that
+    # brought the first one.
     after_event: int | None = None
+    first_request: str | None = None
     clock: Callable[[], float] = now
     known_content_id: int | None = None
 
