Tests: a stream goes on at the version that began it, failing (ORDER)

Callers saw streams whose halves come from two software versions. The stand-in engine has a version now; with three engines of each of two versions about half of the streams that break go on at the other one, both within an answer and by the client's next try at another router, with 3 and 8 routers.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -59,6 +59,9 @@
     id: str
     service: str
     is_stream: bool = False
+    # Software version, and the Unix time of the start in milliseconds.
+    version: str = "v1"
+    started_ms: int = 1000
     is_leaving: bool = False
     retry_after_s: float | None = None
     limit_per_s: float | None = None
@@ -93,12 +96,12 @@
             "service": self.service,
             "address": self.address,
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.version,
             "slots": 16,
             "state": "ready",
             "cold_remaining_ms": 0,
             "sequence": 1,
-            "born": 1000,
+            "born": self.started_ms,
         }
         return entry | changes
 
@@ -147,6 +150,10 @@
             body = msgspec.json.encode({"epoch": 1, "next_token": 1, "held": self.cached_blocks})
             writer.write(self.head(200, arrival.id, len(body)) + body)
             return True
+        if arrival.path == "/marjoramspool/report":
+            body = msgspec.json.encode({"running": self.running, "born": self.started_ms})
+            writer.write(self.head(200, arrival.id, len(body)) + body)
+            return True
         self.arrivals.append(arrival)
         if arrival.headers.get("x-expect-instance", self.id) != self.id:
             writer.write(self.head(421, arrival.id, 0, **{"X-Instance-Id": self.id}))
