--- a/marjoramspool/attempt_history.py
+++ b/marjoramspool/attempt_history.py
@@ -26,6 +26,9 @@
     possible_runs: int = 0
     attempts_started: int = 0
     placement: Placement | None = None
+    # Software version of the engine whose event reached the caller first; the stream may go on
+    # only there. Empty if it is not known.
+    version: str | None = None
     # When the answer of the last attempt began, None once the engine has outlived its beginning.
     answered_at: float | None = None
     problem: Problem = Problem(
--- a/marjoramspool/engine_list.py
+++ b/marjoramspool/engine_list.py
@@ -80,8 +80,8 @@
         self.departures: dict[tuple[str, int], float] = {}
         # Incarnations whose registration, back from a copy, says nothing before a time.
         self.stale_until: dict[tuple[str, int], float] = {}
-        # Result of `usable`, kept until the list changes.
-        self.usable_by_service: dict[str, list[Engine]] = {}
+        # Result of `usable` by service and version, kept until the list changes.
+        self.usable_by_service: dict[tuple[str, str | None], list[Engine]] = {}
         self.in_grace_period: dict[str, tuple[Engine, float]] = {}
         self.revision = 0
         self.cached_digest: int | None = None
@@ -237,19 +237,21 @@
                 del self.in_grace_period[engine.id]
                 self.notify_removed(engine)
 
-    def usable(self, service: str) -> list[Engine]:
+    def usable(self, service: str, version: str | None = None) -> list[Engine]:
         """Return the engines of a service that may get new requests; do not modify the list.
 
-        The same list is returned until the engines change.
+        A `version` leaves only the engines that are known to have it. The same list is returned
+        until the engines change.
         """
         if self.pending_renewal:
             self.expire()
         if self.stale_until and max(self.stale_until.values()) <= self.clock():
             self.stale_until.clear()
             self.usable_by_service.clear()
-        if service not in self.usable_by_service:
-            self.usable_by_service[service] = self.find_usable(service)
-        return self.usable_by_service[service]
+        key = (service, version)
+        if key not in self.usable_by_service:
+            self.usable_by_service[key] = self.find_usable(service, version)
+        return self.usable_by_service[key]
 
     def find(self, key: tuple[str, int]) -> Engine | None:
         """Return an incarnation that still serves, None if it does not."""
@@ -260,9 +262,13 @@
                 return None
         return engine if engine and engine.started_ms == key[1] else None
 
-    def find_usable(self, service: str) -> list[Engine]:
-        """Return the engines of a service that may get new requests, from the whole list."""
-        return [e for e in self.engines.values() if e.service == service and self.is_usable(e)]
+    def find_usable(self, service: str, version: str | None) -> list[Engine]:
+        """Return what `usable` returns, from the whole list."""
+        return [
+            e
+            for e in self.engines.values()
+            if e.service == service and version in (None, e.version) and self.is_usable(e)
+        ]
 
     def is_usable(self, engine: Engine) -> bool:
         """Return whether a listed engine may get new requests."""
--- a/marjoramspool/engine_selector.py
+++ b/marjoramspool/engine_selector.py
@@ -131,10 +131,10 @@
         self.prefill_rates: dict[str, PrefillRate] = {}
         self.sent_rates: dict[str, WorkRate] = {}
         self.hot_parts = HotParts()
-        # The ring of each large service, with the list of engines that it was made of.
-        self.rings: dict[str, tuple[list[Engine], EngineRing]] = {}
-        # The mean requests at the engines of each large service, and when it was computed.
-        self.mean_loads: dict[str, tuple[float, float]] = {}
+        # The ring of each large service and version, with the list of engines that it was made of.
+        self.rings: dict[tuple[str, str | None], tuple[list[Engine], EngineRing]] = {}
+        # The mean requests at the engines of each ring, and when it was computed.
+        self.mean_loads: dict[tuple[str, str | None], tuple[float, float]] = {}
         # Mean age of the load reports of other routers, in seconds.
         self.report_age_s: Callable[[], float] = lambda: 0.0
         # Number of other routers that send requests.
@@ -169,14 +169,15 @@
         self.record_cached(engine, parts)
 
     def place(
-        self, request: RoutedRequest, exclude: set[str]
+        self, request: RoutedRequest, exclude: set[str], version: str | None = None
     ) -> Placement | Shed | AllPaused | AllLimited | Quarantine | None:
         """Return a placement of a request at the best engine; None if no engine is usable.
 
+        A stream that goes on is placed among the engines of the software `version` that began it.
         A request with quarantined content goes to no engine.
         A request that has not been sent to any engine yet is shed if it would wait too long there.
         """
-        serving = self.engines.usable(request.service)
+        serving = self.engines.usable(request.service, version)
         if all_paused := self.pauses.all_paused(serving, hashing.fraction(request.id)):
             return all_paused
         prompt = request.prompt
@@ -184,7 +185,7 @@
             return quarantine
         parts = self.shared_parts.select_shareable(prompt, request.id) if prompt else ()
         tokens = prompt.input_tokens if prompt else 0
-        choice = self.choose(request, serving, exclude, parts)
+        choice = self.choose(request, serving, exclude, parts, version)
         if choice is None:
             return self.limits.all_limited(
                 (engine.key for engine in serving if engine.id not in exclude),
@@ -215,6 +216,7 @@
         serving: list[Engine],
         exclude: set[str],
         parts: tuple[Part, ...],
+        version: str | None,
     ) -> Choice | None:
         """Return the best engine for a request; None if none is usable.
 
@@ -223,16 +225,19 @@
         prompt = request.prompt
         key = hashing.digest(str(prompt.shared_part_id) if prompt else request.id)
         if len(serving) > MAX_COMPARED_ENGINES:
-            holders = self.usable_holders(request.service, parts)
-            window = self.ring(request.service, serving).window(key, holders)
-            mean = self.mean_requests(request.service, serving)
+            holders = self.usable_holders(request.service, parts, version)
+            ring_key = (request.service, version)
+            window = self.ring(ring_key, serving).window(key, holders)
+            mean = self.mean_requests(ring_key, serving)
             share = len(window) / len(serving)
             choice = self.choose_among(window, request, exclude, parts, key, share, mean)
             if choice is not None:
                 return choice
         return self.choose_among(serving, request, exclude, parts, key)
 
-    def usable_holders(self, service: str, parts: tuple[Part, ...]) -> list[Engine]:
+    def usable_holders(
+        self, service: str, parts: tuple[Part, ...], version: str | None
+    ) -> list[Engine]:
         """Return the usable engines of a service that have the most of a chain of parts cached."""
         listed = self.engines.engines
         return [
@@ -241,6 +246,7 @@
             if (engine := listed.get(name))
             and engine.started_ms == started_ms
             and engine.service == service
+            and version in (None, engine.version)
             and self.engines.is_usable(engine)
         ]
 
@@ -282,21 +288,21 @@
         table = self.table()
         return table is None or request.priority <= table.highest_priority(request.service)
 
-    def ring(self, service: str, engines: list[Engine]) -> EngineRing:
-        """Return the ring of a service, made anew when its engines have changed."""
-        made_of, ring = self.rings.get(service, (None, None))
+    def ring(self, key: tuple[str, str | None], engines: list[Engine]) -> EngineRing:
+        """Return the ring of a service and version, made anew when its engines have changed."""
+        made_of, ring = self.rings.get(key, (None, None))
         if made_of is not engines:
             ring = EngineRing(engines)
-            self.rings[service] = (engines, ring)
+            self.rings[key] = (engines, ring)
         return ring
 
-    def mean_requests(self, service: str, engines: list[Engine]) -> float:
+    def mean_requests(self, key: tuple[str, str | None], engines: list[Engine]) -> float:
         """Return the mean load of a service's engines, at most `MEAN_LOAD_AGE_S` old."""
         now_s = now()
-        mean, computed_at = self.mean_loads.get(service, (0.0, -MEAN_LOAD_AGE_S))
+        mean, computed_at = self.mean_loads.get(key, (0.0, -MEAN_LOAD_AGE_S))
         if now_s - computed_at >= MEAN_LOAD_AGE_S:
             mean = sum(self.loads.requests(engine.id) for engine in engines) / len(engines)
-            self.mean_loads[service] = (mean, now_s)
+            self.mean_loads[key] = (mean, now_s)
         return mean
 
     def unreported_load(self, request: RoutedRequest, share: float = 1.0) -> UnreportedLoad:
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -131,7 +131,7 @@
         while True:
             if request.remaining_s() <= MIN_REMAINING_S:
                 return self.deadline_outcome(history)
-            placement = self.selector.place(request, history.tried_engines)
+            placement = self.selector.place(request, history.tried_engines, history.version)
             if placement is None:
                 break
             if isinstance(placement, Shed):
@@ -347,6 +347,8 @@
                             continue
                         last_event_id = event.event_id
                     self.confirm_answer(request, history, MAX_END_DELAY_S)
+                    if history.version is None:
+                        history.version = history.placement.engine.version
                     yield event
                 self.confirm_answer(request, history, 0.0)
                 return
@@ -357,7 +359,7 @@
                 await self.record_if_ended(request, history.placement)
             self.metrics.count(f"attempts_failed.{type(failure).__name__}")
             self.selector.outliers.record_failure(history.placement.engine.id)
-            if not request.route.is_resumable or last_event_id is None:
+            if not request.route.is_resumable or last_event_id is None or not history.version:
                 raise BrokenAnswerError(str(failure))
             await stack.aclose()
             events = await self.resume(request, history, stack, last_event_id, failure)
--- a/marjoramspool/platform/tests/test_stream_versions.py
+++ b/marjoramspool/platform/tests/test_stream_versions.py
@@ -89,3 +89,40 @@
         assert len(versions_run(site, name, f"{name}-1")) == 1
         went_on += status == 200 and begun + events == EVENTS
     assert went_on >= 0.9 * STREAMS
+
+
+async def test_a_second_attempt_that_brings_the_first_event_decides_the_version(site):
+    """The first attempt fails before its first event, at whichever version."""
+    faults = await start(site)
+    faults["reset"] = STREAMS // 2
+    faults["cut"] = STREAMS // 2
+    names = [f"r{number}" for number in range(STREAMS)]
+    await asyncio.gather(*[read_stream(site, "/chat/x", name) for name in names])
+    for name in names:
+        brought_events = {
+            engine.version
+            for engine in site.engines
+            for arrival in engine.arrivals
+            if arrival.id == name and arrival.has_sent_events
+        }
+        assert len(brought_events) <= 1
+
+
+async def test_a_stream_whose_version_has_left_breaks_off_at_once(site):
+    faults = await start(site, versions=("v1", "v2", "v2"))
+    faults["cut"] = STREAMS
+    names = [f"r{number}" for number in range(STREAMS)]
+    async with asyncio.timeout(2.0):
+        await asyncio.gather(*[read_stream(site, "/chat/x", name) for name in names])
+    assert all(len(versions_run(site, name)) == 1 for name in names)
+
+
+async def test_nothing_is_known_of_an_engine_that_names_no_version(site):
+    """Streams of such engines go on nowhere, also not at another one without a version."""
+    faults = await start(site, versions=("", "", "v1"))
+    faults["cut"] = STREAMS
+    names = [f"r{number}" for number in range(STREAMS)]
+    await asyncio.gather(*[read_stream(site, "/chat/x", name) for name in names])
+    unnamed = [engine for engine in site.engines if not engine.version]
+    assert all(sum(engine.runs(name) for engine in unnamed) <= 1 for name in names)
+    assert all(len(versions_run(site, name)) == 1 for name in names)
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -30,6 +30,7 @@
     headers: dict[str, str]
     body: bytes
     has_run: bool = False
+    has_sent_events: bool = False
     is_disconnected: bool = False
     at: float = field(default_factory=time.monotonic)
     # Requests in flight at the engine when this one arrived.
@@ -246,6 +247,7 @@
                 writer.write(event[:8])
                 return False
             writer.write(event if is_unframed else chunk(event))
+            arrival.has_sent_events = True
             await writer.drain()
         if is_unframed:
             return False
