--- a/marjoramspool/attempt_history.py
+++ b/marjoramspool/attempt_history.py
@@ -12,6 +12,8 @@
 __all__ = ["DEFAULT_RETRY_AFTER_S", "AttemptHistory"]
 
 DEFAULT_RETRY_AFTER_S = 0.1
+# What began a stream, or an engine of its version, is back later than engines with room.
+RESUMPTION_RETRY_AFTER_S = 1.0
 
 
 @dataclass(slots=True)
@@ -29,6 +31,7 @@
     # Software version of the engine whose event reached the caller first; the stream may go on
     # only there. Empty if it is not known.
     version: str | None = None
+    has_brought_event: bool = False
     # When the answer of the last attempt began, None once the engine has outlived its beginning.
     answered_at: float | None = None
     problem: Problem = Problem(
@@ -40,6 +43,12 @@
         if not self.possible_runs:
             self.problem = Problem(503, str(error), "retry the request", DEFAULT_RETRY_AFTER_S)
 
+    def record_not_resumable(self, why: str) -> None:
+        """Record why a stream cannot go on; keep the problem of an attempt that may have run."""
+        if not self.possible_runs:
+            remedy = "resume the stream later, or begin a new one"
+            self.problem = Problem(503, why, remedy, RESUMPTION_RETRY_AFTER_S)
+
     def record_all_paused(self, pause: AllPaused) -> None:
         """Record that all engines are paused; keep the problem of an attempt that may have run."""
         if not self.possible_runs:
--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -65,6 +65,7 @@
     CALLER_LEFT = (609, "info", "a caller disconnected before its answer was complete")
     ANSWER_BEGUN = (610, "info", "an engine started to answer")
     REQUEST_TURNED_AWAY = (611, "info", "a request would wait too long: shed with Retry-After")
+    STREAM_NOT_RESUMED = (612, "warning", "a stream cannot go on at the version that began it")
     CLAIM_RELEASED = (701, "info", "the claim of an attempt that was never executed was released")
     CLAIM_UNSETTLED = (702, "warning", "it is unknown whether a claim was written")
     LEASE_TAKEN = (801, "info", "this router acquired the lease for a service's engine orders")
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -96,12 +96,17 @@
         self.sessions.on_departure.append(self.engines.record_announcement)
         self.sessions.on_pause.append(self.selector.pauses.record)
         self.sessions.on_limit.append(self.selector.limits.record_answer)
-        self.forwarding = Forwarding(
-            self.selector, self.sessions, settings.bounds, self.directory.size, self.metrics
-        )
         self.load_broadcast = LoadBroadcast(
             settings.peers_port, self.directory, self.selector, self.state_versions
         )
+        self.forwarding = Forwarding(
+            self.selector,
+            self.sessions,
+            settings.bounds,
+            self.directory.size,
+            self.load_broadcast.origins,
+            self.metrics,
+        )
         self.state_sync = StateSync(
             self.directory,
             settings.peers_port,
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, aclosing, asynccontextmanager
 
 from marjoramspool.attempt_history import DEFAULT_RETRY_AFTER_S, AttemptHistory
 from marjoramspool.attempts import (
@@ -36,6 +36,7 @@
 from marjoramspool.request_limits import AllLimited
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.retries import SharedRetryBudget
+from marjoramspool.stream_origins import OriginSource, stream_id, streams_of
 
 __all__ = ["Forwarding"]
 
@@ -48,6 +49,8 @@
 PREFILL_TOKENS_PER_S = 40_000
 # No attempt is started with less time than this before the deadline.
 MIN_REMAINING_S = 0.02
+# Version of a stream of which nothing is known; no engine has it.
+UNKNOWN_VERSION = ""
 
 
 class Forwarding:
@@ -57,7 +60,15 @@
     whether the request may have run.
     """
 
-    __slots__ = ("bounds", "client", "metrics", "retry_budgets", "router_count", "selector")
+    __slots__ = (
+        "bounds",
+        "client",
+        "metrics",
+        "origins",
+        "retry_budgets",
+        "router_count",
+        "selector",
+    )
 
     def __init__(
         self,
@@ -65,9 +76,11 @@
         client: EngineClient,
         bounds: Bounds,
         router_count: Callable[[], int],
+        origins: OriginSource,
         metrics: Metrics,
     ):
         self.metrics = metrics
+        self.origins = origins
         self.selector = selector
         self.client = client
         self.bounds = bounds
@@ -92,6 +105,7 @@
             history = AttemptHistory()
             try:
                 async with asyncio.timeout(max(0.0, request.remaining_s())):
+                    await self.find_version(request, history)
                     outcome = await self.run_attempts(request, history, stack, request.after_event)
             except TimeoutError:
                 outcome = self.deadline_outcome(history)
@@ -101,6 +115,35 @@
                 outcome.events = self.resumable_stream(request, history, stack, events)
             yield outcome
 
+    async def find_version(self, request: RoutedRequest, history: AttemptHistory) -> None:
+        """Find the only version at which a stream that a caller resumes may go on."""
+        if not request.is_resumption:
+            return
+        history.version = UNKNOWN_VERSION
+        if request.route.is_resumable and request.first_request is not None:
+            stream = stream_id(request, request.first_request)
+            history.version = await self.origins.find(stream) or UNKNOWN_VERSION
+
+    def can_go_on(self, request: RoutedRequest, history: AttemptHistory) -> bool:
+        """Return whether a stream is new, or has a known version that some engine serves."""
+        version = history.version
+        if version is None or (version and self.selector.engines.usable(request.service, version)):
+            return True
+        why = (
+            f"no engine of version {version}, which began the stream, serves"
+            if version
+            else "the version that began the stream is not known"
+        )
+        log(
+            Event.STREAM_NOT_RESUMED,
+            request=request.id,
+            resumes=request.first_request,
+            after=request.after_event,
+            why=why,
+        )
+        history.record_not_resumable(why)
+        return False
+
     def deadline_outcome(self, history: AttemptHistory) -> NotRun | Unknown:
         """Return the outcome of a request whose deadline passed without an answer."""
         if history.possible_runs:
@@ -131,6 +174,8 @@
         while True:
             if request.remaining_s() <= MIN_REMAINING_S:
                 return self.deadline_outcome(history)
+            if not self.can_go_on(request, history):
+                break
             placement = self.selector.place(request, history.tried_engines, history.version)
             if placement is None:
                 break
@@ -338,6 +383,30 @@
 
         Raise BrokenAnswerError if the stream cannot be resumed.
         """
+        async with AsyncExitStack() as unfinished:
+            # Its caller may come back.
+            unfinished.callback(self.announce_origin, request, history)
+            async with aclosing(self.joined_stream(request, history, stack, events)) as joined:
+                async for event in joined:
+                    if not history.has_brought_event:
+                        history.has_brought_event = True
+                        self.announce_origin(request, history)
+                    yield event
+            unfinished.pop_all()
+
+    def announce_origin(self, request: RoutedRequest, history: AttemptHistory) -> None:
+        """Tell the keepers of a stream the version that began it, if it may be resumed."""
+        if history.version and request.route.is_resumable:
+            self.origins.announce(streams_of(request), history.version)
+
+    async def joined_stream(
+        self,
+        request: RoutedRequest,
+        history: AttemptHistory,
+        stack: AsyncExitStack,
+        events: AsyncIterator[StreamEvent],
+    ) -> AsyncIterator[StreamEvent]:
+        """Yield the events of one engine after another, as `resumable_stream` specifies."""
         last_event_id = request.after_event
         while True:
             try:
--- a/marjoramspool/peers/directory.py
+++ b/marjoramspool/peers/directory.py
@@ -41,6 +41,8 @@
     engines_revision: int = 0
     engines_digest: int = 0
     has_store: bool = True
+    # Revision of the messages that the router understands; 0 in releases before there was one.
+    message_revision: int = 0
 
 
 class Directory:
--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -1,7 +1,7 @@
 """Broadcast of loads and cache updates to the other routers by UDP datagrams."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 
 import msgspec
@@ -18,11 +18,14 @@
     CacheUpdate,
     DomainLoads,
     FleetLoads,
+    OriginQuery,
+    OriginReport,
     ReportBatch,
     RouterReport,
     decode_datagram,
     encode,
 )
+from marjoramspool.peers.origin_exchange import OriginExchange
 from marjoramspool.peers.own_reports import OwnReports, StateVersions, incarnation_id_of
 from marjoramspool.peers.poison_reports import apply_poison_reports
 from marjoramspool.peers.report_relay import OwnReport, ReportRelay, take_updates
@@ -59,6 +62,7 @@
         "engines_by_incarnation",
         "known_digest",
         "live_count",
+        "origins",
         "own",
         "port",
         "rediscovery_sent_at",
@@ -84,6 +88,7 @@
         self.relay_monitor = relays.RelayMonitor(directory)
         self.selector = selector
         self.own = OwnReports(directory, selector, state_versions)
+        self.origins = OriginExchange(directory, self.send)
         self.relay = ReportRelay(directory.domain, directory.clock)
         # Number of live peers at the last report.
         self.live_count = 0
@@ -246,7 +251,7 @@
         if batch:
             self.send(encode(ReportBatch(tuple(batch))), addresses)
 
-    def send(self, message: bytes, addresses: list[str]) -> None:
+    def send(self, message: bytes, addresses: Iterable[str]) -> None:
         """Send a datagram to each address, ignoring socket errors."""
         for address in addresses:
             with suppress(OSError):
@@ -301,6 +306,8 @@
                 self.apply_domain_loads(message)
             case FleetLoads():
                 self.apply_fleet_loads(message)
+            case OriginReport() | OriginQuery():
+                self.origins.handle(message, addr[0])
 
     def apply_domain_loads(self, message: DomainLoads) -> None:
         """Keep the loads of another domain, in case this router is a relay."""
@@ -362,6 +369,7 @@
         peer.engines_revision = report.engines_revision
         peer.engines_digest = report.engines_digest
         peer.has_store = report.has_store
+        peer.message_revision = report.message_revision
 
     def apply_update(self, update: CacheUpdate) -> None:
         """Apply a cache update, unless its engine is unknown."""
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -8,6 +8,7 @@
 from marjoramspool import hashing
 
 __all__ = [
+    "MESSAGE_REVISION",
     "CacheUpdate",
     "CacheUpdateKind",
     "CachesState",
@@ -20,9 +21,12 @@
     "FleetLoads",
     "IncludedReport",
     "LimitReport",
+    "OriginQuery",
+    "OriginReport",
     "QuarantineReport",
     "ReportBatch",
     "RouterReport",
+    "StreamOriginEntry",
     "TableState",
     "UnansweredReport",
     "decode_datagram",
@@ -31,6 +35,10 @@
 ]
 
 
+# Counts up when routers learn a message that earlier ones cannot decode.
+MESSAGE_REVISION = 1
+
+
 @lru_cache(maxsize=4096)
 def incarnation_id(engine: str, started_ms: int) -> int:
     """Return the 32-bit id of one incarnation of an engine in messages."""
@@ -139,6 +147,8 @@
     rates: tuple[EngineRateReport, ...] = ()
     # Limits that the reporting router knows of, also from others, and those that ended recently.
     limits: tuple[LimitReport, ...] = ()
+    # Revision of the messages that the reporting router understands.
+    message_revision: int = 0
 
 
 class ReportBatch(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -182,6 +192,25 @@
     rates: tuple[EngineRateReport, ...] = ()
 
 
+class StreamOriginEntry(msgspec.Struct, array_like=True, frozen=True):
+    """Version at which a stream began, None if the sender does not know it, empty if ambiguous."""
+
+    stream: int
+    version: str | None
+
+
+class OriginReport(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    """What a router knows of the origins of streams."""
+
+    entries: tuple[StreamOriginEntry, ...]
+
+
+class OriginQuery(msgspec.Struct, array_like=True, frozen=True, tag=5):
+    """Question for the origins of streams, answered by an `OriginReport`."""
+
+    streams: tuple[int, ...]
+
+
 class EngineEntry(msgspec.Struct, array_like=True, frozen=True):
     """One registered engine."""
 
@@ -217,7 +246,7 @@
 
 
 encoder = msgspec.msgpack.Encoder()
-Datagram = RouterReport | ReportBatch | DomainLoads | FleetLoads
+Datagram = RouterReport | ReportBatch | DomainLoads | FleetLoads | OriginReport | OriginQuery
 datagram_decoder = msgspec.msgpack.Decoder(Datagram)
 
 
--- /dev/null
+++ b/marjoramspool/peers/origin_exchange.py
@@ -0,0 +1,154 @@
+"""Exchange of the versions at which streams began, by datagrams to and from their keepers."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+
+from marjoramspool.peers.directory import Directory
+from marjoramspool.peers.messages import OriginQuery, OriginReport, StreamOriginEntry, encode
+from marjoramspool.stream_origins import KEEPERS, StreamOrigins, select_keepers
+
+__all__ = ["ORIGINS_REVISION", "OriginExchange"]
+
+# Routers whose messages are of an earlier revision neither keep origins nor answer queries.
+ORIGINS_REVISION = 1
+# Besides the keepers, those are asked first that other views of the live routers would select.
+ASKED_FIRST = KEEPERS + 2
+# Datagrams may be lost, so those who do not reply are asked twice.
+KEEPER_REPLY_WAITS_S = (0.04, 0.06)
+WIDE_REPLY_WAITS_S = (0.08, 0.15)
+# Load pattern: a router ends, and the callers of all its streams ask for origins that few know of.
+MAX_WIDE_DATAGRAMS_PER_S = 4000.0
+MAX_ENTRIES_PER_MESSAGE = 100
+
+
+class Search:
+    """Search for the origin of one stream; `unanswered` are the routers that have yet to reply."""
+
+    __slots__ = ("answered", "is_over", "unanswered", "version")
+
+    def __init__(self):
+        self.answered: set[str] = set()
+        self.unanswered: set[str] = set()
+        self.version: str | None = None
+        self.is_over = asyncio.Event()
+
+    def record_reply(self, address: str, version: str | None) -> None:
+        """Record a reply; the search is over if it names a version, or is the last one."""
+        self.answered.add(address)
+        self.unanswered.discard(address)
+        if version is not None:
+            self.version = version
+        if version is not None or not self.unanswered:
+            self.is_over.set()
+
+    async def wait(self, addresses: Iterable[str], wait_s: float) -> None:
+        """Wait until the search is over or all of `addresses` have replied, at most `wait_s`."""
+        self.unanswered = set(addresses) - self.answered
+        if self.version is not None or not self.unanswered:
+            return
+        self.is_over.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self.is_over.wait()
+
+
+class OriginExchange:
+    """What this router knows of the origins of streams, and what it asks the others.
+
+    `send` sends an encoded message to addresses.
+    """
+
+    __slots__ = ("directory", "known", "searches", "send", "tasks", "wide_queries")
+
+    def __init__(self, directory: Directory, send: Callable[[bytes, Iterable[str]], None]):
+        self.directory = directory
+        self.send = send
+        self.known = StreamOrigins(directory.clock)
+        self.searches: dict[int, Search] = {}
+        self.tasks: dict[int, asyncio.Task] = {}
+        # Streams that all routers are asked for in the next messages.
+        self.wide_queries: list[int] = []
+
+    def domains(self) -> dict[str, str]:
+        """Return the failure domains of the live routers that exchange origins, by address."""
+        return {
+            peer.address: peer.domain
+            for peer in self.directory.live_peers()
+            if peer.message_revision >= ORIGINS_REVISION
+        }
+
+    def announce(self, streams: Iterable[int], version: str) -> None:
+        """Record the version at which streams began, here and at their keepers."""
+        domains = self.domains()
+        for stream in streams:
+            self.known.record(stream, version)
+            message = OriginReport((StreamOriginEntry(stream, version),))
+            self.send(encode(message), select_keepers(stream, domains, KEEPERS))
+
+    async def find(self, stream: int) -> str | None:
+        """Return the version at which a stream began, None if no router that replies knows it."""
+        version = self.known.find(stream)
+        if version is not None:
+            return version
+        task = self.tasks.get(stream)
+        if task is None:
+            task = self.tasks[stream] = asyncio.create_task(self.search(stream))
+            task.add_done_callback(lambda _: self.tasks.pop(stream))
+        return await asyncio.shield(task)
+
+    async def search(self, stream: int) -> str | None:
+        """Ask the keepers of a stream, then all routers, for its origin."""
+        domains = self.domains()
+        search = self.searches[stream] = Search()
+        try:
+            keepers = select_keepers(stream, domains, ASKED_FIRST)
+            for wait_s in KEEPER_REPLY_WAITS_S:
+                if search.version is None and (silent := set(keepers) - search.answered):
+                    self.query((stream,), silent)
+                    await search.wait(keepers, wait_s)
+            for wait_s in WIDE_REPLY_WAITS_S:
+                if search.version is not None or not domains.keys() - search.answered:
+                    break
+                await search.wait(domains, self.query_widely(stream) + wait_s)
+            return search.version
+        finally:
+            del self.searches[stream]
+
+    def query(self, streams: tuple[int, ...], addresses: Iterable[str]) -> None:
+        """Ask routers for the origins of streams."""
+        self.send(encode(OriginQuery(streams)), addresses)
+
+    def query_widely(self, stream: int) -> float:
+        """Ask all routers for an origin, together with others; return the delay in seconds."""
+        delay_s = len(self.directory.peers) / MAX_WIDE_DATAGRAMS_PER_S
+        if not self.wide_queries:
+            asyncio.get_running_loop().call_later(delay_s, self.send_wide_queries)
+        if stream not in self.wide_queries:
+            self.wide_queries.append(stream)
+        return delay_s
+
+    def send_wide_queries(self) -> None:
+        """Ask all routers for the origins that were queued."""
+        streams = tuple(self.wide_queries)
+        self.wide_queries.clear()
+        addresses = list(self.domains())
+        for start in range(0, len(streams), MAX_ENTRIES_PER_MESSAGE):
+            self.query(streams[start : start + MAX_ENTRIES_PER_MESSAGE], addresses)
+
+    def handle(self, message: OriginReport | OriginQuery, address: str) -> None:
+        """Handle a message of the router at `address`."""
+        match message:
+            case OriginQuery(streams):
+                entries = (StreamOriginEntry(s, self.known.find(s)) for s in streams)
+                self.send(encode(OriginReport(tuple(entries))), (address,))
+            case OriginReport(entries):
+                for entry in entries:
+                    self.apply(entry, address)
+
+    def apply(self, entry: StreamOriginEntry, address: str) -> None:
+        """Apply what another router knows of a stream's origin."""
+        if entry.version is not None:
+            self.known.record(entry.stream, entry.version)
+        if search := self.searches.get(entry.stream):
+            search.record_reply(address, self.known.find(entry.stream))
--- a/marjoramspool/peers/own_reports.py
+++ b/marjoramspool/peers/own_reports.py
@@ -11,6 +11,7 @@
 from marjoramspool.peers.limit_reports import report_limits
 from marjoramspool.peers.load_sums import Loads, encode_loads
 from marjoramspool.peers.messages import (
+    MESSAGE_REVISION,
     CacheUpdate,
     CacheUpdateKind,
     IncludedReport,
@@ -153,6 +154,7 @@
             quarantined,
             rates,
             limits,
+            MESSAGE_REVISION,
         )
 
     def own_loads(self) -> Loads:
--- a/marjoramspool/platform/headers.py
+++ b/marjoramspool/platform/headers.py
@@ -7,6 +7,8 @@
 __all__ = [
     "filter_answer_headers",
     "filter_request_headers",
+    "parse_first_request",
+    "parse_last_event",
     "parse_prompt",
 ]
 
@@ -43,6 +45,7 @@
         "last-event-id",
     )
 )
+MAX_REQUEST_ID_LENGTH = 256
 # Headers of an answer that are meant for the router.
 INTERNAL_ANSWER_HEADERS = frozenset(("x-server-load", "x-instance-id", "x-not-executed"))
 
@@ -80,6 +83,32 @@
     return Prompt(model or "", input_tokens, output_tokens, parts)
 
 
+def parse_last_event(text: str | None) -> int | None:
+    """Return the number of the last event that a caller has, None if it names none.
+
+    Raise ValueError if it is malformed.
+    """
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdigit()):
+        raise ValueError(f"Last-Event-Id is {text!r}, not the number of an event")
+    return int(text)
+
+
+def parse_first_request(values: list[str]) -> str | None:
+    """Return the request that brought a stream's first event, None if none is named.
+
+    Raise ValueError if several are named, or one that cannot be the id of a request.
+    """
+    named = set(values)
+    if not named:
+        return None
+    name = named.pop()
+    if named or not 0 < len(name) <= MAX_REQUEST_ID_LENGTH:
+        raise ValueError("Resumes does not name one request")
+    return name
+
+
 def parse_part(entry: str) -> Part:
     """Return the prompt part of an `ID:TOKENS` entry; raise ValueError if it is malformed."""
     name, _, tokens = entry.strip().partition(":")
--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -13,7 +13,12 @@
 from marjoramspool.failures import BrokenAnswerError
 from marjoramspool.forwarding import Forwarding
 from marjoramspool.outcomes import NotRun, Problem, Unknown
-from marjoramspool.platform.headers import filter_request_headers, parse_prompt
+from marjoramspool.platform.headers import (
+    filter_request_headers,
+    parse_first_request,
+    parse_last_event,
+    parse_prompt,
+)
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import ClientAccount, ClientLimits, RouteKind, RouteTable
 from marjoramspool.startup_wait import StartupWait
@@ -232,11 +237,12 @@
     timeout_s = min(client_timeout_s(http_request, route.timeout_s), route.timeout_s)
     headers = http_request.headers
     is_stream = route.kind is RouteKind.STREAMING
-    last_event = headers.get("Last-Event-Id", "")
+    after_event, first_request = parse_resumption(http_request) if is_stream else (None, None)
     return RoutedRequest(
         id=request_id,
         route=route,
-        service=route.select_service(request_id),
+        # A stream goes on at the service that its first request was drawn for.
+        service=route.select_service(first_request or request_id),
         account=account,
         method=http_request.method,
         path=http_request.raw_path,
@@ -247,11 +253,26 @@
         prompt=parse_prompt(
             headers.get("X-Model"), headers.get("X-Token-Count"), headers.get("X-Prompt-Prefix")
         ),
-        after_event=int(last_event) if is_stream and last_event.isdigit() else None,
-        first_request=headers.get("Resumes") if is_stream else None,
+        after_event=after_event,
+        first_request=first_request,
     )
 
 
+def parse_resumption(http_request: web.BaseRequest) -> tuple[int | None, str | None]:
+    """Return the last event that a caller has, and the request that brought the first one.
+
+    Both are None for a new stream; raise RejectedError if one is malformed.
+    """
+    headers = http_request.headers
+    try:
+        return (
+            parse_last_event(headers.get("Last-Event-Id")),
+            parse_first_request(headers.getall("Resumes", [])),
+        )
+    except ValueError as error:
+        raise RejectedError(400, str(error)) from error
+
+
 def check_header_size(http_request: web.BaseRequest, max_bytes: int) -> None:
     """Raise RejectedError if the headers of a request are longer than `max_bytes` bytes."""
     size = sum(
--- a/marjoramspool/platform/tests/test_stream_versions.py
+++ b/marjoramspool/platform/tests/test_stream_versions.py
@@ -126,3 +126,64 @@
     unnamed = [engine for engine in site.engines if not engine.version]
     assert all(sum(engine.runs(name) for engine in unnamed) <= 1 for name in names)
     assert all(len(versions_run(site, name)) == 1 for name in names)
+
+
+async def test_a_stream_is_taken_up_although_the_router_that_began_it_has_ended(site):
+    faults = await start(site, routers=5)
+    begun = {f"r{n}": await begin_and_break(site, faults, f"r{n}") for n in range(STREAMS)}
+    ended = site.routers.pop(0)
+    await ended.__aexit__(None, None, None)
+    results = {name: await resume(site, name, events, 2) for name, events in begun.items()}
+    assert all(len(versions_run(site, name, f"{name}-1")) == 1 for name in begun)
+    went_on = sum(begun[name] + events == EVENTS for name, (_, events) in results.items())
+    assert went_on >= 0.9 * STREAMS
+
+
+async def test_a_stream_is_taken_up_again_and_again_by_the_id_that_brought_its_first_event(site):
+    faults = await start(site, routers=3)
+    events = await begin_and_break(site, faults, "r1", 0)
+    faults["cut"] += 1
+    _, more = await resume(site, "r1", events, 1)
+    events += more
+    assert len(events) < len(EVENTS)
+    # Also by the id of the second try, which brought other events of the same version.
+    status, more = await resume(site, "r1", events, 2, number=2, Resumes="r1-1")
+    assert (status, events + more) == (200, EVENTS)
+    assert len(versions_run(site, "r1", "r1-1", "r1-2")) == 1
+
+
+async def test_what_is_not_known_to_have_begun_does_not_go_on(site):
+    """A foreign, unknown or missing id, another route's, a router that hears no other."""
+    faults = await start(site, routers=2)
+    other_key = "key-two"
+    accounts = [{"name": "crews", "api_keys": [KEY]}, {"name": "desk", "api_keys": [other_key]}]
+    await site.configure(CHAT, ONCE, tenants=accounts)
+    await asyncio.sleep(0.5)
+    begun = await begin_and_break(site, faults, "r1")
+    assert (await resume(site, "unknown", begun, 1))[0] == 503
+    assert (await resume(site, "r1", begun, 1, number=2, **{"Api-Key": other_key}))[0] == 503
+    without_name = {"Last-Event-Id": "3"}
+    assert (await read_stream(site, "/once/x", "r1-3", 1, **without_name))[0] == 503
+    site.routers[0].load_broadcast.origins.send = lambda *_: None
+    unheard = await begin_and_break(site, faults, "r2")
+    assert (await resume(site, "r2", unheard, 1))[0] == 503
+    for malformed in ({"Resumes": ""}, {"Last-Event-Id": "x"}, {"Last-Event-Id": "-1"}):
+        assert (await resume(site, "r1", begun, 1, number=5, **malformed))[0] == 400
+    assert sorted(a.id for engine in site.engines for a in engine.arrivals) == ["r1", "r2"]
+
+
+async def test_a_stream_whose_version_has_left_is_refused_at_once(site):
+    faults = await start(site, versions=("v1",), routers=2)
+    begun = await begin_and_break(site, faults, "r1")
+    replaced = site.engines[0]
+    await site.add_engine("model", is_stream=True, version="v2")
+    await site.remove_object("servers", replaced.id)
+    await asyncio.sleep(0.3)
+    async with asyncio.timeout(0.5):
+        assert (await resume(site, "r1", begun, 1))[0] == 503
+    # The release goes back.
+    returned = await site.add_engine("model", is_stream=True, version="v1")
+    await asyncio.sleep(0.3)
+    status, events = await resume(site, "r1", begun, 1, number=2)
+    assert (status, begun + events) == (200, EVENTS)
+    assert returned.runs("r1-2") == 1
--- a/marjoramspool/requests.py
+++ b/marjoramspool/requests.py
@@ -58,6 +58,11 @@
         """Return whether the answer is a stream of events."""
         return self.route.kind is RouteKind.STREAMING
 
+    @property
+    def is_resumption(self) -> bool:
+        """Return whether the caller resumes a stream of which it has events."""
+        return self.after_event is not None or self.first_request is not None
+
     @property
     def priority(self) -> int:
         """Return the priority of the client account or else of the route; 0 is the most urgent."""
--- /dev/null
+++ b/marjoramspool/tests/test_stream_origins.py
@@ -0,0 +1,60 @@
+"""What a router keeps of the versions at which streams began, and who else keeps it."""
+
+from marjoramspool.stream_origins import (
+    AMBIGUOUS,
+    KEEPERS,
+    MAX_STREAMS,
+    RETENTION_S,
+    StreamOrigins,
+    select_keepers,
+)
+
+DOMAINS = {f"10.0.{n % 4}.{n}": f"zone-{n % 4}" for n in range(40)}
+
+
+class FakeClock:
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+def test_an_origin_is_kept_for_a_time_from_its_last_record():
+    clock = FakeClock()
+    origins = StreamOrigins(clock)
+    origins.record(1, "v1")
+    clock.now = 0.9 * RETENTION_S
+    assert origins.find(1) == "v1"
+    origins.record(1, "v1")
+    clock.now = 1.8 * RETENTION_S
+    assert origins.find(1) == "v1"
+    clock.now = 3 * RETENTION_S
+    assert origins.find(1) is None
+    origins.record(2, "v1")
+    assert list(origins.origins) == [2]
+
+
+def test_an_id_under_which_two_versions_began_stays_ambiguous():
+    origins = StreamOrigins(FakeClock())
+    for version in ("v1", "v2", "v1"):
+        origins.record(1, version)
+    assert origins.find(1) == AMBIGUOUS
+
+
+def test_memory_is_bounded():
+    origins = StreamOrigins(FakeClock())
+    for stream in range(MAX_STREAMS + 100):
+        origins.record(stream, "v1")
+    assert len(origins.origins) == MAX_STREAMS
+    assert origins.find(0) is None
+
+
+def test_keepers_are_in_different_domains_and_mostly_the_same_in_other_views():
+    for stream in range(1, 1000):
+        keepers = select_keepers(stream, DOMAINS, KEEPERS)
+        assert len({DOMAINS[address] for address in keepers}) == KEEPERS
+        without_first = {a: d for a, d in DOMAINS.items() if a != keepers[0]}
+        assert set(keepers[1:]) <= set(select_keepers(stream, without_first, KEEPERS + 2))
+    assert select_keepers(1, {"a": "z"}, KEEPERS) == ["a"]
+    assert select_keepers(1, {}, KEEPERS) == []
