--- a/marjoramspool/peers/tests/test_origin_exchange.py
+++ b/marjoramspool/peers/tests/test_origin_exchange.py
@@ -22,7 +22,8 @@
         self.sent = 0
         self.routers = {}
         for number in range(count):
-            directory = Directory(f"r{number}", f"zone-{number % DOMAINS}", 100)
+            # All heartbeats are as of now.
+            directory = Directory(f"r{number}", f"zone-{number % DOMAINS}", 100, lambda: 0.0)
             for other in range(count):
                 if other != number:
                     peer = directory.record_heartbeat(f"r{other}", f"zone-{other % DOMAINS}")
