--- a/marjoramspool/store_watchers.py
+++ b/marjoramspool/store_watchers.py
@@ -17,7 +17,7 @@
     Store,
     StoredObject,
 )
-from marjoramspool.routes import RouteTable
+from marjoramspool.routes import ClientLimits, RouteTable
 from marjoramspool.store_versions import epoch_of
 
 __all__ = ["EngineWatcher", "RouteTableWatcher", "StoreWatcher", "WatchRole"]
@@ -173,6 +173,10 @@
         """Return the version of the current table, 0 if there is none."""
         return self.table.version if self.table else 0
 
+    def client_limits(self) -> ClientLimits:
+        """Return the limits on client requests, defaults while no route table is known."""
+        return self.table.limits if self.table else ClientLimits()
+
     def apply_listing(self, objects: list[StoredObject], revision: int) -> None:
         """Apply the route table of a listing."""
         for stored in objects:
