Let streams that their callers do not name go on by their content (ORDER)

A list of one version would be no proof of one version. The tries of a caller for one stream have path, caller, prompt and body in common, so the origin is kept by the hash of these too; the keepers are ranked by it, so that it costs no datagram more. Equal streams of two versions within the retention are ambiguous and go on only by their ids.

--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -36,7 +36,7 @@
 from marjoramspool.request_limits import AllLimited
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.retries import SharedRetryBudget
-from marjoramspool.stream_origins import OriginSource, stream_id, streams_of
+from marjoramspool.stream_origins import OriginSource, content_key, resumed_key, stream_keys
 
 __all__ = ["Forwarding"]
 
@@ -120,9 +120,9 @@
         if not request.is_resumption:
             return
         history.version = UNKNOWN_VERSION
-        if request.route.is_resumable and request.first_request is not None:
-            stream = stream_id(request, request.first_request)
-            history.version = await self.origins.find(stream) or UNKNOWN_VERSION
+        if request.route.is_resumable:
+            origin = self.origins.find(content_key(request), resumed_key(request))
+            history.version = await origin or UNKNOWN_VERSION
 
     def can_go_on(self, request: RoutedRequest, history: AttemptHistory) -> bool:
         """Return whether a stream is new, or has a known version that some engine serves."""
@@ -397,7 +397,8 @@
     def announce_origin(self, request: RoutedRequest, history: AttemptHistory) -> None:
         """Tell the keepers of a stream the version that began it, if it may be resumed."""
         if history.version and request.route.is_resumable:
-            self.origins.announce(streams_of(request), history.version)
+            streams = stream_keys(request)
+            self.origins.announce(content_key(request), streams, history.version)
 
     async def joined_stream(
         self,
--- a/marjoramspool/peers/origin_exchange.py
+++ b/marjoramspool/peers/origin_exchange.py
@@ -78,31 +78,31 @@
             if peer.message_revision >= ORIGINS_REVISION
         }
 
-    def announce(self, streams: Iterable[int], version: str) -> None:
-        """Record the version at which streams began, here and at their keepers."""
-        domains = self.domains()
+    def announce(self, content: int, streams: Iterable[int], version: str) -> None:
+        """Record the version at which a stream began by each of its keys, here and at keepers."""
+        streams = tuple(streams)
         for stream in streams:
             self.known.record(stream, version)
-            message = OriginReport((StreamOriginEntry(stream, version),))
-            self.send(encode(message), select_keepers(stream, domains, KEEPERS))
+        message = OriginReport(tuple(StreamOriginEntry(stream, version) for stream in streams))
+        self.send(encode(message), select_keepers(content, self.domains(), KEEPERS))
 
-    async def find(self, stream: int) -> str | None:
+    async def find(self, content: int, stream: int) -> str | None:
         """Return the version at which a stream began, None if no router that replies knows it."""
         version = self.known.find(stream)
         if version is not None:
             return version
         task = self.tasks.get(stream)
         if task is None:
-            task = self.tasks[stream] = asyncio.create_task(self.search(stream))
+            task = self.tasks[stream] = asyncio.create_task(self.search(content, stream))
             task.add_done_callback(lambda _: self.tasks.pop(stream))
         return await asyncio.shield(task)
 
-    async def search(self, stream: int) -> str | None:
+    async def search(self, content: int, stream: int) -> str | None:
         """Ask the keepers of a stream, then all routers, for its origin."""
         domains = self.domains()
         search = self.searches[stream] = Search()
         try:
-            keepers = select_keepers(stream, domains, ASKED_FIRST)
+            keepers = select_keepers(content, domains, ASKED_FIRST)
             for wait_s in KEEPER_REPLY_WAITS_S:
                 if search.version is None and (silent := set(keepers) - search.answered):
                     self.query((stream,), silent)
@@ -148,7 +148,7 @@
 
     def apply(self, entry: StreamOriginEntry, address: str) -> None:
         """Apply what another router knows of a stream's origin."""
-        if entry.version is not None:
+        if entry.version:
             self.known.record(entry.stream, entry.version)
         if search := self.searches.get(entry.stream):
-            search.record_reply(address, self.known.find(entry.stream))
+            search.record_reply(address, entry.version and self.known.find(entry.stream))
--- a/marjoramspool/stream_origins.py
+++ b/marjoramspool/stream_origins.py
@@ -6,8 +6,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Iterator
 from typing import Protocol
 
 from marjoramspool import hashing
@@ -19,9 +18,11 @@
     "KEEPERS",
     "OriginSource",
     "StreamOrigins",
+    "content_key",
+    "request_key",
+    "resumed_key",
     "select_keepers",
-    "stream_id",
-    "streams_of",
+    "stream_keys",
 ]
 
 # Longer than callers come back after a stream began; it is renewed when a stream breaks off.
@@ -29,85 +30,92 @@
 MAX_STREAMS = 50_000
 # Routers that keep an origin, besides the one that began the stream.
 KEEPERS = 3
-# Two streams of different versions began under one id.
+# Streams of different versions began under one key.
 AMBIGUOUS = ""
 
 
-@dataclass(slots=True, frozen=True)
-class StreamOrigin:
-    """Version at which a stream began, and when that was recorded last."""
-
-    version: str
-    recorded_at: float
-
-
 class OriginSource(Protocol):
     """What the routers of a fleet know of the versions at which streams began."""
 
-    def announce(self, streams: Iterator[int], version: str) -> None:
-        """Record the version at which streams began, here and at their keepers."""
+    def announce(self, content: int, streams: Iterable[int], version: str) -> None:
+        """Record the version at which a stream of some content began, under each of its keys."""
 
-    async def find(self, stream: int) -> str | None:
+    async def find(self, content: int, stream: int) -> str | None:
         """Return the version at which a stream began; None or `AMBIGUOUS` if it is not known."""
 
 
 class StreamOrigins:
-    """Origins of recent streams that this router knows of, the oldest first."""
+    """Versions at which recent streams began, by the keys of these streams, the oldest first."""
 
-    __slots__ = ("clock", "origins")
+    __slots__ = ("clock", "recorded")
 
     def __init__(self, clock: Callable[[], float] = now):
         self.clock = clock
-        self.origins: OrderedDict[int, StreamOrigin] = OrderedDict()
+        # When each version of a stream was recorded last.
+        self.recorded: OrderedDict[int, dict[str, float]] = OrderedDict()
 
     def record(self, stream: int, version: str) -> None:
-        """Record the version at which a stream began; a second one makes it ambiguous."""
-        known = self.origins.pop(stream, None)
-        if known is not None and known.version != version:
-            version = AMBIGUOUS
-        self.origins[stream] = StreamOrigin(version, self.clock())
+        """Record the version at which a stream began."""
+        versions = self.recorded.pop(stream, {})
+        versions[version] = self.clock()
+        self.recorded[stream] = versions
         self.expire()
 
     def find(self, stream: int) -> str | None:
-        """Return the version at which a stream began, `AMBIGUOUS` or None."""
-        origin = self.origins.get(stream)
-        if origin is None or self.clock() - origin.recorded_at > RETENTION_S:
-            return None
-        return origin.version
+        """Return the version at which a stream began, None if there is none, or `AMBIGUOUS`."""
+        versions = self.recorded.get(stream, {})
+        oldest_kept = self.clock() - RETENTION_S
+        kept = [version for version, at in versions.items() if at >= oldest_kept]
+        if len(kept) > 1:
+            return AMBIGUOUS
+        return kept[0] if kept else None
 
     def expire(self) -> None:
-        """Forget the origins that are too old or too many."""
+        """Forget the streams that are too old or too many."""
         oldest_kept = self.clock() - RETENTION_S
-        while self.origins:
-            stream, origin = next(iter(self.origins.items()))
-            if origin.recorded_at >= oldest_kept and len(self.origins) <= MAX_STREAMS:
+        while self.recorded:
+            stream, versions = next(iter(self.recorded.items()))
+            if max(versions.values()) >= oldest_kept and len(self.recorded) <= MAX_STREAMS:
                 return
-            del self.origins[stream]
+            del self.recorded[stream]
 
 
-def stream_id(request: RoutedRequest, first_request: str) -> int:
-    """Return the id of a stream whose first event the request `first_request` brought.
+def content_key(request: RoutedRequest) -> int:
+    """Return the key of what all tries of a caller for one stream have in common."""
+    return hashing.digest(f"{request.service}\0{request.content_id}")
 
-    Streams of other accounts or services have other ids, whatever a caller names.
+
+def request_key(request: RoutedRequest, request_id: str) -> int:
+    """Return the key of the stream whose first event some request brought.
+
+    Streams of other accounts or services have other keys, whatever a caller names.
     """
     account = request.account.name if request.account else ""
-    return hashing.digest(f"{account}\0{request.service}\0{first_request}")
+    return hashing.digest(f"{account}\0{request.service}\0{request_id}")
 
 
-def streams_of(request: RoutedRequest) -> Iterator[int]:
-    """Yield the ids under which a caller may resume what a request brings."""
-    yield stream_id(request, request.id)
+def stream_keys(request: RoutedRequest) -> Iterator[int]:
+    """Yield the keys by which a caller may resume what a request brings."""
+    yield content_key(request)
+    yield request_key(request, request.id)
     if request.first_request is not None:
-        yield stream_id(request, request.first_request)
+        yield request_key(request, request.first_request)
+
+
+def resumed_key(request: RoutedRequest) -> int:
+    """Return the key of the stream that a caller resumes: its id, or else its content."""
+    if request.first_request is None:
+        return content_key(request)
+    return request_key(request, request.first_request)
 
 
-def select_keepers(stream: int, domains: dict[str, str], count: int) -> list[str]:
-    """Return the routers that keep a stream's origin, of `domains` by address.
+def select_keepers(content: int, domains: dict[str, str], count: int) -> list[str]:
+    """Return the routers that keep the origins of streams of some content, of `domains` by address.
 
-    They are ranked by the stream; those of another failure domain than the ones before go first, so
-    that the loss of a domain leaves one.
+    They are ranked by the content; those of another failure domain than the ones before go first,
+    so that the loss of a domain leaves one.
     """
-    ranked = hashing.rank(stream, domains)
+    ranked = hashing.rank(content, domains)
     seen: set[str] = set()
     spread = []
     for address in ranked:
