--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -125,13 +125,15 @@
     keep_alive: bool = True,
     socket_factory: Callable | None = None,
     idle_timeout_s: float = 15.0,
+    max_connections: int = 0,
 ) -> aiohttp.ClientSession:
     """Open a client session; without `keep_alive`, each connection serves one request only.
 
-    A connection that was idle for `idle_timeout_s` seconds is not reused.
+    A connection that was idle for `idle_timeout_s` seconds is not reused. `max_connections` at a
+    time are open, any number if it is 0.
     """
     connector = aiohttp.TCPConnector(
-        limit=0,
+        limit=max_connections,
         force_close=not keep_alive,
         socket_factory=socket_factory,
         **({"keepalive_timeout": idle_timeout_s} if keep_alive else {}),
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from types import SimpleNamespace
 
 import aiohttp
@@ -50,6 +50,8 @@
 HTTP_UNAVAILABLE = 503
 CACHE_LIST_PATH = "/marjoramspool/kv-list"
 CACHE_LIST_TIMEOUT_S = 1.0
+REPORT_PATH = "/marjoramspool/report"
+REPORT_TIMEOUT_S = 0.4
 SSE = "text/event-stream"
 
 
@@ -60,6 +62,13 @@
     held: list[tuple[str, str, int, str]]
 
 
+class ReportFields(msgspec.Struct, frozen=True):
+    """What an engine says of itself; other fields are not decoded."""
+
+    # Start time in Unix milliseconds, as in its registration.
+    born: int = 0
+
+
 class EngineSessions:
     """HTTP sessions to engines; use as an async context manager.
 
@@ -101,8 +110,16 @@
         context = SimpleNamespace(is_reused=False)
         headers = request_headers(request, attempt)
         sent_at = now()
-        response = await self.send(request, engine, headers, context)
-        try:
+        async with AsyncExitStack() as stack:
+            # A reused connection may break while a request is written, which leaves open whether it
+            # ran, so non-retryable requests use a new connection.
+            session = self.pooled if request.route.is_retryable else self.fresh
+            is_resumed = request.is_resumption or attempt.after_event is not None
+            if is_resumed and engine.started_ms:
+                session = await self.open_verified(engine, stack)
+                context.is_reused = True
+            response = await self.send(request, engine, session, headers, context)
+            stack.callback(response.close)
             check_identity(request, engine, response, context.is_reused)
             report_limit(response, engine.key, sent_at, self.on_limit, "Server-Limit")
             self.read_notices(engine, response)
@@ -113,8 +130,29 @@
             else:
                 body = await read_body(response, self.memory)
                 yield WholeAnswer(response.status, answer_headers(response), body)
-        finally:
-            response.close()
+
+    async def open_verified(self, engine: Engine, stack: AsyncExitStack) -> aiohttp.ClientSession:
+        """Open a session of one connection, at whose end the registered incarnation answers.
+
+        Fault: an engine has started again under its id, maybe with other software, and the list
+        of engines does not know it yet. Raise NotSentError or DisplacedError.
+        """
+        session = new_session(CONNECT_TIMEOUT_S, socket_factory=keepalive_socket, max_connections=1)
+        await stack.enter_async_context(session)
+        url = f"http://{engine.address}{REPORT_PATH}"
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_S), session.get(url) as response:
+                body = await read_body(response, self.memory)
+            started_ms = msgspec.json.decode(body, type=ReportFields).born
+        except (aiohttp.ClientError, MayHaveRunError, OSError, TimeoutError, ValueError) as error:
+            raise NotSentError(f"engine {engine.id} sent no report: {error!r}") from error
+        if started_ms != engine.started_ms:
+            raise DisplacedError(f"engine {engine.id} has started again at {engine.address}")
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_create_start.append(refuse_connection)
+        trace.freeze()
+        session.trace_configs.append(trace)
+        return session
 
     def read_notices(self, engine: Engine, response: aiohttp.ClientResponse) -> None:
         """Pass on what an engine says of itself beside its answer."""
@@ -152,14 +190,11 @@
         self,
         request: RoutedRequest,
         engine: Engine,
+        session: aiohttp.ClientSession,
         headers: list[tuple[str, str]],
         context: SimpleNamespace,
     ) -> aiohttp.ClientResponse:
         """Send an attempt and return the response once its headers are received."""
-        # A reused connection may break while a request is written, which leaves open whether it
-        # ran, so non-retryable requests use a new connection.
-        reuse = request.route.is_retryable
-        session = self.pooled if reuse else self.fresh
         try:
             return await session.request(
                 request.method,
@@ -175,6 +210,11 @@
             raise ResetError(f"engine {engine.id} gave no answer: {error!r}") from error
 
 
+async def refuse_connection(*_) -> None:
+    """Refuse to open a second connection, at whose end another incarnation may answer."""
+    raise NotSentError("the engine closed the connection on which it was identified")
+
+
 async def record_connection_reuse(_, context, __) -> None:
     """Record that a request is sent on a reused connection."""
     if context.trace_request_ctx is not None:
--- a/marjoramspool/platform/tests/test_stream_versions.py
+++ b/marjoramspool/platform/tests/test_stream_versions.py
@@ -215,3 +215,27 @@
         _, more = await resume(site, name, events, 1)
         assert events + more == EVENTS
         assert len(versions_run(site, name, f"{name}-1")) == 1
+
+
+async def test_a_stream_does_not_go_on_at_an_engine_that_restarted_with_another_version(site):
+    """The list of engines still names the version that the engine had before."""
+    faults = await start(site, versions=("v1", "v1", "v1"), routers=2)
+    restarted, kept = site.engines[:2], site.engines[2]
+    begun = {f"r{n}": await begin_and_break(site, faults, f"r{n}") for n in range(4)}
+    for engine in restarted:
+        engine.version = "v2"
+        engine.started_ms += 5000
+    for name, events in begun.items():
+        status, more = await resume(site, name, events, 1)
+        assert (status, events + more) == (200, EVENTS)
+        assert kept.runs(f"{name}-1") == 1
+
+
+async def test_a_stream_goes_on_over_the_connection_on_which_its_engine_was_identified(site):
+    """The engine starts again right after it has said which one it is."""
+    faults = await start(site, versions=("v1",), routers=1)
+    begun = await begin_and_break(site, faults, "r1")
+    site.engines[0].faults["close-after-report"] = 10
+    # It cannot know whether the engine read the request.
+    assert (await resume(site, "r1", begun, 0))[0] in (502, 503)
+    assert site.engines[0].runs("r1-1") == 0
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -49,7 +49,8 @@
     Faults: shed, error, reset (request executed, connection reset without a response), cut
     (connection closed midway), extra (a second response follows), unframed (no length, ends with
     the connection), unframed-cut (no length, reset midway), unframed-part (a stream without length
-    or chunks that ends inside an event), foreign (response to another request), bare (no
+    or chunks that ends inside an event), close-after-report
+    (connection closed after a report), foreign (response to another request), bare (no
     signature), repeat (a resumed stream starts over), mute (no response), busy503 (a 503 that does
     not say that the request was not executed). While `is_leaving` is set, every response says so.
     While `retry_after_s` is set, requests are refused with it. While `limit_per_s` is set, every
@@ -154,7 +155,7 @@
         if arrival.path == "/marjoramspool/report":
             body = msgspec.json.encode({"running": self.running, "born": self.started_ms})
             writer.write(self.head(200, arrival.id, len(body)) + body)
-            return True
+            return not self.consume("close-after-report")
         self.arrivals.append(arrival)
         if arrival.headers.get("x-expect-instance", self.id) != self.id:
             writer.write(self.head(421, arrival.id, 0, **{"X-Instance-Id": self.id}))
