--- a/marjoramspool/platform/tests/test_stream_versions.py
+++ b/marjoramspool/platform/tests/test_stream_versions.py
@@ -220,7 +220,7 @@
 async def test_a_stream_does_not_go_on_at_an_engine_that_restarted_with_another_version(site):
     """The list of engines still names the version that the engine had before."""
     faults = await start(site, versions=("v1", "v1", "v1"), routers=2)
-    restarted, kept = site.engines[:2], site.engines[2]
+    kept, *restarted = site.engines
     begun = {f"r{n}": await begin_and_break(site, faults, f"r{n}") for n in range(4)}
     for engine in restarted:
         engine.version = "v2"
