--- a/marjoramspool/engine_selector.py
+++ b/marjoramspool/engine_selector.py
@@ -364,6 +364,8 @@
             if (other := self.engines.find(key))
             and (tokens := self.caches.cached_tokens(key, parts)) > cached_tokens
             and other.service == engine.service
+            # What another software version has computed need not fit.
+            and other.version == engine.version
             and other.id != engine.id
             and not self.outliers.is_refusing_connections(other.id)
         ]
--- a/marjoramspool/tests/test_cache_sources.py
+++ b/marjoramspool/tests/test_cache_sources.py
@@ -118,3 +118,16 @@
     selector.engines.record_announcement(holder)
     assert holder not in selector.engines.usable("s")
     assert place(selector).cache_source.id == holder.id
+
+
+def test_an_engine_copies_no_cache_of_another_software_version(selector):
+    selector.engines.replace_all(replace(e, version="v1") for e in (engine("b"), engine("c")))
+    selector.engines.register(replace(engine("a"), version="v2"))
+    selector.record_cached(selector.engines.engines["b"], PROMPT.parts)
+    assert place(selector, "q1", exclude=("b",), after=1).engine.id in ("a", "c")
+    sources = {
+        name: selector.find_cache_source(selector.engines.engines[name], PROMPT.parts, 0)
+        for name in ("a", "c")
+    }
+    assert sources["a"] is None
+    assert sources["c"].id == "b"
