--- a/marjoramspool/dispatch.py
+++ b/marjoramspool/dispatch.py
@@ -61,11 +61,12 @@
     """Interface that sends one attempt to a target."""
 
     def open(
-        self, request: Request, target: Target, attempt: str, reuse: bool
+        self, request: Request, target: Target, attempt: str, reuse: bool, incarnation: int = 0
     ) -> AbstractAsyncContextManager[Answer]:
         """Send an attempt and yield its answer once its first bytes are received.
 
-        If `reuse` is False, the attempt is sent over a new connection.
+        If `reuse` is False, the attempt is sent over a new connection. `incarnation` is that of the
+        target which the attempt was granted, 0 if it is unknown.
 
         Raise NotSentError, TargetRefusedError or MayHaveRunError.
         """
--- a/marjoramspool/engines/client.py
+++ b/marjoramspool/engines/client.py
@@ -71,14 +71,16 @@
         self.on_limit: list[LimitCallback] = []
         self.load_report_bytes = 0
 
-    async def fetch_load_report(self, address: str) -> LoadReport | None:
-        """Return an engine's load report, or None if the engine does not answer."""
+    async def fetch_load_report(self, address: str, reuse: bool = True) -> LoadReport | None:
+        """Return an engine's load report, or None if the engine does not answer.
+
+        If `reuse` is False, it is asked over a new connection.
+        """
         sent_at = now()
         try:
             timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
-            async with self.sessions.pooled.get(
-                f"http://{address}/load", timeout=timeout
-            ) as response:
+            url = f"http://{address}/load"
+            async with self.sessions.select(reuse).get(url, timeout=timeout) as response:
                 body = await read_body(response, self.sessions.memory)
             report = msgspec.json.decode(body, type=Report)
         except (aiohttp.ClientError, MayHaveRunError, TimeoutError, msgspec.MsgspecError):
@@ -93,7 +95,9 @@
         return LoadReport(report.incarnation, report.in_flight, report.queued, report.leaving)
 
     @asynccontextmanager
-    async def open(self, request: Request, target: Target, attempt: str, reuse: bool):
+    async def open(
+        self, request: Request, target: Target, attempt: str, reuse: bool, incarnation: int = 0
+    ):
         """Send an attempt and yield its answer, as `Dispatcher.open` specifies."""
         sent_at = now()
         send_task = asyncio.create_task(self.send(request, target, attempt, reuse))
@@ -103,7 +107,8 @@
             if response.status in NOT_RUN_STATUSES:
                 raise TargetRefusedError(f"engine {target.name} answered {response.status}")
             if request.is_stream and response.content_type == SSE:
-                async with self.open_stream(request, target, attempt, response) as answer:
+                stream = self.open_stream(request, target, attempt, incarnation, response)
+                async with stream as answer:
                     yield answer
             else:
                 yield await self.read_body(request, target, attempt, response)
@@ -201,10 +206,11 @@
         request: Request,
         target: Target,
         attempt: str,
+        incarnation: int,
         response: aiohttp.ClientResponse,
     ):
         """Yield a streamed answer once its first event is received."""
-        events = self.iter_events(request, target, attempt, response)
+        events = self.iter_events(request, target, attempt, incarnation, response)
         try:
             try:
                 first = await anext(events)
@@ -221,6 +227,7 @@
         request: Request,
         target: Target,
         attempt: str,
+        incarnation: int,
         response: aiohttp.ClientResponse,
     ) -> AsyncIterator[Event]:
         """Yield all events of an attempt; resume over a new connection when one fails.
@@ -244,6 +251,7 @@
                     response.close()
                     if resumes > MAX_CONSECUTIVE_RESUMES or time.monotonic() >= request.deadline:
                         raise
+                    await self.check_incarnation(target, incarnation, error)
                     response = await self.resume(target, attempt, after, resumes, error)
         finally:
             response.close()
@@ -263,6 +271,20 @@
         ):
             yield events
 
+    async def check_incarnation(self, target: Target, incarnation: int, cause: Exception) -> None:
+        """Raise IncompleteStreamError if an engine may have restarted since a stream began.
+
+        Fault: other software starts at the address and goes on with what it did not begin. An
+        `incarnation` of 0 is unknown; then the id of the attempt alone names the run.
+        """
+        if not incarnation:
+            return
+        report = await self.fetch_load_report(target.address, reuse=False)
+        if report is None or report.incarnation != incarnation:
+            raise IncompleteStreamError(
+                f"{cause}; engine {target.name} is not known to be the one that began the stream"
+            ) from cause
+
     async def resume(
         self, target: Target, attempt: str, after: int, resumes: int, cause: Exception
     ) -> aiohttp.ClientResponse:
--- a/marjoramspool/engines/tests/test_answer_integrity.py
+++ b/marjoramspool/engines/tests/test_answer_integrity.py
@@ -71,6 +71,24 @@
     assert (await task).outcome == "broken"
 
 
+async def test_a_stream_does_not_go_on_at_an_engine_that_has_restarted(fleet):
+    """Other software starts at the address and takes over what the engine had begun."""
+    await start_fleet(fleet, engines=1, routers=1)
+    (engine,) = fleet.engines
+    address = f"127.0.0.1:{fleet.engine_ports[0]}"
+    targets = fleet.routers[0].targets
+    await wait_until(lambda: targets.incarnation(address), "a load report was read")
+    fleet.arm(engine, "cut", after=3)
+    fleet.arm(engine, "delay", after=2, seconds=0.2)
+    chat = Chat("chat")
+    task = asyncio.create_task(
+        take_turn(fleet.session, fleet.url(), chat, "grip-model", max_tokens=TOKENS)
+    )
+    await asyncio.sleep(0.1)
+    engine.incarnation += 1
+    assert (await task).outcome == "broken"
+
+
 @pytest.mark.parametrize("fault", ["cut", "wrong-id", "cut-before-run", "cut-after-run", "refuse"])
 async def test_non_streamed_fault_ends_in_retry_or_correct_outcome(fleet, fault):
     await start_fleet(fleet)
--- a/marjoramspool/routing.py
+++ b/marjoramspool/routing.py
@@ -269,7 +269,7 @@
         self.metrics.count(f"placed.{decision.why}")
         history.sent_at = now()
         try:
-            answer = await stack.enter_async_context(self.open(request, target, history))
+            answer = await stack.enter_async_context(self.open(request, target, decision, history))
         except AttemptError as error:
             self.record_failure(request, target, history, trace, error)
             if isinstance(error, MayHaveRunError):
@@ -301,7 +301,7 @@
         self.poison.record_answer(request.parts)
 
     def open(
-        self, request: Request, target: Target, history: AttemptHistory
+        self, request: Request, target: Target, grant: Grant, history: AttemptHistory
     ) -> AbstractAsyncContextManager[Answer]:
         """Send one attempt under a unique id."""
         if history.failed_attempts:
@@ -311,7 +311,8 @@
         # A reused connection may break while the request is written, so that it is unknown
         # whether the request ran; requests that may not be retried use a new connection.
         reuse = history.failed_attempts == 0 and request.is_retryable
-        return self.dispatchers[request.document.kind].open(request, target, attempt, reuse)
+        dispatcher = self.dispatchers[request.document.kind]
+        return dispatcher.open(request, target, attempt, reuse, grant.incarnation)
 
     def record_failure(
         self,
--- a/marjoramspool/services/client.py
+++ b/marjoramspool/services/client.py
@@ -46,7 +46,9 @@
         self.on_limit: list[LimitCallback] = []
 
     @asynccontextmanager
-    async def open(self, request: Request, target: Target, attempt: str, reuse: bool):
+    async def open(
+        self, request: Request, target: Target, attempt: str, reuse: bool, incarnation: int = 0
+    ):
         """Send an attempt and yield its answer, as `Dispatcher.open` specifies."""
         sent_at = now()
         response = await self.send(request, target, attempt, reuse)
