Soak: engines of several versions, callers that resume streams, and the rule on them (ORDER)

Callers resume a broken stream once, at another router, naming its first request. The invariant counts streams with events of two versions, at most 2 as the users' rule.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -39,6 +39,8 @@
             for _ in range(rng.randint(5, 60)):
                 sent = new_request(fleet, rng, router)
                 await send_request(fleet, session, sent, rng)
+                if sent.kind == "report" and is_broken(sent):
+                    await resume_stream(fleet, sent, rng)
                 await asyncio.sleep(rng.uniform(*PAUSE_RANGE_S))
                 if sent.status is None or sent.status in (502, 503):
                     break
@@ -56,6 +58,25 @@
     return Sent(name, kind, path, key, router, start, time.monotonic())
 
 
+def is_broken(sent: Sent) -> bool:
+    """Return whether a stream broke off after some events."""
+    return sent.body is None and sent.last_event > 0 and not sent.has_left
+
+
+async def resume_stream(fleet: Fleet, broken: Sent, rng: random.Random) -> None:
+    """Resume a stream that broke off once, at another router."""
+    routers = [r for r in fleet.routers_in_rotation() if r != broken.router] or [broken.router]
+    router = routers[broken.last_event % len(routers)]
+    start = fleet.routers[router].starts
+    name = f"r{next(request_numbers)}"
+    sent = Sent(name, "report", broken.path, broken.key, router, start, time.monotonic())
+    sent.prompt = broken.prompt
+    sent.first_request = broken.id
+    sent.after = broken.last_event
+    async with new_session(CONNECT_TIMEOUT_S) as session:
+        await send_request(fleet, session, sent, rng)
+
+
 async def send_poison(fleet: Fleet, content: bytes, until: float) -> None:
     """Send the same content again and again, at any router, until a time."""
     rng = random.Random(content)
@@ -71,6 +92,17 @@
             await asyncio.sleep(POISON_PERIOD_S)
 
 
+async def read_answer(sent: Sent, response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of an answer; record the last event as events arrive."""
+    body = b""
+    async for chunk in response.content.iter_any():
+        body += chunk
+        complete, _, _ = body.rpartition(b"\n\n")
+        numbers = [int(line[4:]) for line in complete.split(b"\n") if line.startswith(b"id: ")]
+        sent.last_event = max(numbers, default=0)
+    return body
+
+
 async def send_request(
     fleet: Fleet, session: aiohttp.ClientSession, sent: Sent, rng: random.Random
 ) -> None:
@@ -83,8 +115,12 @@
         "X-Request-Deadline-Ms": str(int(DEADLINE_S * 1000)),
     }
     if sent.kind in ("report", "digest"):
-        prompt = rng.choice(PROMPTS).format(subject=rng.randrange(SUBJECTS), own=sent.id[1:])
-        headers |= {"X-Model": "m", "X-Token-Count": "1240,40", "X-Prompt-Prefix": prompt}
+        if not sent.prompt:
+            template = rng.choice(PROMPTS)
+            sent.prompt = template.format(subject=rng.randrange(SUBJECTS), own=sent.id[1:])
+        headers |= {"X-Model": "m", "X-Token-Count": "1240,40", "X-Prompt-Prefix": sent.prompt}
+    if sent.first_request is not None:
+        headers |= {"Resumes": sent.first_request, "Last-Event-Id": str(sent.after)}
     timeout_s = (
         rng.uniform(*DISCONNECT_RANGE_S) if rng.random() < DISCONNECT_SHARE else DEADLINE_S + 1.0
     )
@@ -97,7 +133,7 @@
         ):
             sent.status = response.status
             sent.is_signed = "X-Response-Signature" in response.headers
-            sent.body = await response.read()
+            sent.body = await read_answer(sent, response)
     except TimeoutError:
         sent.has_left = True
     except (aiohttp.ClientError, OSError):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -162,6 +162,30 @@
     await fleet.platform.remove_object("servers", engine.id)
 
 
+async def release_version(fleet: Fleet, fault: ScheduledFault) -> None:
+    """Replace a model engine by one of another software version."""
+    engine = select_engine(fleet, fault, "model")
+    await fleet.add_engine(engine.service, fault.variant)
+    await fleet.register(engine, state="draining", sequence=2)
+    fleet.history.drain_starts[engine.id] = time.monotonic()
+    await asyncio.sleep(fault.duration_s + DRAIN_S)
+    await fleet.platform.remove_object("servers", engine.id)
+
+
+async def restart_version(fleet: Fleet, fault: ScheduledFault) -> None:
+    """Restart a model engine under its id with other software; it registers again later."""
+    engine = select_engine(fleet, fault, "model")
+    fleet.history.record_engine_disturbance(time.monotonic(), fault.duration_s, "restart")
+    await engine.stop()
+    fleet.links[engine.id].reset()
+    engine.version = fault.variant
+    engine.started_ms += 1000
+    await engine.start()
+    await asyncio.sleep(fault.duration_s)
+    if engine.id not in fleet.history.drain_starts and engine.id not in fleet.ended_engines:
+        await fleet.register(engine, sequence=1)
+
+
 async def inject_store_fault(fleet: Fleet, fault: ScheduledFault) -> None:
     """Inject a fault of the store that affects all routers."""
     store = fleet.platform.store
@@ -274,13 +298,15 @@
     await fleet.write_desired_state()
 
 
-def select_engine(fleet: Fleet, fault: ScheduledFault):
-    """Return an engine that is not draining."""
+def select_engine(fleet: Fleet, fault: ScheduledFault, service: str | None = None):
+    """Return an engine, of a service if one is named, that is not draining."""
     draining = fleet.history.drain_starts
     candidates = [
         engine
         for engine in fleet.platform.engines
-        if engine.id not in draining and engine.id not in fleet.ended_engines
+        if engine.id not in draining
+        and engine.id not in fleet.ended_engines
+        and service in (None, engine.service)
     ]
     return candidates[fault.random_value % len(candidates)]
 
@@ -307,6 +333,8 @@
     "ask for pause": ask_for_pause,
     "name limit": name_limit,
     "repeat poison": repeat_poison,
+    "release version": release_version,
+    "restart version": restart_version,
 }
 # Seeds draw from the kinds that existed when they were first played.
 FIRST_SEEDS = {
@@ -315,6 +343,8 @@
     "ask for pause": 10_000,
     "name limit": 20_000,
     "repeat poison": 30_000,
+    "release version": 40_000,
+    "restart version": 40_000,
 }
 # Kinds with many variants are drawn more often.
 KIND_WEIGHTS = {
@@ -326,6 +356,8 @@
     "ask for pause": 3,
     "name limit": 4,
     "repeat poison": 4,
+    "release version": 6,
+    "restart version": 3,
 }
 LINK_MODES = tuple(mode.value for mode in Mode if mode is not Mode.OPEN)
 VARIANTS = {
@@ -334,4 +366,6 @@
     "fail engine": ENGINE_FAULTS,
     "spoil store": STORE_FAULTS,
     "name limit": ("1", "3"),
+    "release version": ("v1", "v2", "v3"),
+    "restart version": ("v1", "v2", "v3"),
 }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -93,13 +93,14 @@
         await self.tasks.stop()
         await asyncio.gather(*[router.process.end() for router in self.routers])
 
-    async def add_engine(self, service: str) -> PlatformEngine:
+    async def add_engine(self, service: str, version: str = "v1") -> PlatformEngine:
         """Start an engine behind its own link and register it."""
         is_stream = service == "model"
         engine = await self.platform.add_engine(
             service,
             register=False,
             is_stream=is_stream,
+            version=version,
             pieces=STREAM_EVENTS,
             piece_interval_s=EVENT_INTERVAL_S,
             poison_bodies=self.poison_bodies,
--- a/soak/history.py
+++ b/soak/history.py
@@ -24,6 +24,12 @@
     is_signed: bool = False
     has_left: bool = False
     content: bytes = b""
+    prompt: str = ""
+    # The last event that arrived of a stream. A resumption names the request that began the stream,
+    # and the last event that arrived before.
+    last_event: int = 0
+    first_request: str | None = None
+    after: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -34,6 +34,7 @@
 LIMIT_EXTRA_REQUESTS = 5
 MIN_POISON_ENDS = 3
 MAX_LATE_POISON = 3
+MAX_JOINED_STREAMS = 2
 
 
 def check(history: History) -> list[Violation]:
@@ -52,6 +53,7 @@
         *check_pauses(history),
         *check_limits(history),
         *check_poison(history),
+        *check_versions(history),
         *check_planned_stops(history, arrivals),
         *check_configuration(history),
         *check_configuration_order(history),
@@ -76,7 +78,7 @@
     """Return whether a body is the complete answer to its request."""
     if sent.kind in ("report", "digest"):
         numbers = [int(line[4:]) for line in sent.body.split(b"\n") if line.startswith(b"id: ")]
-        return bool(numbers) and numbers == list(range(1, STREAM_EVENTS + 1))
+        return bool(numbers) and numbers == list(range(sent.after + 1, STREAM_EVENTS + 1))
     return sent.body == f"answer to {sent.id}".encode()
 
 
@@ -201,6 +203,19 @@
             yield Violation("poison requests", f"{content!r} reached engines {len(late)} times")
 
 
+def check_versions(history: History) -> Iterator[Violation]:
+    """Check that streams go on only at the software version that began them."""
+    streams = {sent.id: sent.first_request or sent.id for sent in history.requests}
+    versions = defaultdict(set)
+    for engine in history.platform.engines:
+        for arrival in engine.arrivals:
+            if arrival.has_sent_events and arrival.id in streams:
+                versions[streams[arrival.id]].add(arrival.version)
+    joined = [f"{stream} {sorted(found)}" for stream, found in versions.items() if len(found) > 1]
+    if len(joined) > MAX_JOINED_STREAMS:
+        yield Violation("stream versions", f"{len(joined)} streams: {', '.join(joined[:5])}")
+
+
 def check_planned_stops(history: History, arrivals: Counter) -> Iterator[Violation]:
     """Check that planned stops cut off no request that had reached an engine."""
     stops = [d for d in history.disturbances if d.is_planned]
--- a/soak/tests/test_invariants.py
+++ b/soak/tests/test_invariants.py
@@ -195,3 +195,15 @@
 def test_unexpected_exit_of_a_router_is_a_violation(history):
     history.unexpected_exits.append("router 0 exited unexpectedly with code 1")
     assert violated(history) == {"router liveness"}
+
+
+def test_streams_joined_from_two_versions_are_reported(history):
+    for number in range(3):
+        first, second = f"r{number}", f"r{number}-1"
+        ask(history, first, "report")
+        ask(history, second, "report", first_request=first)
+        for name, version in ((first, "v1"), (second, "v2")):
+            arrival = arrive(history, name)
+            arrival.version = version
+            arrival.has_sent_events = True
+    assert violated(history) == {"stream versions"}
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -30,7 +30,6 @@
     headers: dict[str, str]
     body: bytes
     has_run: bool = False
-    has_sent_events: bool = False
     is_disconnected: bool = False
     at: float = field(default_factory=time.monotonic)
     # Requests in flight at the engine when this one arrived.
@@ -40,6 +39,9 @@
     has_announced: bool = False
     pause_s: float = 0.0
     limit_per_s: float | None = None
+    # Software version of the engine when the request arrived.
+    version: str = ""
+    has_sent_events: bool = False
 
 
 @dataclass(slots=True)
@@ -160,6 +162,7 @@
         if arrival.headers.get("x-expect-instance", self.id) != self.id:
             writer.write(self.head(421, arrival.id, 0, **{"X-Instance-Id": self.id}))
             return True
+        arrival.version = self.version
         arrival.has_announced = self.is_leaving
         arrival.limit_per_s = self.limit_per_s
         if self.retry_after_s is not None:
