--- a/marjoramspool/attempt_history.py
+++ b/marjoramspool/attempt_history.py
@@ -14,6 +14,8 @@
 DEFAULT_RETRY_AFTER_S = 0.1
 # What began a stream, or an engine of its version, is back later than engines with room.
 RESUMPTION_RETRY_AFTER_S = 1.0
+# A path that is back is found within about this time.
+NO_PATH_RETRY_AFTER_S = 0.5
 
 
 @dataclass(slots=True)
@@ -25,8 +27,11 @@
     """
 
     tried_engines: set[str] = field(default_factory=set)
+    # Addresses of the routers through which the request was sent.
+    tried_peers: set[str] = field(default_factory=set)
     possible_runs: int = 0
     attempts_started: int = 0
+    # Where the last attempt was sent, None if that was through another router.
     placement: Placement | None = None
     # Software version of the engine whose event reached the caller first; the stream may go on
     # only there. Empty if it is not known.
@@ -43,6 +48,16 @@
         if not self.possible_runs:
             self.problem = Problem(503, str(error), "retry the request", DEFAULT_RETRY_AFTER_S)
 
+    def record_problem_not_run(self, problem: Problem) -> None:
+        """Record why another router has not run the request; keep that of a possible run."""
+        if not self.possible_runs:
+            self.problem = problem
+
+    def record_no_path(self) -> None:
+        """Record that neither this router nor another reaches an engine."""
+        why = "no engine of the service is in reach, here or through another router"
+        self.record_problem_not_run(Problem(503, why, "retry the request", NO_PATH_RETRY_AFTER_S))
+
     def record_not_resumable(self, why: str) -> None:
         """Record why a stream cannot go on; keep the problem of an attempt that may have run."""
         if not self.possible_runs:
--- a/marjoramspool/engine_selector.py
+++ b/marjoramspool/engine_selector.py
@@ -153,6 +153,11 @@
         self.limits.remove_engine(engine.key)
         self.unknown_caches.discard((engine.id, engine.started_ms))
 
+    def forget_ejections(self, service: str) -> None:
+        """Use the engines of a service again that were ejected while none was in reach."""
+        for engine in self.engines.usable(service):
+            self.outliers.remove_engine(engine.id)
+
     def model_engines(self) -> list[Engine]:
         """Return the engines that have a prefix cache."""
         table = self.table()
--- a/marjoramspool/failures.py
+++ b/marjoramspool/failures.py
@@ -1,11 +1,16 @@
 """Errors of attempts at a target, classified by whether the request may have run."""
 
+from marjoramspool.outcomes import Problem
+
 __all__ = [
     "AttemptError",
     "BrokenAnswerError",
     "DisplacedError",
     "MayHaveRunError",
+    "NoPathError",
     "NotSentError",
+    "PeerFailedError",
+    "PeerRefusedError",
     "ResetError",
     "SilentConnectionError",
     "TargetRefusedError",
@@ -28,10 +33,30 @@
     """The address of the target was reassigned to another target."""
 
 
+class NoPathError(TargetRefusedError):
+    """Another router has tried nothing, since it has no path to engines or no room either."""
+
+
+class PeerRefusedError(TargetRefusedError):
+    """Another router has refused the request; `problem` says why, and when to come back."""
+
+    def __init__(self, problem: Problem):
+        super().__init__(problem.title)
+        self.problem = problem
+
+
 class MayHaveRunError(AttemptError):
     """The request may have run."""
 
 
+class PeerFailedError(MayHaveRunError):
+    """Another router got no answer to the request; `problem` says why."""
+
+    def __init__(self, problem: Problem):
+        super().__init__(problem.title)
+        self.problem = problem
+
+
 class ResetError(MayHaveRunError):
     """The connection broke before any byte of an answer was received."""
 
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -19,8 +19,10 @@
 from marjoramspool.peers.cache_bootstrap import CacheBootstrap
 from marjoramspool.peers.directory import Directory, Peer
 from marjoramspool.peers.discovery import Discovery
-from marjoramspool.peers.load_broadcast import LoadBroadcast, StateVersions
+from marjoramspool.peers.forwarded_server import ForwardedServer
+from marjoramspool.peers.load_broadcast import LoadBroadcast, PathState, StateVersions
 from marjoramspool.peers.messages import CachesState, EnginesState, TableState
+from marjoramspool.peers.peer_paths import PeerPaths
 from marjoramspool.peers.state_sync import State, StateSync
 from marjoramspool.peers.watch_roles import WatchRoles
 from marjoramspool.platform.egress import EngineSessions
@@ -30,6 +32,7 @@
 from marjoramspool.platform.watchers import new_engine_watcher, new_table_watcher
 from marjoramspool.poison_parts import describe_quarantines
 from marjoramspool.quarantine_store import QuarantineStore
+from marjoramspool.reach_monitor import ReachMonitor
 from marjoramspool.request_limits import describe_limits
 from marjoramspool.startup_wait import StartupWait
 from marjoramspool.status import MemberStatus, Status
@@ -60,12 +63,15 @@
         "discovery",
         "engine_watcher",
         "engines",
+        "forwarded",
         "forwarding",
         "ingress",
         "load_broadcast",
         "metrics",
         "metrics_address",
+        "paths",
         "quarantine_store",
+        "reach",
         "selector",
         "sessions",
         "settings",
@@ -96,8 +102,17 @@
         self.sessions.on_departure.append(self.engines.record_announcement)
         self.sessions.on_pause.append(self.selector.pauses.record)
         self.sessions.on_limit.append(self.selector.limits.record_answer)
+        self.reach = ReachMonitor(self.engines, self.sessions)
+        self.reach.reach.on_returned.append(self.selector.forget_ejections)
+        self.paths = PeerPaths(
+            self.directory, settings.peers_port, lambda: self.table_watcher.table_version
+        )
         self.load_broadcast = LoadBroadcast(
-            settings.peers_port, self.directory, self.selector, self.state_versions
+            settings.peers_port,
+            self.directory,
+            self.selector,
+            self.state_versions,
+            self.path_state,
         )
         self.forwarding = Forwarding(
             self.selector,
@@ -105,8 +120,16 @@
             settings.bounds,
             self.directory.size,
             self.load_broadcast.origins,
+            self.reach,
+            self.paths,
             self.metrics,
         )
+        self.forwarded = ForwardedServer(
+            self.forwarding,
+            self.reach.reach,
+            lambda: self.table_watcher.table,
+            lambda: self.is_ready,
+        )
         self.state_sync = StateSync(
             self.directory,
             settings.peers_port,
@@ -115,6 +138,7 @@
             self.is_behind,
             self.watch_roles.fetch_delay_s,
             self.status,
+            self.forwarded.handle,
         )
         operators = f"{settings.address}:{settings.peers_port}"
         self.discovery = Discovery(self.store, settings.name, self.directory, operators)
@@ -159,6 +183,14 @@
             self.table_watcher.table_version,
         )
 
+    def path_state(self) -> PathState:
+        """Return what other routers need to know to send requests through this one."""
+        return PathState(
+            self.is_ready,
+            tuple(self.reach.reach.cut_off_services()),
+            len(self.ingress.active_connections) + self.forwarded.active,
+        )
+
     def is_behind(self, state_type: type, peer: Peer) -> bool:
         """Return whether a peer has a newer route table or engine list."""
         if state_type is TableState:
@@ -244,6 +276,7 @@
         """Start all components; the stack stops them in reverse order."""
         await stack.enter_async_context(self.store)
         await stack.enter_async_context(self.sessions)
+        await stack.enter_async_context(self.paths)
         stack.push_async_callback(self.tasks.stop)
         self.tasks.start(self.table_watcher.run)
         self.tasks.start(self.engine_watcher.run)
@@ -255,6 +288,7 @@
         self.tasks.start(self.state_sync.run)
         self.tasks.start(self.discovery.run)
         self.tasks.start(self.quarantine_store.run)
+        self.tasks.start(self.reach.run)
         self.tasks.start(self.bootstrap_caches)
         stack.push_async_callback(self.ingress.close)
         await self.ingress.start(*split_endpoint(self.settings.client_endpoint))
@@ -328,6 +362,7 @@
                 await asyncio.sleep(BALANCER_REMOVAL_DELAY_S)
                 self.ingress.refuse_connections()
                 await self.ingress.wait_until_idle()
+                await self.forwarded.wait_until_idle()
         except TimeoutError:
             log(Event.ROUTER_DRAINING, in_flight=len(self.ingress.active_connections))
 
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -25,18 +25,28 @@
     DisplacedError,
     MayHaveRunError,
     NotSentError,
+    PeerFailedError,
+    PeerRefusedError,
     ResetError,
     TargetRefusedError,
 )
 from marjoramspool.load_shedding import Shed
 from marjoramspool.metrics import Metrics
 from marjoramspool.outcomes import NotRun, Problem, Unknown
+from marjoramspool.peer_attempts import PeerAttempts, PeerPathSource
 from marjoramspool.poison_parts import MAX_END_DELAY_S, Quarantine
 from marjoramspool.queue_rank import RESUMED_RANK
+from marjoramspool.reach_monitor import ReachMonitor
 from marjoramspool.request_limits import AllLimited
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.retries import SharedRetryBudget
-from marjoramspool.stream_origins import OriginSource, content_key, resumed_key, stream_keys
+from marjoramspool.stream_origins import (
+    OriginSource,
+    content_key,
+    request_key,
+    resumed_key,
+    stream_keys,
+)
 
 __all__ = ["Forwarding"]
 
@@ -65,6 +75,8 @@
         "client",
         "metrics",
         "origins",
+        "peer_attempts",
+        "reach",
         "retry_budgets",
         "router_count",
         "selector",
@@ -77,8 +89,12 @@
         bounds: Bounds,
         router_count: Callable[[], int],
         origins: OriginSource,
+        reach: ReachMonitor,
+        paths: PeerPathSource,
         metrics: Metrics,
     ):
+        self.reach = reach
+        self.peer_attempts = PeerAttempts(paths)
         self.metrics = metrics
         self.origins = origins
         self.selector = selector
@@ -170,10 +186,27 @@
         stack: AsyncExitStack,
         after_event: int | None,
     ) -> WholeAnswer | StreamAnswer | NotRun | Unknown:
-        """Send attempts to one engine after another until one answers or no retry is allowed."""
+        """Send attempts to one engine after another until one answers or no retry is allowed.
+
+        While none is in reach, they are sent through other routers.
+        """
         while True:
             if request.remaining_s() <= MIN_REMAINING_S:
                 return self.deadline_outcome(history)
+            if self.reach.reach.is_cut_off(request.service) and not request.is_forwarded:
+                async with AsyncExitStack() as attempt:
+                    result = await self.peer_attempts.send(request, history, attempt, after_event)
+                    if isinstance(result, WholeAnswer | StreamAnswer):
+                        stack.push_async_exit(attempt.pop_all())
+                        return result
+                if result is not None:
+                    if not self.handle_failed_peer(request, history, result):
+                        break
+                    continue
+                if not request.route.is_retryable:
+                    # It needs a new connection, and none opens.
+                    history.record_no_path()
+                    break
             if not self.can_go_on(request, history):
                 break
             placement = self.selector.place(request, history.tried_engines, history.version)
@@ -198,8 +231,33 @@
                     return result
             if not self.handle_failed_attempt(request, placement.engine, history, result):
                 break
+            if not isinstance(result, TargetRefusedError):
+                await self.reach.confirm(request.service)
         return Unknown(history.problem) if history.possible_runs else NotRun(history.problem)
 
+    def handle_failed_peer(
+        self, request: RoutedRequest, history: AttemptHistory, error: AttemptError
+    ) -> bool:
+        """Record a failed attempt through another router; return whether one more is allowed."""
+        log(Event.ATTEMPT_FAILED, request=request.id, why=str(error))
+        self.metrics.count(f"attempts_failed.{type(error).__name__}")
+        match error:
+            case PeerRefusedError(problem=problem):
+                history.record_problem_not_run(problem)
+                return False
+            case PeerFailedError(problem=problem):
+                history.problem = problem
+                return False
+            case NotSentError() | TargetRefusedError():
+                history.record_not_run(error)
+                return True
+        remedy = "check whether the request ran before retrying it"
+        history.problem = Problem(502, str(error), remedy)
+        return (
+            self.is_retry_allowed(request, history)
+            and self.retry_budget(request.service).try_acquire()
+        )
+
     def shed_problem(self, request: RoutedRequest, shed: Shed) -> Problem:
         """Log a shed request; return the problem that tells its caller when to retry."""
         log(
@@ -276,7 +334,7 @@
     async def record_if_ended(self, request: RoutedRequest, placement: Placement) -> None:
         """Record the end of an engine at which a request had no answer yet, if it has ended."""
         engine = placement.engine
-        if not await self.client.has_ended(engine):
+        if not await self.client.has_ended(engine) or await self.reach.has_lost_path(engine):
             return
         log(
             Event.ENGINE_ENDED,
@@ -326,7 +384,8 @@
         """Return the time to wait for the start of an answer before trying another engine."""
         remaining_s = max(0.0, request.remaining_s())
         route = request.route
-        if not route.is_retryable or history.possible_runs >= route.max_attempts:
+        runs = request.earlier_runs + history.possible_runs
+        if not route.is_retryable or runs >= route.max_attempts:
             return remaining_s
         prefill_s = placement.choice.cost / PREFILL_TOKENS_PER_S if request.is_stream else 0.0
         return min(remaining_s, ATTEMPT_TIMEOUT_RATIO * route.latency_target_s + prefill_s)
@@ -335,7 +394,7 @@
         """Return whether a request that may have run may be sent to one more engine."""
         return (
             request.route.is_retryable
-            and history.possible_runs < request.route.max_attempts
+            and request.earlier_runs + history.possible_runs < request.route.max_attempts
             and self.retry_budget(request.service).remaining() >= 1.0
         )
 
@@ -417,7 +476,7 @@
                             continue
                         last_event_id = event.event_id
                     self.confirm_answer(request, history, MAX_END_DELAY_S)
-                    if history.version is None:
+                    if history.version is None and history.placement is not None:
                         history.version = history.placement.engine.version
                     yield event
                 self.confirm_answer(request, history, 0.0)
@@ -425,12 +484,19 @@
             except AttemptError as error:
                 failure = error
             self.confirm_answer(request, history, MAX_END_DELAY_S)
-            if history.answered_at is not None:
-                await self.record_if_ended(request, history.placement)
             self.metrics.count(f"attempts_failed.{type(failure).__name__}")
-            self.selector.outliers.record_failure(history.placement.engine.id)
-            if not request.route.is_resumable or last_event_id is None or not history.version:
+            if history.placement is not None:
+                if history.answered_at is not None:
+                    await self.record_if_ended(request, history.placement)
+                self.selector.outliers.record_failure(history.placement.engine.id)
+                await self.reach.confirm(request.service)
+            if not request.route.is_resumable or last_event_id is None:
                 raise BrokenAnswerError(str(failure))
+            if history.version is None:
+                # The router that began the stream has told its version to others.
+                key = request_key(request, request.id)
+                origin = self.origins.find(content_key(request), key)
+                history.version = await origin or UNKNOWN_VERSION
             await stack.aclose()
             events = await self.resume(request, history, stack, last_event_id, failure)
 
@@ -454,13 +520,13 @@
             raise BrokenAnswerError(
                 f"{failure}; no other engine resumed the stream after event {last_event_id}"
             )
-        engine = history.placement.engine
+        placement = history.placement
         log(
             Event.STREAM_RESUMED,
             request=request.id,
             after=last_event_id,
-            engine=engine.id,
-            version=engine.version,
+            engine=placement.engine.id if placement else None,
+            version=history.version,
         )
         return outcome.events
 
--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -15,6 +15,7 @@
     "SUCCESS_STATUSES",
     "LimitCallback",
     "Sessions",
+    "can_connect",
     "is_refusing_connections",
     "new_session",
     "report_limit",
@@ -103,6 +104,18 @@
         call(key, limit_per_s, sent_at)
 
 
+async def can_connect(address: str, timeout_s: float) -> bool:
+    """Return whether something at `HOST:PORT` accepts a connection within some seconds."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except (OSError, TimeoutError):
+        return False
+    writer.transport.abort()
+    return True
+
+
 async def is_refusing_connections(address: str) -> bool:
     """Return whether nothing listens at `HOST:PORT`, as after the end of a process.
 
--- a/marjoramspool/peers/directory.py
+++ b/marjoramspool/peers/directory.py
@@ -43,6 +43,11 @@
     has_store: bool = True
     # Revision of the messages that the router understands; 0 in releases before there was one.
     message_revision: int = 0
+    # Whether the router serves requests for others, the ids of the services that it cannot reach,
+    # and its requests in flight.
+    takes_forwarded: bool = False
+    cut_off: tuple[int, ...] = ()
+    in_flight: int = 0
 
 
 class Directory:
--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -26,13 +26,18 @@
     encode,
 )
 from marjoramspool.peers.origin_exchange import OriginExchange
-from marjoramspool.peers.own_reports import OwnReports, StateVersions, incarnation_id_of
+from marjoramspool.peers.own_reports import (
+    OwnReports,
+    PathState,
+    StateVersions,
+    incarnation_id_of,
+)
 from marjoramspool.peers.poison_reports import apply_poison_reports
 from marjoramspool.peers.report_relay import OwnReport, ReportRelay, take_updates
 from marjoramspool.peers.state_transfer import apply_cache_update
 from marjoramspool.prompts import Part
 
-__all__ = ["LoadBroadcast", "StateVersions"]
+__all__ = ["LoadBroadcast", "PathState", "StateVersions"]
 
 FULL_MESH_PERIOD_S = 0.03
 # Reports through relays are sent less often, so that relays can batch them.
@@ -82,12 +87,13 @@
         directory: Directory,
         selector: EngineSelector,
         state_versions: Callable[[], StateVersions],
+        path_state: Callable[[], PathState] = PathState,
     ):
         self.port = port
         self.directory = directory
         self.relay_monitor = relays.RelayMonitor(directory)
         self.selector = selector
-        self.own = OwnReports(directory, selector, state_versions)
+        self.own = OwnReports(directory, selector, state_versions, path_state)
         self.origins = OriginExchange(directory, self.send)
         self.relay = ReportRelay(directory.domain, directory.clock)
         # Number of live peers at the last report.
@@ -370,6 +376,9 @@
         peer.engines_digest = report.engines_digest
         peer.has_store = report.has_store
         peer.message_revision = report.message_revision
+        peer.takes_forwarded = report.takes_forwarded
+        peer.cut_off = report.cut_off
+        peer.in_flight = report.in_flight
 
     def apply_update(self, update: CacheUpdate) -> None:
         """Apply a cache update, unless its engine is unknown."""
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -32,6 +32,7 @@
     "decode_datagram",
     "encode",
     "incarnation_id",
+    "service_id",
 ]
 
 
@@ -45,6 +46,11 @@
     return hashing.digest(f"{engine}/{started_ms}") & 0xFFFFFFFF
 
 
+def service_id(service: str) -> int:
+    """Return the 32-bit id of a service in messages."""
+    return hashing.digest(service) & 0xFFFFFFFF
+
+
 class EngineLoadReport(msgspec.Struct, array_like=True, frozen=True):
     """Requests of one router at an engine, and their prompt tokens still to be prefilled."""
 
@@ -149,6 +155,11 @@
     limits: tuple[LimitReport, ...] = ()
     # Revision of the messages that the reporting router understands.
     message_revision: int = 0
+    # Whether it serves requests of routers without a path to engines, the ids of the services that
+    # it has none to itself, and its requests in flight.
+    takes_forwarded: bool = False
+    cut_off: tuple[int, ...] = ()
+    in_flight: int = 0
 
 
 class ReportBatch(msgspec.Struct, array_like=True, frozen=True, tag=1):
--- a/marjoramspool/peers/own_reports.py
+++ b/marjoramspool/peers/own_reports.py
@@ -17,11 +17,12 @@
     IncludedReport,
     RouterReport,
     incarnation_id,
+    service_id,
 )
 from marjoramspool.peers.poison_reports import report_ends, report_quarantines
 from marjoramspool.prompts import Part
 
-__all__ = ["OwnReports", "StateVersions", "incarnation_id_of"]
+__all__ = ["OwnReports", "PathState", "StateVersions", "incarnation_id_of"]
 
 # An unchanged report is resent this often as a heartbeat.
 HEARTBEAT_PERIOD_S = 0.4
@@ -42,6 +43,15 @@
     table_version: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class PathState:
+    """Whether a router serves requests of others, the services it cannot reach, and its load."""
+
+    takes_forwarded: bool = False
+    cut_off: tuple[str, ...] = ()
+    in_flight: int = 0
+
+
 class OwnReports:
     """Reports of this router, numbered within one process.
 
@@ -52,6 +62,7 @@
         "boot_id",
         "directory",
         "last_content",
+        "path_state",
         "queued_updates",
         "selector",
         "sent_at",
@@ -65,7 +76,9 @@
         directory: Directory,
         selector: EngineSelector,
         state_versions: Callable[[], StateVersions],
+        path_state: Callable[[], PathState] = PathState,
     ):
+        self.path_state = path_state
         self.directory = directory
         self.selector = selector
         self.state_versions = state_versions
@@ -101,10 +114,14 @@
         own_loads = self.own_loads()
         loads, rates = encode_loads(sorted(own_loads.items()))
         limits = tuple(report_limits(self.selector.limits))
+        path_state = self.path_state()
+        cut_off = tuple(map(service_id, path_state.cut_off))
+        # What is out of reach behind a cut says nothing of the engines.
         unreachable = tuple(
             incarnation_id_of(engine)
             for name in sorted(self.selector.outliers.unreachable())
             if (engine := self.selector.engines.engines.get(name))
+            and engine.service not in path_state.cut_off
         )
         leaving = tuple(map(incarnation_id_of, self.selector.engines.locally_announced()))
         poison = self.selector.poison
@@ -119,6 +136,8 @@
             limited,
             state_versions,
             unreachable,
+            path_state.takes_forwarded,
+            cut_off,
             leaving,
             ended,
             answered,
@@ -155,6 +174,9 @@
             rates,
             limits,
             MESSAGE_REVISION,
+            path_state.takes_forwarded,
+            cut_off,
+            path_state.in_flight,
         )
 
     def own_loads(self) -> Loads:
--- a/marjoramspool/peers/report_relay.py
+++ b/marjoramspool/peers/report_relay.py
@@ -105,6 +105,8 @@
             report.boot_id,
             report.has_store,
             report.unreachable,
+            report.takes_forwarded,
+            report.cut_off,
             report.leaving,
             report.ended,
             report.answered,
--- a/marjoramspool/peers/state_sync.py
+++ b/marjoramspool/peers/state_sync.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 import msgspec
@@ -14,6 +14,7 @@
 from marjoramspool.peers import relays
 from marjoramspool.peers.directory import Directory, Peer
 from marjoramspool.peers.messages import CachesState, EnginesState, TableState, encode
+from marjoramspool.peers.peer_paths import REQUESTS_PATH
 from marjoramspool.status import Status
 
 __all__ = ["State", "StateSync"]
@@ -40,7 +41,8 @@
 
     `export_state` returns None while the local state is unknown. `fetch_delay_s` returns how long,
     in seconds, a newer state may still arrive from the store before it is fetched from a peer.
-    Operators read the status on the same port.
+    Operators read the status on the same port, and routers without a path to engines send their
+    requests there, which `serve_forwarded` answers.
     """
 
     __slots__ = (
@@ -52,6 +54,7 @@
         "is_behind",
         "port",
         "runner",
+        "serve_forwarded",
         "session",
         "status",
     )
@@ -65,8 +68,10 @@
         is_behind: Callable[[type, Peer], bool],
         fetch_delay_s: Callable[[], float],
         status: Callable[[], Status],
+        serve_forwarded: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     ):
         self.status = status
+        self.serve_forwarded = serve_forwarded
         self.directory = directory
         self.port = port
         self.export_state = export_state
@@ -80,7 +85,8 @@
     async def start(self) -> None:
         """Start the server."""
         self.session = new_session(CALL_TIMEOUT_S, keep_alive=False)
-        self.runner = web.ServerRunner(web.Server(self.handle, access_log=None))
+        server = web.Server(self.handle, access_log=None, handler_cancellation=True)
+        self.runner = web.ServerRunner(server)
         await self.runner.setup()
         await web.TCPSite(self.runner, self.directory.local_address, self.port).start()
 
@@ -91,8 +97,10 @@
         if self.session:
             await self.session.close()
 
-    async def handle(self, request: web.BaseRequest) -> web.Response:
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one kind of state, 503 if it is unknown, or the status."""
+        if request.path == REQUESTS_PATH:
+            return await self.serve_forwarded(request)
         if request.path == STATUS_PATH:
             return web.Response(body=msgspec.json.encode(self.status()))
         state_type = STATE_TYPES.get(request.path)
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -29,6 +29,7 @@
 from marjoramspool.http import (
     SUCCESS_STATUSES,
     LimitCallback,
+    can_connect,
     is_refusing_connections,
     new_session,
     report_limit,
@@ -186,6 +187,10 @@
         """Return whether an engine refuses connections, as after the end of its process."""
         return await is_refusing_connections(engine.address)
 
+    async def can_connect(self, engine: Engine, timeout_s: float) -> bool:
+        """Return whether an engine accepts a new connection within some seconds."""
+        return await can_connect(engine.address, timeout_s)
+
     async def send(
         self,
         request: RoutedRequest,
--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -91,6 +91,7 @@
     after_event, first_request = parse_resumption(http_request) if is_stream else (None, None)
     return RoutedRequest(
         id=request_id,
+        host=host,
         route=route,
         # A stream goes on at the service that its first request was drawn for.
         service=route.select_service(first_request or request_id),
--- a/marjoramspool/requests.py
+++ b/marjoramspool/requests.py
@@ -30,6 +30,12 @@
     # brought the first one.
     after_event: int | None = None
     first_request: str | None = None
+    # Whether another router has no path to engines and sent the request here, and how often it may
+    # have run before.
+    is_forwarded: bool = False
+    earlier_runs: int = 0
+    # Name under which the caller reached the fleet, by which the route was found.
+    host: str = ""
     clock: Callable[[], float] = now
     known_content_id: int | None = None
 
--- a/marjoramspool/routes.py
+++ b/marjoramspool/routes.py
@@ -117,11 +117,19 @@
     accounts: dict[str, ClientAccount] | None = None
     limits: ClientLimits = ClientLimits()
     routes_by_host: dict[str, tuple[Route, ...]] = field(init=False, default_factory=dict)
+    accounts_by_name: dict[str, ClientAccount] = field(init=False, default_factory=dict)
 
     def __post_init__(self):
         for route in sorted(self.routes, key=lambda route: len(route.prefix), reverse=True):
             self.routes_by_host[route.host] = (*self.routes_by_host.get(route.host, ()), route)
 
+        for account in (self.accounts or {}).values():
+            self.accounts_by_name[account.name] = account
+
+    def account(self, name: str) -> ClientAccount | None:
+        """Return a client account by its name, None if it has no key."""
+        return self.accounts_by_name.get(name)
+
     def highest_priority(self, service: str) -> float:
         """Return the most urgent priority of the routes to a service; 0 is the highest."""
         priorities = (
