Use other routers also where half of the engines or more are out of reach (RECOVER)

The path of a service is full, partial or none now; partial and none are reported and looked past alike, but with a partial one and no other router the engines in reach are used. If engines are down for all, all report the same, and none is asked. An engine that refuses is still taken for ended if any other engine connects: counting half of a group as a cut left ends under content that ends engines unseen (4 tests), so that was not taken.

--- a/marjoramspool/engine_reach.py
+++ b/marjoramspool/engine_reach.py
@@ -1,10 +1,11 @@
-"""Whether this router reaches the engines of each service.
+"""Whether this router reaches the engines of each service, all, some or none.
 
 Fault: a router is cut off from engines that others reach; connections hang until their timeout, are
 refused, or live on while new ones are refused. Its callers must not pay for finding that out again
 with each request, and an engine that has ended must not be taken for a cut.
 """
 
+import enum
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -12,7 +13,7 @@
 from marjoramspool.engine_list import Engine
 from marjoramspool.events import Event, log
 
-__all__ = ["EngineReach", "select_probed"]
+__all__ = ["EngineReach", "Path", "path_shown", "select_probed"]
 
 # Engines that are probed in one round.
 MAX_PROBED = 6
@@ -24,11 +25,20 @@
 MIN_ROUND_PERIOD_S = 0.3
 
 
+class Path(enum.Enum):
+    """How many engines of a service accept connections from here."""
+
+    FULL = "most"
+    # Others may reach more.
+    PARTIAL = "half or fewer"
+    NONE = "none"
+
+
 @dataclass(slots=True)
 class ServiceReach:
     """What the rounds of probes have shown of one service; times in seconds."""
 
-    is_cut_off: bool = False
+    path: Path = Path.FULL
     good_rounds: int = 0
     probed_at: float = float("-inf")
     rounds: int = 0
@@ -48,14 +58,14 @@
         """Return the state of a service, created at first use."""
         return self.services.setdefault(name, ServiceReach())
 
-    def is_cut_off(self, service: str) -> bool:
-        """Return whether no engine of a service could be connected to."""
+    def path(self, service: str) -> Path:
+        """Return how many engines of a service could be connected to."""
         state = self.services.get(service)
-        return state is not None and state.is_cut_off
+        return Path.FULL if state is None else state.path
 
     def cut_off_services(self) -> list[str]:
-        """Return the services that this router is cut off from."""
-        return [name for name, state in self.services.items() if state.is_cut_off]
+        """Return the services of which half of the engines or more are out of reach."""
+        return [name for name, state in self.services.items() if state.path is not Path.FULL]
 
     def is_round_due(self, service: str) -> bool:
         """Return whether a sign of a cut starts a round now."""
@@ -73,20 +83,33 @@
         state = self.service(service)
         if not connected or self.clock() - state.probed_at > timeout_s + MAX_LAG_S:
             return
-        if not any(connected):
+        path = path_shown(connected)
+        if path is not Path.FULL:
             state.good_rounds = 0
-            if not state.is_cut_off:
-                state.is_cut_off = True
-                log(Event.ENGINES_OUT_OF_REACH, service=service, probed=len(connected))
+            if path is not state.path:
+                state.path = path
+                log(
+                    Event.ENGINES_OUT_OF_REACH,
+                    service=service,
+                    probed=len(connected),
+                    connected=sum(connected),
+                )
             return
         state.good_rounds += 1
-        if state.is_cut_off and state.good_rounds >= ROUNDS_TO_RETURN:
-            state.is_cut_off = False
+        if state.path is not Path.FULL and state.good_rounds >= ROUNDS_TO_RETURN:
+            state.path = Path.FULL
             log(Event.ENGINES_IN_REACH, service=service, connected=sum(connected))
             for call in self.on_returned:
                 call(service)
 
 
+def path_shown(connected: list[bool]) -> Path:
+    """Return what the probes of a round show."""
+    if not any(connected):
+        return Path.NONE
+    return Path.FULL if 2 * sum(connected) > len(connected) else Path.PARTIAL
+
+
 def select_probed(engines: list[Engine], round_number: int) -> list[Engine]:
     """Return the engines to probe in a round: others each time, of all failure domains in turn."""
     by_domain: dict[str, list[Engine]] = {}
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -16,6 +16,7 @@
 from marjoramspool.clock import now
 from marjoramspool.engine_list import Engine
 from marjoramspool.engine_pauses import AllPaused
+from marjoramspool.engine_reach import Path
 from marjoramspool.engine_selector import EngineSelector, Placement
 from marjoramspool.event_stream import StreamEvent
 from marjoramspool.events import Event, log
@@ -193,7 +194,8 @@
         while True:
             if request.remaining_s() <= MIN_REMAINING_S:
                 return self.deadline_outcome(history)
-            if self.reach.reach.is_cut_off(request.service) and not request.is_forwarded:
+            path = self.reach.reach.path(request.service)
+            if path is not Path.FULL and not request.is_forwarded:
                 async with AsyncExitStack() as attempt:
                     result = await self.peer_attempts.send(request, history, attempt, after_event)
                     if isinstance(result, WholeAnswer | StreamAnswer):
@@ -203,7 +205,7 @@
                     if not self.handle_failed_peer(request, history, result):
                         break
                     continue
-                if not request.route.is_retryable:
+                if path is Path.NONE and not request.route.is_retryable:
                     # It needs a new connection, and none opens.
                     history.record_no_path()
                     break
--- a/marjoramspool/peers/forwarded_server.py
+++ b/marjoramspool/peers/forwarded_server.py
@@ -9,7 +9,7 @@
 
 from marjoramspool.attempts import StreamAnswer, WholeAnswer
 from marjoramspool.clock import now
-from marjoramspool.engine_reach import EngineReach
+from marjoramspool.engine_reach import EngineReach, Path
 from marjoramspool.events import Event, log
 from marjoramspool.failures import BrokenAnswerError
 from marjoramspool.forwarding import Forwarding
@@ -126,7 +126,7 @@
         if route is None or (message.account is not None and account is None):
             return None
         service = route.select_service(message.first_request or message.id)
-        if self.reach.is_cut_off(service):
+        if self.reach.path(service) is Path.NONE:
             return None
         received = now()
         return RoutedRequest(
--- a/marjoramspool/reach_monitor.py
+++ b/marjoramspool/reach_monitor.py
@@ -55,11 +55,9 @@
     async def has_lost_path(self, engine: Engine) -> bool:
         """Return whether an engine that refuses connections may be sound, behind a cut.
 
-        Others of its service are tried, then those of other services; if none exists, nothing
-        speaks for a cut.
+        Others of its service are tried, then those of other services, which content that ends
+        engines spares. Without others nothing speaks for a cut.
         """
-        if self.reach.is_cut_off(engine.service):
-            return True
         others = [e for e in self.engines.engines.values() if e.id != engine.id]
         same = [e for e in others if e.service == engine.service]
         other = [e for e in others if e.service != engine.service]
