--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -69,6 +69,13 @@
     is_leaving: bool = False
     retry_after_s: float | None = None
     limit_per_s: float | None = None
+    # Requests that it serves at a time, without bound if None; it turns others away.
+    room: int | None = None
+    # It names this in every answer, and ends once it has turned more away in one second.
+    brittle_per_s: float | None = None
+    turned_away_at: list[float] = field(default_factory=list)
+    on_fallen: Callable[[], None] = lambda: None
+    work_s: float = 0.0
     piece_interval_s: float = PIECE_INTERVAL_S
     pieces: int = PIECES_PER_STREAM
     faults: Counter = field(default_factory=Counter)
@@ -125,6 +132,8 @@
         notices = {"Server-Leaving": "1"} if self.is_leaving else {}
         if self.limit_per_s is not None:
             notices["Server-Limit"] = f"{self.limit_per_s}"
+        if self.brittle_per_s is not None:
+            notices["Server-Brittle"] = f"{self.brittle_per_s:g}"
         return head(status, request, length, **more, **notices)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -170,6 +179,9 @@
             notice = {"X-Not-Executed": "1", "Retry-After": f"{self.retry_after_s}"}
             writer.write(self.head(503, arrival.id, 0, **notice))
             return True
+        if self.room is not None and self.running > self.room:
+            writer.write(self.head(503, arrival.id, 0, **{"X-Not-Executed": "1"}))
+            return not await self.has_fallen()
         if self.consume("shed"):
             writer.write(self.head(503, arrival.id, 0, **{"X-Not-Executed": "1"}))
             return True
@@ -196,6 +208,16 @@
             return await self.stream(arrival, reader, writer)
         return await self.plain(arrival, writer)
 
+    async def has_fallen(self) -> bool:
+        """Count a request that was turned away; return whether that ended the engine."""
+        now = time.monotonic()
+        self.turned_away_at = [at for at in self.turned_away_at if now - at < 1.0] + [now]
+        if self.brittle_per_s is None or len(self.turned_away_at) <= self.brittle_per_s:
+            return False
+        self.on_fallen()
+        await self.stop()
+        return True
+
     async def end_poisoned(self) -> None:
         """End as a process that crashes, shortly after it began to run a request."""
         await asyncio.sleep(self.piece_interval_s)
@@ -204,6 +226,7 @@
 
     async def plain(self, arrival: Arrival, writer) -> bool:
         """Send a short response."""
+        await asyncio.sleep(self.work_s)
         body = f"answer to {arrival.id}".encode()
         name = "another" if self.consume("foreign") else arrival.id
         if self.consume("unframed"):
