--- a/marjoramspool/platform/tests/test_engine_cuts.py
+++ b/marjoramspool/platform/tests/test_engine_cuts.py
@@ -127,3 +127,77 @@
     assert share(restored) >= 0.95
     assert_orders_ran_once(site)
     assert_no_quarantine(site)
+
+
+async def wait_until_cut(site, count):
+    """Send requests until the routers know that they reach no engine."""
+    for router in site.routers[:count]:
+        cut_from_engines(router, CutMode.REFUSE)
+        for path in ("/lookup/", "/chat/"):
+            await site.send(f"{path}x", f"first{path}{router.name}", site.routers.index(router))
+
+
+async def end_router_between(site):
+    """End the router that serves a request for another one, without an answer."""
+    (between,) = [r for r in site.routers if r.forwarded.active]
+    site.routers.remove(between)
+    for connection in between.state_sync.runner.server.connections:
+        connection.transport.abort()
+    await between.__aexit__(None, None, None)
+
+
+async def test_a_stream_goes_on_when_the_router_in_between_ends(site):
+    await start(site, routers=4)
+    for engine in site.engines:
+        engine.piece_interval_s = 0.15
+    await wait_until_cut(site, 1)
+    task = asyncio.create_task(site.send("/chat/x", "long", 0))
+    await asyncio.sleep(0.5)
+    await end_router_between(site)
+    status, _, body = await task
+    assert status == 200
+    assert [line for line in body.split(b"\n") if line.startswith(b"id:")] == [
+        f"id: {number}".encode() for number in range(1, EVENTS + 1)
+    ]
+
+
+async def test_an_order_that_is_with_another_router_when_that_ends_is_not_sent_again(site):
+    await start(site, routers=4)
+    await wait_until_cut(site, 1)
+    for engine in site.engines:
+        engine.work_s = 0.5
+    task = asyncio.create_task(site.send("/order/x", "order", 0))
+    await asyncio.sleep(0.2)
+    await end_router_between(site)
+    assert (await task)[0] == 502
+    assert sum(engine.runs("order") for engine in site.engines) == 1
+
+
+async def test_a_client_that_leaves_ends_the_work_behind_another_router(site):
+    await start(site, routers=2)
+    await wait_until_cut(site, 1)
+    for engine in site.engines:
+        engine.piece_interval_s = 0.3
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.5):
+            await site.send("/chat/x", "left", 0)
+    await asyncio.sleep(0.5)
+    (arrival,) = [a for e in site.engines for a in e.arrivals if a.id == "left"]
+    assert arrival.is_disconnected
+
+
+async def test_routers_that_are_all_cut_off_refuse_at_once_and_serve_again(site):
+    await start(site, routers=3)
+    await wait_until_cut(site, 3)
+    await asyncio.sleep(0.3)
+    async with asyncio.timeout(0.3):
+        status, headers, _ = await site.send("/order/x", "hopeless", 0)
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    assert sum(engine.runs("hopeless") for engine in site.engines) == 0
+    for router in site.routers:
+        restore_path(router)
+    await asyncio.sleep(2.0)
+    for index in range(3):
+        assert (await site.send("/order/x", f"back{index}", index))[0] == 200
+    assert not any(router.selector.poison.ends for router in site.routers)
