--- a/marjoramspool/outlier_detection.py
+++ b/marjoramspool/outlier_detection.py
@@ -17,6 +17,8 @@
 FIRST_UNREACHABLE_EJECTION_S = 0.5
 MAX_EJECTED_FRACTION = 0.5
 MIN_REPORTS = 2
+# An answer of this age or less counts more than what other routers report.
+OWN_EVIDENCE_S = 1.0
 
 
 @dataclass(slots=True)
@@ -37,15 +39,18 @@
     and all of them are used.
     """
 
-    __slots__ = ("clock", "health", "reports")
+    __slots__ = ("clock", "health", "reports", "succeeded_at")
 
     def __init__(self, clock: Callable[[], float] = now):
         self.clock = clock
         self.health: dict[str, EngineHealth] = {}
         self.reports: dict[str, frozenset[str]] = {}
+        # When each engine answered this router last.
+        self.succeeded_at: dict[str, float] = {}
 
     def record_success(self, engine: str) -> None:
         """Record that an engine answered without an error."""
+        self.succeeded_at[engine] = self.clock()
         health = self.health.get(engine)
         if health is None:
             return
@@ -71,6 +76,7 @@
         """Record that an engine reset a connection or refuses connections, and eject it."""
         health = self.health.setdefault(engine, EngineHealth())
         health.is_refusing_connections = is_refusing_connections
+        self.succeeded_at.pop(engine, None)
         ejection_s = min(MAX_EJECTION_S, FIRST_UNREACHABLE_EJECTION_S * 2**health.ejections)
         health.ejections += 1
         self.eject(engine, health, ejection_s, is_unreachable=True)
@@ -102,6 +108,7 @@
     def remove_engine(self, engine: str) -> None:
         """Remove the state of an engine that is gone."""
         self.health.pop(engine, None)
+        self.succeeded_at.pop(engine, None)
 
     def is_refusing_connections(self, engine: str) -> bool:
         """Return whether an ejected engine refused connections and has not succeeded since."""
@@ -123,6 +130,9 @@
         report_counts = Counter(chain.from_iterable(self.reports.values()))
         # A report of one router alone may come from a fault on its own network path.
         ejected = {name for name, count in report_counts.items() if count >= MIN_REPORTS} & names
+        # Nor does one of many that are cut off together say more than an answer here.
+        latest_old = self.clock() - OWN_EVIDENCE_S
+        ejected -= {name for name, at in self.succeeded_at.items() if at > latest_old}
         ejected |= {name for name in self.health if self.is_ejected(name)} & names
         if len(ejected) > MAX_EJECTED_FRACTION * len(names):
             return names
--- a/marjoramspool/tests/test_engine_availability.py
+++ b/marjoramspool/tests/test_engine_availability.py
@@ -205,3 +205,18 @@
     assert detector.is_refusing_connections("a")
     detector.record_failure("a")
     assert not detector.is_refusing_connections("a")
+
+
+def test_reports_of_routers_that_are_cut_off_do_not_eject_an_engine_that_answers_here(clock):
+    """Most routers of a failure domain lose the path to one engine and report it."""
+    detector = OutlierDetector(clock)
+    for router in "xyz":
+        detector.record_report(router, frozenset("a"))
+    assert detector.exclude_ejected("abc") == {"b", "c"}
+    detector.record_success("a")
+    assert detector.exclude_ejected("abc") == {"a", "b", "c"}
+    clock.now += 2.0
+    assert detector.exclude_ejected("abc") == {"b", "c"}
+    detector.record_success("a")
+    detector.record_unreachable("a", is_refusing_connections=False)
+    assert detector.exclude_ejected("abc") == {"b", "c"}
