Soak: routers that lose the path to all engines, and the rule on their callers (RECOVER)

The invariant is the users' rule: from 3 s after a cut, two thirds of the share that the others serve, beyond 10 requests. The user timeout of sockets is said to decide alone.

--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -98,7 +98,7 @@
         self.selector = EngineSelector(
             settings.failure_domain, self.engines, lambda: self.table_watcher.table
         )
-        self.sessions = EngineSessions()
+        self.sessions = EngineSessions(settings.address)
         self.sessions.on_departure.append(self.engines.record_announcement)
         self.sessions.on_pause.append(self.selector.pauses.record)
         self.sessions.on_brittle.append(self.selector.room.record_answer)
--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -104,12 +104,13 @@
         call(key, limit_per_s, sent_at)
 
 
-async def can_connect(address: str, timeout_s: float) -> bool:
+async def can_connect(address: str, timeout_s: float, local_address: str | None = None) -> bool:
     """Return whether something at `HOST:PORT` accepts a connection within some seconds."""
+    local = (local_address, 0) if local_address else None
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(timeout_s):
-            _, writer = await asyncio.open_connection(host, int(port))
+            _, writer = await asyncio.open_connection(host, int(port), local_addr=local)
     except (OSError, TimeoutError):
         return False
     writer.transport.abort()
@@ -139,16 +140,18 @@
     socket_factory: Callable | None = None,
     idle_timeout_s: float = 15.0,
     max_connections: int = 0,
+    local_address: str | None = None,
 ) -> aiohttp.ClientSession:
     """Open a client session; without `keep_alive`, each connection serves one request only.
 
     A connection that was idle for `idle_timeout_s` seconds is not reused. `max_connections` at a
-    time are open, any number if it is 0.
+    time are open, any number if it is 0. They come from `local_address` if one is given.
     """
     connector = aiohttp.TCPConnector(
         limit=max_connections,
         force_close=not keep_alive,
         socket_factory=socket_factory,
+        local_addr=(local_address, 0) if local_address else None,
         **({"keepalive_timeout": idle_timeout_s} if keep_alive else {}),
     )
     # aiohttp has no public option for the class of its connections.
--- a/marjoramspool/keepalive.py
+++ b/marjoramspool/keepalive.py
@@ -7,6 +7,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# It also decides when unanswered probes give up, whatever their number; a sound peer may be silent
+# for more than a second.
 USER_TIMEOUT_MS = 2500
 
 
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -82,6 +82,7 @@
 
     __slots__ = (
         "fresh",
+        "local_address",
         "memory",
         "on_brittle",
         "on_departure",
@@ -90,7 +91,8 @@
         "pooled",
     )
 
-    def __init__(self):
+    def __init__(self, local_address: str | None = None):
+        self.local_address = local_address
         self.memory = AnswerMemory()
         self.on_brittle: list[Callable[[Engine, bool], None]] = []
         self.on_departure: list[Callable[[Engine], None]] = []
@@ -100,20 +102,25 @@
     async def __aenter__(self):
         trace = aiohttp.TraceConfig()
         trace.on_connection_reuseconn.append(record_connection_reuse)
-        self.pooled = new_session(
-            CONNECT_TIMEOUT_S, socket_factory=keepalive_socket, idle_timeout_s=POOL_IDLE_TIMEOUT_S
-        )
+        self.pooled = self.new_session(idle_timeout_s=POOL_IDLE_TIMEOUT_S)
         self.pooled.trace_configs.append(trace)
         trace.freeze()
-        self.fresh = new_session(
-            CONNECT_TIMEOUT_S, keep_alive=False, socket_factory=keepalive_socket
-        )
+        self.fresh = self.new_session(keep_alive=False)
         return self
 
     async def __aexit__(self, *details):
         await self.pooled.close()
         await self.fresh.close()
 
+    def new_session(self, **options) -> aiohttp.ClientSession:
+        """Open a session to engines, from the address by which they know this host."""
+        return new_session(
+            CONNECT_TIMEOUT_S,
+            socket_factory=keepalive_socket,
+            local_address=self.local_address,
+            **options,
+        )
+
     @asynccontextmanager
     async def open(self, request: RoutedRequest, attempt: Attempt):
         """Send an attempt and yield its answer; raise as attempts.EngineClient documents."""
@@ -148,7 +155,7 @@
         Fault: an engine has started again under its id, maybe with other software, and the list
         of engines does not know it yet. Raise NotSentError or DisplacedError.
         """
-        session = new_session(CONNECT_TIMEOUT_S, socket_factory=keepalive_socket, max_connections=1)
+        session = self.new_session(max_connections=1)
         await stack.enter_async_context(session)
         url = f"http://{engine.address}{REPORT_PATH}"
         try:
@@ -201,7 +208,7 @@
 
     async def can_connect(self, engine: Engine, timeout_s: float) -> bool:
         """Return whether an engine accepts a new connection within some seconds."""
-        return await can_connect(engine.address, timeout_s)
+        return await can_connect(engine.address, timeout_s, self.local_address)
 
     async def send(
         self,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,7 @@
 
 from soak.callers import send_poison
 from soak.fleet import Fleet
+from soak.history import PATH_CUT
 from soak.links import Mode
 from standins.faults import Fault
 
@@ -28,6 +29,7 @@
 # Long enough for a window of the rule on limits.
 LIMIT_S = 9.0
 POISON_S = 12.0
+CUT_S = 8.0
 ENGINE_FAULTS = ("shed", "error", "reset", "cut", "extra", "foreign", "bare", "unframed-cut")
 STORE_FAULTS = ("outage", "silent", "slow", "lose-reply")
 
@@ -186,6 +188,25 @@
         await fleet.register(engine, sequence=1)
 
 
+async def cut_from_engines(fleet: Fleet, fault: ScheduledFault) -> None:
+    """Reset all connections from some routers to all engines, and refuse new ones."""
+    numbers = {(fault.random_value + offset) % fleet.count for offset in range(int(fault.variant))}
+    until = time.monotonic() + CUT_S
+    for number in numbers:
+        fleet.history.record_disturbance(number, time.monotonic(), CUT_S, PATH_CUT)
+    sources = {fleet.routers[number].process.settings.address for number in numbers}
+    while time.monotonic() < until:
+        # Engines that start meanwhile are out of reach, too.
+        for link in fleet.links.values():
+            if not sources <= link.refused:
+                link.refused |= sources
+                for source in sources:
+                    link.reset(source)
+        await asyncio.sleep(0.1)
+    for link in fleet.links.values():
+        link.refused -= sources
+
+
 async def inject_store_fault(fleet: Fleet, fault: ScheduledFault) -> None:
     """Inject a fault of the store that affects all routers."""
     store = fleet.platform.store
@@ -335,6 +356,7 @@
     "repeat poison": repeat_poison,
     "release version": release_version,
     "restart version": restart_version,
+    "cut from engines": cut_from_engines,
 }
 # Seeds draw from the kinds that existed when they were first played.
 FIRST_SEEDS = {
@@ -345,6 +367,7 @@
     "repeat poison": 30_000,
     "release version": 40_000,
     "restart version": 40_000,
+    "cut from engines": 50_000,
 }
 # Kinds with many variants are drawn more often.
 KIND_WEIGHTS = {
@@ -358,6 +381,7 @@
     "repeat poison": 4,
     "release version": 6,
     "restart version": 3,
+    "cut from engines": 6,
 }
 LINK_MODES = tuple(mode.value for mode in Mode if mode is not Mode.OPEN)
 VARIANTS = {
@@ -368,4 +392,5 @@
     "name limit": ("1", "3"),
     "release version": ("v1", "v2", "v3"),
     "restart version": ("v1", "v2", "v3"),
+    "cut from engines": ("1", "3"),
 }
--- a/soak/history.py
+++ b/soak/history.py
@@ -4,7 +4,11 @@
 
 from bench.platform_fleet import PlatformFleet
 
-__all__ = ["ConfigurationChange", "Disturbance", "History", "Sent", "Violation"]
+__all__ = ["PATH_CUT", "ConfigurationChange", "Disturbance", "History", "Sent", "Violation"]
+
+
+# A router loses its path to all engines; callers, store and other routers reach it.
+PATH_CUT = "path to engines"
 
 
 @dataclass(slots=True)
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -4,7 +4,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 
-from soak.history import ConfigurationChange, History, Sent, Violation
+from soak.history import PATH_CUT, ConfigurationChange, History, Sent, Violation
 from standins.platform_engine import Arrival
 
 __all__ = ["STREAM_EVENTS", "check"]
@@ -35,6 +35,9 @@
 MIN_POISON_ENDS = 3
 MAX_LATE_POISON = 3
 MAX_JOINED_STREAMS = 2
+MIN_PATH_REQUESTS = 20
+MIN_PATH_SHARE = 2 / 3
+PATH_SLACK_REQUESTS = 10
 
 
 def check(history: History) -> list[Violation]:
@@ -54,6 +57,7 @@
         *check_limits(history),
         *check_poison(history),
         *check_versions(history),
+        *check_paths(history),
         *check_planned_stops(history, arrivals),
         *check_configuration(history),
         *check_configuration_order(history),
@@ -216,6 +220,45 @@
         yield Violation("stream versions", f"{len(joined)} streams: {', '.join(joined[:5])}")
 
 
+def check_paths(history: History) -> Iterator[Violation]:
+    """Check that routers without a path to engines serve their callers nearly as the others do."""
+    cuts = [d for d in history.disturbances if d.what == PATH_CUT]
+    shares = {}
+    for is_cut in (True, False):
+        requests = [
+            sent
+            for sent in finished_requests(history)
+            if sent.kind in ("lookup", "order", "report")
+            and sent.status != 401
+            and not sent.has_left
+            and any(c.since + STABILIZATION_S <= sent.sent < c.until - 1.0 for c in cuts)
+            and is_cut
+            == any(c.router == sent.router and c.since <= sent.sent < c.until for c in cuts)
+            and not is_disturbed_beside(history, sent)
+        ]
+        served = sum(sent.status == 200 and sent.body is not None for sent in requests)
+        shares[is_cut] = (served, len(requests))
+    (served_cut, cut), (served_else, others) = shares[True], shares[False]
+    if cut < MIN_PATH_REQUESTS or not served_else:
+        return
+    if served_cut / cut < MIN_PATH_SHARE * served_else / others and (
+        cut - served_cut > PATH_SLACK_REQUESTS
+    ):
+        detail = f"{served_cut} of {cut} served without a path, {served_else} of {others} else"
+        yield Violation("paths to engines", detail)
+
+
+def is_disturbed_beside(history: History, sent: Sent) -> bool:
+    """Return whether another fault than a cut from engines affects a router or engines."""
+    return any(
+        d.what != PATH_CUT
+        and d.router in (None, sent.router)
+        and d.since <= sent.ended
+        and d.until >= sent.sent - STABILIZATION_S
+        for d in history.disturbances
+    )
+
+
 def check_planned_stops(history: History, arrivals: Counter) -> Iterator[Violation]:
     """Check that planned stops cut off no request that had reached an engine."""
     stops = [d for d in history.disturbances if d.is_planned]
--- a/soak/links.py
+++ b/soak/links.py
@@ -38,6 +38,8 @@
         self.delay_s = 0.0
         self.mode_changed = asyncio.Condition()
         self.writers: set[asyncio.StreamWriter] = set()
+        # Addresses whose connections are reset.
+        self.refused: set[str] = set()
         self.server: asyncio.Server | None = None
         self.address = ""
 
@@ -58,14 +60,16 @@
         if mode is Mode.REFUSING:
             self.reset()
 
-    def reset(self) -> None:
-        """Reset all open connections."""
+    def reset(self, source: str | None = None) -> None:
+        """Reset all open connections, or those from one address."""
         for writer in list(self.writers):
-            reset_connection(writer)
+            if source in (None, writer.get_extra_info("peername", ("",))[0]):
+                reset_connection(writer)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Proxy one connection in both directions."""
-        if self.mode is Mode.REFUSING:
+        source = writer.get_extra_info("peername")[0]
+        if self.mode is Mode.REFUSING or source in self.refused:
             reset_connection(writer)
             return
         host, _, port = self.target().rpartition(":")
--- a/soak/tests/test_invariants.py
+++ b/soak/tests/test_invariants.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from soak.history import ConfigurationChange, History, Sent
+from soak.history import PATH_CUT, ConfigurationChange, History, Sent
 from soak.invariants import STREAM_EVENTS, check
 from standins.platform_engine import Arrival, PlatformEngine
 
@@ -207,3 +207,12 @@
             arrival.version = version
             arrival.has_sent_events = True
     assert violated(history) == {"stream versions"}
+
+
+def test_callers_of_a_router_without_a_path_that_are_not_served_are_reported(history):
+    history.record_disturbance(0, 90.0, 20.0, PATH_CUT)
+    for number in range(40):
+        ask(history, f"r{number}", "lookup", at=100.0, status=503 if number < 20 else 200)
+    for sent in history.requests[20:]:
+        sent.router = 1
+    assert violated(history) == {"paths to engines"}
