Select the keepers of a stream without sorting all routers (ORDER)

The same rule, other ranks, so that a fleet of both revisions asks other keepers first and then all.

--- a/marjoramspool/hashing.py
+++ b/marjoramspool/hashing.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-__all__ = ["content_id", "digest", "fraction", "long_digest", "rank", "score"]
+__all__ = ["content_id", "digest", "draw", "fraction", "long_digest", "rank", "score"]
 
 HASH_SPACE = 1 << 64
 
@@ -39,9 +39,14 @@
     return text.encode() if isinstance(text, str) else text
 
 
+def draw(key: int, name: str) -> int:
+    """Return the 64-bit hash of a name for a key, which ranks names as `score` does."""
+    return xxhash.xxh3_64_intdigest(name.encode(), seed=key)
+
+
 def score(key: int, name: str, weight: float = 1.0) -> float:
     """Return the rendezvous score of a name for a key; the highest score wins."""
-    uniform = (xxhash.xxh3_64_intdigest(name.encode(), seed=key) + 1) / (HASH_SPACE + 2)
+    uniform = (draw(key, name) + 1) / (HASH_SPACE + 2)
     return -weight / math.log(uniform)
 
 
--- a/marjoramspool/stream_origins.py
+++ b/marjoramspool/stream_origins.py
@@ -5,6 +5,7 @@
 engines of two versions write does not fit together, and they do not check it.
 """
 
+import heapq
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 from typing import Protocol
@@ -115,12 +116,13 @@
     They are ranked by the content; those of another failure domain than the ones before go first,
     so that the loss of a domain leaves one.
     """
-    ranked = hashing.rank(content, domains)
-    seen: set[str] = set()
-    spread = []
-    for address in ranked:
-        if domains[address] not in seen:
-            seen.add(domains[address])
-            spread.append(address)
-    rest = [address for address in ranked if address not in spread]
-    return [*spread, *rest][:count]
+    best: dict[str, tuple[int, str]] = {}
+    drawn = [(hashing.draw(content, address), address) for address in domains]
+    for entry in drawn:
+        domain = domains[entry[1]]
+        best[domain] = max(best.get(domain, entry), entry)
+    spread = sorted(best.values(), reverse=True)[:count]
+    if len(spread) < count:
+        rest = set(drawn).difference(spread)
+        spread += heapq.nlargest(count - len(spread), rest)
+    return [address for _, address in spread]
