--- a/bench/engine_cut.py
+++ b/bench/engine_cut.py
@@ -8,7 +8,14 @@
 
 from marjoramspool.platform.egress import EngineSessions
 
-__all__ = ["CutMode", "cut_from_engines", "restore_path"]
+__all__ = [
+    "CutMode",
+    "cut_from_engines",
+    "hang",
+    "kept_transports",
+    "refuse",
+    "restore_path",
+]
 
 
 class CutMode(enum.Enum):
