--- a/marjoramspool/reach_monitor.py
+++ b/marjoramspool/reach_monitor.py
@@ -44,13 +44,27 @@
     async def probe(self, service: str) -> None:
         """Run one round of probes of a service."""
         probed = self.reach.begin_round(service, self.engines.usable(service))
-        connected = await self.connect(probed)
+        connected = await self.connect(probed, len(probed) // 2 + 1)
         self.reach.record_round(service, connected, PROBE_TIMEOUT_S)
 
-    async def connect(self, engines: Iterable[Engine]) -> list[bool]:
-        """Return whether each engine accepts a new connection."""
-        probes = [self.prober.can_connect(engine, PROBE_TIMEOUT_S) for engine in engines]
-        return await asyncio.gather(*probes)
+    async def connect(self, engines: Iterable[Engine], enough: int) -> list[bool]:
+        """Return whether each engine accepts a new connection.
+
+        Those that have not answered when `enough` did count as not connected: a request waits for
+        the result, and must not wait for one silent engine.
+        """
+        probes = [
+            asyncio.create_task(self.prober.can_connect(engine, PROBE_TIMEOUT_S))
+            for engine in engines
+        ]
+        connected = 0
+        for probe in asyncio.as_completed(probes):
+            connected += await probe
+            if connected >= enough:
+                break
+        for probe in probes:
+            probe.cancel()
+        return [n < connected for n in range(len(probes))]
 
     async def has_lost_path(self, engine: Engine) -> bool:
         """Return whether an engine that refuses connections may be sound, behind a cut.
@@ -62,7 +76,7 @@
         same = [e for e in others if e.service == engine.service]
         other = [e for e in others if e.service != engine.service]
         for group in (same, other):
-            connected = await self.connect(select_probed(group, random.getrandbits(16)))
+            connected = await self.connect(select_probed(group, random.getrandbits(16)), 1)
             if any(connected):
                 return False
         return bool(others)
--- a/marjoramspool/tests/test_engine_reach.py
+++ b/marjoramspool/tests/test_engine_reach.py
@@ -1,7 +1,10 @@
 """When a router takes the engines of a service for out of reach, and for back."""
 
-from marjoramspool.engine_list import Engine
+import asyncio
+
+from marjoramspool.engine_list import Engine, EngineList
 from marjoramspool.engine_reach import MAX_PROBED, EngineReach, Path, select_probed
+from marjoramspool.reach_monitor import ReachMonitor
 
 TIMEOUT_S = 0.25
 ENGINES = [Engine(f"i-{n}", "s", f"1.1.1.1:{n}", f"z{n % 3}", 8, False, 1) for n in range(9)]
@@ -62,3 +65,35 @@
     assert set(first) != set(second)
     assert select_probed(ENGINES[:1], 7) == ENGINES[:1]
     assert select_probed([], 0) == []
+
+
+class SilentProber:
+    """Engines of which some never answer."""
+
+    def __init__(self, silent):
+        self.silent = silent
+
+    async def can_connect(self, engine, timeout_s):
+        if engine.id in self.silent:
+            await asyncio.sleep(timeout_s)
+            return False
+        return True
+
+
+async def test_a_request_does_not_wait_for_one_silent_engine():
+    engines = EngineList()
+    engines.replace_all(ENGINES)
+    monitor = ReachMonitor(engines, SilentProber({"i-0"}))
+    async with asyncio.timeout(0.1):
+        await monitor.confirm("s")
+        assert not await monitor.has_lost_path(ENGINES[0])
+    assert monitor.reach.path("s") is Path.FULL
+
+
+async def test_all_silent_engines_are_out_of_reach():
+    engines = EngineList()
+    engines.replace_all(ENGINES)
+    monitor = ReachMonitor(engines, SilentProber({engine.id for engine in ENGINES}))
+    await monitor.confirm("s")
+    assert monitor.reach.path("s") is Path.NONE
+    assert await monitor.has_lost_path(ENGINES[0])
