Split the resumption of streams off the forwarding, and match on refusals

What keeps a stream at its version over breaks is a class of its own in stream_resumption.py; the five reasons why no engine gets a request are one match. No behaviour changes; the platform's tests of answers, versions and cuts pass.

--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack, aclosing, asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 from marjoramspool.attempt_history import DEFAULT_RETRY_AFTER_S, AttemptHistory
 from marjoramspool.attempts import (
@@ -19,11 +19,9 @@
 from marjoramspool.engine_reach import Path
 from marjoramspool.engine_room import AllFull
 from marjoramspool.engine_selector import EngineSelector, Placement
-from marjoramspool.event_stream import StreamEvent
 from marjoramspool.events import Event, log
 from marjoramspool.failures import (
     AttemptError,
-    BrokenAnswerError,
     DisplacedError,
     MayHaveRunError,
     NotSentError,
@@ -36,19 +34,14 @@
 from marjoramspool.metrics import Metrics
 from marjoramspool.outcomes import NotRun, Problem, Unknown
 from marjoramspool.peer_attempts import PeerAttempts, PeerPathSource
-from marjoramspool.poison_parts import MAX_END_DELAY_S, Quarantine
+from marjoramspool.poison_parts import Quarantine
 from marjoramspool.queue_rank import RESUMED_RANK
 from marjoramspool.reach_monitor import ReachMonitor
 from marjoramspool.request_limits import AllLimited
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.retries import SharedRetryBudget
-from marjoramspool.stream_origins import (
-    OriginSource,
-    content_key,
-    request_key,
-    resumed_key,
-    stream_keys,
-)
+from marjoramspool.stream_origins import OriginSource
+from marjoramspool.stream_resumption import StreamResumption
 
 __all__ = ["Forwarding"]
 
@@ -61,8 +54,6 @@
 PREFILL_TOKENS_PER_S = 40_000
 # No attempt is started with less time than this before the deadline.
 MIN_REMAINING_S = 0.02
-# Version of a stream of which nothing is known; no engine has it.
-UNKNOWN_VERSION = ""
 
 
 class Forwarding:
@@ -76,12 +67,12 @@
         "bounds",
         "client",
         "metrics",
-        "origins",
         "peer_attempts",
         "reach",
         "retry_budgets",
         "router_count",
         "selector",
+        "streams",
     )
 
     def __init__(
@@ -98,7 +89,7 @@
         self.reach = reach
         self.peer_attempts = PeerAttempts(paths)
         self.metrics = metrics
-        self.origins = origins
+        self.streams = StreamResumption(self, origins)
         self.selector = selector
         self.client = client
         self.bounds = bounds
@@ -123,45 +114,16 @@
             history = AttemptHistory()
             try:
                 async with asyncio.timeout(max(0.0, request.remaining_s())):
-                    await self.find_version(request, history)
+                    await self.streams.find_version(request, history)
                     outcome = await self.run_attempts(request, history, stack, request.after_event)
             except TimeoutError:
                 outcome = self.deadline_outcome(history)
             self.metrics.count(f"outcomes.{type(outcome).__name__}")
             if isinstance(outcome, StreamAnswer):
                 events = outcome.events
-                outcome.events = self.resumable_stream(request, history, stack, events)
+                outcome.events = self.streams.resumable_stream(request, history, stack, events)
             yield outcome
 
-    async def find_version(self, request: RoutedRequest, history: AttemptHistory) -> None:
-        """Find the only version at which a stream that a caller resumes may go on."""
-        if not request.is_resumption:
-            return
-        history.version = UNKNOWN_VERSION
-        if request.route.is_resumable:
-            origin = self.origins.find(content_key(request), resumed_key(request))
-            history.version = await origin or UNKNOWN_VERSION
-
-    def can_go_on(self, request: RoutedRequest, history: AttemptHistory) -> bool:
-        """Return whether a stream is new, or has a known version that some engine serves."""
-        version = history.version
-        if version is None or (version and self.selector.engines.usable(request.service, version)):
-            return True
-        why = (
-            f"no engine of version {version}, which began the stream, serves"
-            if version
-            else "the version that began the stream is not known"
-        )
-        log(
-            Event.STREAM_NOT_RESUMED,
-            request=request.id,
-            resumes=request.first_request,
-            after=request.after_event,
-            why=why,
-        )
-        history.record_not_resumable(why)
-        return False
-
     def deadline_outcome(self, history: AttemptHistory) -> NotRun | Unknown:
         """Return the outcome of a request whose deadline passed without an answer."""
         if history.possible_runs:
@@ -210,25 +172,11 @@
                     # It needs a new connection, and none opens.
                     history.record_no_path()
                     break
-            if not self.can_go_on(request, history):
+            if not self.streams.can_go_on(request, history):
                 break
             placement = self.selector.place(request, history.tried_engines, history.version)
-            if placement is None:
-                break
-            if isinstance(placement, Shed):
-                history.problem = self.shed_problem(request, placement)
-                break
-            if isinstance(placement, AllPaused):
-                history.record_all_paused(placement)
-                break
-            if isinstance(placement, AllLimited):
-                history.record_all_limited(placement)
-                break
-            if isinstance(placement, AllFull):
-                history.record_all_full(placement)
-                break
-            if isinstance(placement, Quarantine):
-                history.record_quarantine(placement, placement.retry_after_s(now()))
+            if not isinstance(placement, Placement):
+                self.record_not_placed(request, history, placement)
                 break
             async with AsyncExitStack() as attempt:
                 result = await self.send_attempt(request, placement, history, attempt, after_event)
@@ -241,6 +189,25 @@
                 await self.reach.confirm(request.service)
         return Unknown(history.problem) if history.possible_runs else NotRun(history.problem)
 
+    def record_not_placed(
+        self,
+        request: RoutedRequest,
+        history: AttemptHistory,
+        reason: Shed | AllPaused | AllLimited | AllFull | Quarantine | None,
+    ) -> None:
+        """Record why no engine gets a request, and what its caller is told."""
+        match reason:
+            case Shed():
+                history.problem = self.shed_problem(request, reason)
+            case AllPaused():
+                history.record_all_paused(reason)
+            case AllLimited():
+                history.record_all_limited(reason)
+            case AllFull():
+                history.record_all_full(reason)
+            case Quarantine():
+                history.record_quarantine(reason, reason.retry_after_s(now()))
+
     def handle_failed_peer(
         self, request: RoutedRequest, history: AttemptHistory, error: AttemptError
     ) -> bool:
@@ -439,105 +406,6 @@
                     and self.retry_budget(request.service).try_acquire()
                 )
 
-    async def resumable_stream(
-        self,
-        request: RoutedRequest,
-        history: AttemptHistory,
-        stack: AsyncExitStack,
-        events: AsyncIterator[StreamEvent],
-    ) -> AsyncIterator[StreamEvent]:
-        """Yield all events of an answer, resuming at another engine if the stream breaks.
-
-        Raise BrokenAnswerError if the stream cannot be resumed.
-        """
-        async with AsyncExitStack() as unfinished:
-            # Its caller may come back.
-            unfinished.callback(self.announce_origin, request, history)
-            async with aclosing(self.joined_stream(request, history, stack, events)) as joined:
-                async for event in joined:
-                    if not history.has_brought_event:
-                        history.has_brought_event = True
-                        self.announce_origin(request, history)
-                    yield event
-            unfinished.pop_all()
-
-    def announce_origin(self, request: RoutedRequest, history: AttemptHistory) -> None:
-        """Tell the keepers of a stream the version that began it, if it may be resumed."""
-        if history.version and request.route.is_resumable:
-            streams = stream_keys(request)
-            self.origins.announce(content_key(request), streams, history.version)
-
-    async def joined_stream(
-        self,
-        request: RoutedRequest,
-        history: AttemptHistory,
-        stack: AsyncExitStack,
-        events: AsyncIterator[StreamEvent],
-    ) -> AsyncIterator[StreamEvent]:
-        """Yield the events of one engine after another, as `resumable_stream` specifies."""
-        last_event_id = request.after_event
-        while True:
-            try:
-                async for event in events:
-                    if event.event_id is not None:
-                        if last_event_id is not None and event.event_id <= last_event_id:
-                            continue
-                        last_event_id = event.event_id
-                    self.confirm_answer(request, history, MAX_END_DELAY_S)
-                    if history.version is None and history.placement is not None:
-                        history.version = history.placement.engine.version
-                    yield event
-                self.confirm_answer(request, history, 0.0)
-                return
-            except AttemptError as error:
-                failure = error
-            self.confirm_answer(request, history, MAX_END_DELAY_S)
-            self.metrics.count(f"attempts_failed.{type(failure).__name__}")
-            if history.placement is not None:
-                if history.answered_at is not None:
-                    await self.record_if_ended(request, history.placement)
-                self.selector.outliers.record_failure(history.placement.engine.id)
-                await self.reach.confirm(request.service)
-            if not request.route.is_resumable or last_event_id is None:
-                raise BrokenAnswerError(str(failure))
-            if history.version is None:
-                # The router that began the stream has told its version to others.
-                key = request_key(request, request.id)
-                origin = self.origins.find(content_key(request), key)
-                history.version = await origin or UNKNOWN_VERSION
-            await stack.aclose()
-            events = await self.resume(request, history, stack, last_event_id, failure)
-
-    async def resume(
-        self,
-        request: RoutedRequest,
-        history: AttemptHistory,
-        stack: AsyncExitStack,
-        last_event_id: int,
-        failure: AttemptError,
-    ) -> AsyncIterator[StreamEvent]:
-        """Resume a stream after its last event; return the events that follow."""
-        log(Event.ATTEMPT_FAILED, request=request.id, why=str(failure), after=last_event_id)
-        if not (
-            self.is_retry_allowed(request, history)
-            and self.retry_budget(request.service).try_acquire()
-        ):
-            raise BrokenAnswerError(str(failure))
-        outcome = await self.run_attempts(request, history, stack, last_event_id)
-        if not isinstance(outcome, StreamAnswer):
-            raise BrokenAnswerError(
-                f"{failure}; no other engine resumed the stream after event {last_event_id}"
-            )
-        placement = history.placement
-        log(
-            Event.STREAM_RESUMED,
-            request=request.id,
-            after=last_event_id,
-            engine=placement.engine.id if placement else None,
-            version=history.version,
-        )
-        return outcome.events
-
 
 def make_attempt(placement: Placement, after_event: int | None) -> Attempt:
     """Return the attempt for a placement; a resumed stream gets the rank `RESUMED_RANK`."""
