--- a/marjoramspool/stream_resumption.py
+++ b/marjoramspool/stream_resumption.py
@@ -90,7 +90,7 @@
             unfinished.pop_all()
 
     def announce_origin(self, request: RoutedRequest, history: AttemptHistory) -> None:
-        """Tell the keepers of a stream the version that began it, if it may be resumed."""
+        """Tell the replicas of a stream the version that began it, if it may be resumed."""
         if history.version and request.route.is_resumable:
             streams = stream_keys(request)
             self.origins.announce(content_key(request), streams, history.version)
@@ -147,7 +147,8 @@
         """Resume a stream after its last event; return the events that follow."""
         log(Event.ATTEMPT_FAILED, request=request.id, why=str(failure), after=last_event_id)
         if not (
-            self.forwarding.is_retry_allowed(request, history)
+            self.can_go_on(request, history)
+            and self.forwarding.is_retry_allowed(request, history)
             and self.forwarding.retry_budget(request.service).try_acquire()
         ):
             raise BrokenAnswerError(str(failure))
