--- a/marjoramspool/peers/origin_exchange.py
+++ b/marjoramspool/peers/origin_exchange.py
@@ -1,4 +1,4 @@
-"""Exchange of the versions at which streams began, by datagrams to and from their keepers."""
+"""Exchange of the versions at which streams began, by datagrams to and from their replicas."""
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -6,16 +6,16 @@
 
 from marjoramspool.peers.directory import Directory
 from marjoramspool.peers.messages import OriginQuery, OriginReport, StreamOriginEntry, encode
-from marjoramspool.stream_origins import KEEPERS, StreamOrigins, select_keepers
+from marjoramspool.stream_origins import REPLICAS, StreamOrigins, select_replicas
 
 __all__ = ["ORIGINS_REVISION", "OriginExchange"]
 
 # Routers whose messages are of an earlier revision neither keep origins nor answer queries.
 ORIGINS_REVISION = 1
-# Besides the keepers, those are asked first that other views of the live routers would select.
-ASKED_FIRST = KEEPERS + 2
+# Besides the replicas, those are asked first that other views of the live routers would select.
+ASKED_FIRST = REPLICAS + 2
 # Datagrams may be lost, so those who do not reply are asked twice.
-KEEPER_REPLY_WAITS_S = (0.04, 0.06)
+REPLICA_REPLY_WAITS_S = (0.04, 0.06)
 WIDE_REPLY_WAITS_S = (0.08, 0.15)
 # Load pattern: a router ends, and the callers of all its streams ask for origins that few know of.
 MAX_WIDE_DATAGRAMS_PER_S = 4000.0
@@ -79,12 +79,12 @@
         }
 
     def announce(self, content: int, streams: Iterable[int], version: str) -> None:
-        """Record the version at which a stream began by each of its keys, here and at keepers."""
+        """Record the version at which a stream began by each of its keys, here and at replicas."""
         streams = tuple(streams)
         for stream in streams:
             self.known.record(stream, version)
         message = OriginReport(tuple(StreamOriginEntry(stream, version) for stream in streams))
-        self.send(encode(message), select_keepers(content, self.domains(), KEEPERS))
+        self.send(encode(message), select_replicas(content, self.domains(), REPLICAS))
 
     async def find(self, content: int, stream: int) -> str | None:
         """Return the version at which a stream began, None if no router that replies knows it."""
@@ -98,15 +98,15 @@
         return await asyncio.shield(task)
 
     async def search(self, content: int, stream: int) -> str | None:
-        """Ask the keepers of a stream, then all routers, for its origin."""
+        """Ask the replicas of a stream, then all routers, for its origin."""
         domains = self.domains()
         search = self.searches[stream] = Search()
         try:
-            keepers = select_keepers(content, domains, ASKED_FIRST)
-            for wait_s in KEEPER_REPLY_WAITS_S:
-                if search.version is None and (silent := set(keepers) - search.answered):
+            replicas = select_replicas(content, domains, ASKED_FIRST)
+            for wait_s in REPLICA_REPLY_WAITS_S:
+                if search.version is None and (silent := set(replicas) - search.answered):
                     self.query((stream,), silent)
-                    await search.wait(keepers, wait_s)
+                    await search.wait(replicas, wait_s)
             for wait_s in WIDE_REPLY_WAITS_S:
                 if search.version is not None or not domains.keys() - search.answered:
                     break
--- a/marjoramspool/peers/tests/test_origin_exchange.py
+++ b/marjoramspool/peers/tests/test_origin_exchange.py
@@ -78,7 +78,7 @@
     sent = network.sent
     assert sent <= 3 * STREAMS
     assert await network.find_all(streams) == list(streams.values())
-    # Nearly all are found at their keepers, without asking everyone.
+    # Nearly all are found at their replicas, without asking everyone.
     assert network.sent - sent <= 20 * STREAMS
 
 
--- a/marjoramspool/stream_origins.py
+++ b/marjoramspool/stream_origins.py
@@ -16,13 +16,13 @@
 
 __all__ = [
     "AMBIGUOUS",
-    "KEEPERS",
+    "REPLICAS",
     "OriginSource",
     "StreamOrigins",
     "content_key",
     "request_key",
     "resumed_key",
-    "select_keepers",
+    "select_replicas",
     "stream_keys",
 ]
 
@@ -30,7 +30,7 @@
 RETENTION_S = 120.0
 MAX_STREAMS = 50_000
 # Routers that keep an origin, besides the one that began the stream.
-KEEPERS = 3
+REPLICAS = 3
 # Streams of different versions began under one key.
 AMBIGUOUS = ""
 
@@ -110,7 +110,7 @@
     return request_key(request, request.first_request)
 
 
-def select_keepers(content: int, domains: dict[str, str], count: int) -> list[str]:
+def select_replicas(content: int, domains: dict[str, str], count: int) -> list[str]:
     """Return the routers that keep the origins of streams of some content, of `domains` by address.
 
     They are ranked by the content; those of another failure domain than the ones before go first,
--- a/marjoramspool/tests/test_stream_origins.py
+++ b/marjoramspool/tests/test_stream_origins.py
@@ -2,11 +2,11 @@
 
 from marjoramspool.stream_origins import (
     AMBIGUOUS,
-    KEEPERS,
     MAX_STREAMS,
+    REPLICAS,
     RETENTION_S,
     StreamOrigins,
-    select_keepers,
+    select_replicas,
 )
 
 DOMAINS = {f"10.0.{n % 4}.{n}": f"zone-{n % 4}" for n in range(40)}
@@ -56,11 +56,11 @@
     assert origins.find(0) is None
 
 
-def test_keepers_are_in_different_domains_and_mostly_the_same_in_other_views():
+def test_replicas_are_in_different_domains_and_mostly_the_same_in_other_views():
     for stream in range(1, 1000):
-        keepers = select_keepers(stream, DOMAINS, KEEPERS)
-        assert len({DOMAINS[address] for address in keepers}) == KEEPERS
-        without_first = {a: d for a, d in DOMAINS.items() if a != keepers[0]}
-        assert set(keepers[1:]) <= set(select_keepers(stream, without_first, KEEPERS + 2))
-    assert select_keepers(1, {"a": "z"}, KEEPERS) == ["a"]
-    assert select_keepers(1, {}, KEEPERS) == []
+        replicas = select_replicas(stream, DOMAINS, REPLICAS)
+        assert len({DOMAINS[address] for address in replicas}) == REPLICAS
+        without_first = {a: d for a, d in DOMAINS.items() if a != replicas[0]}
+        assert set(replicas[1:]) <= set(select_replicas(stream, without_first, REPLICAS + 2))
+    assert select_replicas(1, {"a": "z"}, REPLICAS) == ["a"]
+    assert select_replicas(1, {}, REPLICAS) == []
