Ask others about a stream that is known by its content only (ORDER)

A router that began a stream itself took its version for that of an equal one which another router had begun at another version, if the caller named neither: a guess. It costs a round trip for a resumption without a name.

--- a/marjoramspool/peers/origin_exchange.py
+++ b/marjoramspool/peers/origin_exchange.py
@@ -6,7 +6,7 @@
 
 from marjoramspool.peers.directory import Directory
 from marjoramspool.peers.messages import OriginQuery, OriginReport, StreamOriginEntry, encode
-from marjoramspool.stream_origins import REPLICAS, StreamOrigins, select_replicas
+from marjoramspool.stream_origins import AMBIGUOUS, REPLICAS, StreamOrigins, select_replicas
 
 __all__ = ["ORIGINS_REVISION", "OriginExchange"]
 
@@ -23,29 +23,39 @@
 
 
 class Search:
-    """Search for the origin of one stream; `unanswered` are the routers that have yet to reply."""
+    """Search for the origin of one stream; `unanswered` are the routers that have yet to reply.
 
-    __slots__ = ("answered", "is_over", "unanswered", "version")
+    The first reply that names a version ends it, unless it waits for all, since an equal stream may
+    have begun at another version.
+    """
+
+    __slots__ = ("answered", "is_over", "unanswered", "version", "waits_for_all")
 
-    def __init__(self):
+    def __init__(self, waits_for_all: bool):
+        self.waits_for_all = waits_for_all
         self.answered: set[str] = set()
         self.unanswered: set[str] = set()
         self.version: str | None = None
         self.is_over = asyncio.Event()
 
     def record_reply(self, address: str, version: str | None) -> None:
-        """Record a reply; the search is over if it names a version, or is the last one."""
+        """Record a reply, and end the search if it is the last one that is needed."""
         self.answered.add(address)
         self.unanswered.discard(address)
-        if version is not None:
+        if version is not None and self.version != AMBIGUOUS:
             self.version = version
-        if version is not None or not self.unanswered:
+        if self.is_found or not self.unanswered:
             self.is_over.set()
 
+    @property
+    def is_found(self) -> bool:
+        """Return whether further replies can say nothing new."""
+        return self.version == AMBIGUOUS or (self.version is not None and not self.waits_for_all)
+
     async def wait(self, addresses: Iterable[str], wait_s: float) -> None:
         """Wait until the search is over or all of `addresses` have replied, at most `wait_s`."""
         self.unanswered = set(addresses) - self.answered
-        if self.version is not None or not self.unanswered:
+        if self.is_found or not self.unanswered:
             return
         self.is_over.clear()
         with suppress(TimeoutError):
@@ -87,9 +97,13 @@
         self.send(encode(message), select_replicas(content, self.domains(), REPLICAS))
 
     async def find(self, content: int, stream: int) -> str | None:
-        """Return the version at which a stream began, None if no router that replies knows it."""
+        """Return the version at which a stream began, None if no router that replies knows it.
+
+        A stream that is known by its content only is looked for elsewhere also if it is known here:
+        an equal one may have begun at another version.
+        """
         version = self.known.find(stream)
-        if version is not None:
+        if version is not None and stream != content:
             return version
         task = self.tasks.get(stream)
         if task is None:
@@ -100,18 +114,21 @@
     async def search(self, content: int, stream: int) -> str | None:
         """Ask the replicas of a stream, then all routers, for its origin."""
         domains = self.domains()
-        search = self.searches[stream] = Search()
+        search = self.searches[stream] = Search(stream == content)
         try:
             replicas = select_replicas(content, domains, ASKED_FIRST)
             for wait_s in REPLICA_REPLY_WAITS_S:
-                if search.version is None and (silent := set(replicas) - search.answered):
+                if not search.is_found and (silent := set(replicas) - search.answered):
                     self.query((stream,), silent)
                     await search.wait(replicas, wait_s)
             for wait_s in WIDE_REPLY_WAITS_S:
                 if search.version is not None or not domains.keys() - search.answered:
                     break
                 await search.wait(domains, self.query_widely(stream) + wait_s)
-            return search.version
+            if search.waits_for_all and self.directory.peers and not search.answered:
+                return None
+            # What the replies named and what was known here may differ.
+            return AMBIGUOUS if search.version == AMBIGUOUS else self.known.find(stream)
         finally:
             del self.searches[stream]
 
--- a/marjoramspool/peers/tests/test_origin_exchange.py
+++ b/marjoramspool/peers/tests/test_origin_exchange.py
@@ -8,6 +8,7 @@
 from marjoramspool.peers.directory import Directory
 from marjoramspool.peers.messages import MESSAGE_REVISION, decode_datagram
 from marjoramspool.peers.origin_exchange import OriginExchange
+from marjoramspool.stream_origins import AMBIGUOUS
 
 DOMAINS = 6
 STREAMS = 200
@@ -113,3 +114,24 @@
     exchange.announce(1, [1], "v1")
     assert await exchange.find(1, 2) is None
     assert network.sent == 0
+
+
+async def test_a_router_does_not_guess_from_its_own_stream_of_equal_content():
+    """Two routers began equal streams at two versions, and a caller names neither."""
+    network = FakeNetwork(8)
+    content = 4711
+    network.routers["r1"].announce(content, [content, 1], "v1")
+    network.routers["r2"].announce(content, [content, 2], "v2")
+    await asyncio.sleep(0.05)
+    for router in network.routers.values():
+        assert await router.find(content, content) == AMBIGUOUS
+        assert [await router.find(content, stream) for stream in (1, 2)] == ["v1", "v2"]
+
+
+async def test_a_router_that_hears_no_other_knows_its_own_streams_by_their_ids_only():
+    network = FakeNetwork(3)
+    content = 4711
+    network.routers["r1"].announce(content, [content, 1], "v1")
+    network.end(["r0", "r2"])
+    assert await network.routers["r1"].find(content, 1) == "v1"
+    assert await network.routers["r1"].find(content, content) is None
