--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -108,7 +108,7 @@
             "address": self.address,
             "zone": "zone-a",
             "version": self.version,
-            "slots": self.room or 16,
+            "slots": 16,
             "state": "ready",
             "cold_remaining_ms": 0,
             "sequence": 1,
