--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -16,18 +16,18 @@
 from bench.ports import free_ports
 from bench.readings import SocketBytes, memory_bytes
 from marjoramspool import hashing
-from marjoramspool.admission_messages import AdmissionRequest, EngineView
-from marjoramspool.bounded_placement import BoundedLoad, Holder
-from marjoramspool.cell import Cell
+from marjoramspool.admission.admission_messages import AdmissionRequest, EngineView
+from marjoramspool.admission.cell import Cell
 from marjoramspool.clock import now
 from marjoramspool.configuration import Configuration, encode_body
-from marjoramspool.engine_list import Engine, EngineList
-from marjoramspool.engine_selector import EngineSelector
+from marjoramspool.engine_state.engine_list import Engine, EngineList
 from marjoramspool.ledger import Finish, Shard, Take, apply_operation
 from marjoramspool.membership import Member, Membership
 from marjoramspool.operators.client import OperatorClient
+from marjoramspool.placement.bounded_placement import BoundedLoad, Holder
+from marjoramspool.placement.engine_selector import EngineSelector
+from marjoramspool.placement.ranking import Rankings
 from marjoramspool.prompts import Part, Prompt
-from marjoramspool.ranking import Rankings
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routers import peers_pb2 as pb
 from marjoramspool.routers import peers_pb2_grpc as rpc
--- a/marjoramspool/admission_control.py
+++ b/marjoramspool/admission/admission_control.py
@@ -10,14 +10,19 @@
 from typing import Protocol
 
 from marjoramspool import hashing, partition
-from marjoramspool.admission_messages import Admission, AdmissionRequest, EngineView, Refused
-from marjoramspool.bounded_placement import BoundedLoad, HashOnly, Policy, TwoChoices
-from marjoramspool.cell import Cell
+from marjoramspool.admission.admission_messages import (
+    Admission,
+    AdmissionRequest,
+    EngineView,
+    Refused,
+)
+from marjoramspool.admission.cell import Cell
 from marjoramspool.configuration import Configuration
 from marjoramspool.document import Document
 from marjoramspool.events import Event, log
 from marjoramspool.membership import Membership, State
-from marjoramspool.ranking import Rankings
+from marjoramspool.placement.bounded_placement import BoundedLoad, HashOnly, Policy, TwoChoices
+from marjoramspool.placement.ranking import Rankings
 from marjoramspool.targets import Targets, limit_key
 
 __all__ = [
--- a/marjoramspool/admission_messages.py
+++ b/marjoramspool/admission/admission_messages.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-from marjoramspool.bounded_placement import Holder
+from marjoramspool.placement.bounded_placement import Holder
 
 __all__ = ["URGENT_THRESHOLD", "Admission", "AdmissionRequest", "EngineView", "Granted", "Refused"]
 
--- a/marjoramspool/cell.py
+++ b/marjoramspool/admission/cell.py
@@ -8,14 +8,14 @@
 from dataclasses import dataclass, field
 
 from marjoramspool import hashing
-from marjoramspool.admission_messages import (
+from marjoramspool.admission.admission_messages import (
     Admission,
     AdmissionRequest,
     EngineView,
     Granted,
     Refused,
 )
-from marjoramspool.bounded_placement import (
+from marjoramspool.placement.bounded_placement import (
     BoundedLoad,
     Candidate,
     Policy,
--- a/marjoramspool/tests/test_admission_control.py
+++ b/marjoramspool/admission/tests/test_admission_control.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench.local import wait_until
-from marjoramspool.admission_control import OwnerUnavailableError
+from marjoramspool.admission.admission_control import OwnerUnavailableError
 from marjoramspool.configuration import Configuration
 from marjoramspool.routers.links import Links
 
--- a/marjoramspool/tests/test_cell.py
+++ b/marjoramspool/admission/tests/test_cell.py
@@ -8,9 +8,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from marjoramspool.admission_messages import AdmissionRequest, EngineView, Granted, Refused
-from marjoramspool.bounded_placement import MIN_LOAD_CAP, BoundedLoad, HashOnly, Holder
-from marjoramspool.cell import Cell
+from marjoramspool.admission.admission_messages import (
+    AdmissionRequest,
+    EngineView,
+    Granted,
+    Refused,
+)
+from marjoramspool.admission.cell import Cell
+from marjoramspool.placement.bounded_placement import MIN_LOAD_CAP, BoundedLoad, HashOnly, Holder
 
 BOUND = 1.25
 
--- a/marjoramspool/tests/test_load_shedding.py
+++ b/marjoramspool/admission/tests/test_load_shedding.py
@@ -1,7 +1,7 @@
 """Load shedding while the engines have seconds of prefill queued."""
 
-from marjoramspool.load_shedding import INITIAL_TOKENS_PER_S, PrefillRate, shed_request
-from marjoramspool.queue_rank import queue_rank
+from marjoramspool.admission.load_shedding import INITIAL_TOKENS_PER_S, PrefillRate, shed_request
+from marjoramspool.admission.queue_rank import queue_rank
 
 FIRST_EVENT_TIMEOUT_S = 4.0
 LONG_RANK = queue_rank(12_000, 1)
--- a/marjoramspool/tests/test_queue_rank.py
+++ b/marjoramspool/admission/tests/test_queue_rank.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from marjoramspool.queue_rank import FIRST_RANK, LAST_RANK, RESUMED_RANK, queue_rank
+from marjoramspool.admission.queue_rank import FIRST_RANK, LAST_RANK, RESUMED_RANK, queue_rank
 
 PREFILL_TOKENS_PER_S = 60_000
 TARGET_S = 0.5
--- a/marjoramspool/answer_bodies.py
+++ b/marjoramspool/answer_bodies.py
@@ -4,8 +4,8 @@
 
 import aiohttp
 
-from marjoramspool.event_stream import EventSplitter, StreamEvent
 from marjoramspool.failures import MayHaveRunError
+from marjoramspool.streams.event_stream import EventSplitter, StreamEvent
 
 __all__ = ["AnswerMemory", "read_body", "read_events"]
 
--- a/marjoramspool/attempt_history.py
+++ b/marjoramspool/attempt_history.py
@@ -2,13 +2,13 @@
 
 from dataclasses import dataclass, field
 
-from marjoramspool.engine_pauses import AllPaused
-from marjoramspool.engine_room import AllFull
-from marjoramspool.engine_selector import Placement
+from marjoramspool.engine_state.engine_pauses import AllPaused
+from marjoramspool.engine_state.engine_room import AllFull
+from marjoramspool.engine_state.poison_parts import Quarantine
+from marjoramspool.engine_state.request_limits import AllLimited
 from marjoramspool.failures import AttemptError
 from marjoramspool.outcomes import Problem
-from marjoramspool.poison_parts import Quarantine
-from marjoramspool.request_limits import AllLimited
+from marjoramspool.placement.engine_selector import Placement
 
 __all__ = ["DEFAULT_RETRY_AFTER_S", "AttemptHistory"]
 
--- a/marjoramspool/attempts.py
+++ b/marjoramspool/attempts.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from marjoramspool.engine_list import Engine
-from marjoramspool.event_stream import StreamEvent
+from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.failures import MayHaveRunError
 from marjoramspool.requests import RoutedRequest
+from marjoramspool.streams.event_stream import StreamEvent
 
 __all__ = [
     "Attempt",
--- a/marjoramspool/audit.py
+++ b/marjoramspool/audit.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from marjoramspool.engine_list import MAX_COPY_AGE_S
+from marjoramspool.engine_state.engine_list import MAX_COPY_AGE_S
 from marjoramspool.storage import Platform, PlatformError, Written
 
 __all__ = ["KIND", "AuditLog", "Record", "Trail"]
--- a/marjoramspool/callers/affinity.py
+++ b/marjoramspool/callers/affinity.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from marjoramspool.bounded_placement import Holder
+from marjoramspool.placement.bounded_placement import Holder
 
 __all__ = ["decode_hint", "encode_hint"]
 
--- a/marjoramspool/dispatch.py
+++ b/marjoramspool/dispatch.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from marjoramspool.bounded_placement import Holder
 from marjoramspool.document import Account, Document, Target
+from marjoramspool.placement.bounded_placement import Holder
 
 __all__ = [
     "Answer",
--- a/marjoramspool/engine_pauses.py
+++ b/marjoramspool/engine_state/engine_pauses.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 
 from marjoramspool.clock import now
-from marjoramspool.engine_list import Engine
+from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.events import Event, log
 
 __all__ = ["AllPaused", "EnginePauses"]
--- a/marjoramspool/engine_reach.py
+++ b/marjoramspool/engine_state/engine_reach.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from marjoramspool.clock import now
-from marjoramspool.engine_list import Engine
+from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.events import Event, log
 
 __all__ = ["EngineReach", "Path", "path_shown", "select_probed"]
--- a/marjoramspool/engine_room.py
+++ b/marjoramspool/engine_state/engine_room.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from marjoramspool.clock import now
-from marjoramspool.engine_list import Engine
+from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.events import Event, log
 
 __all__ = ["AllFull", "Bound", "EngineRoom"]
--- a/marjoramspool/quarantine_store.py
+++ b/marjoramspool/engine_state/quarantine_store.py
@@ -11,9 +11,9 @@
 import msgspec
 
 from marjoramspool.clock import now
+from marjoramspool.engine_state.poison_parts import PoisonDetector, Quarantine
 from marjoramspool.events import Event, log
 from marjoramspool.platform.store import Conflict, PlatformError, Store, StoredObject, Written
-from marjoramspool.poison_parts import PoisonDetector, Quarantine
 
 __all__ = ["KIND", "QuarantineStore"]
 
--- a/marjoramspool/reach_monitor.py
+++ b/marjoramspool/engine_state/reach_monitor.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from marjoramspool.engine_list import Engine, EngineList
-from marjoramspool.engine_reach import EngineReach, select_probed
+from marjoramspool.engine_state.engine_list import Engine, EngineList
+from marjoramspool.engine_state.engine_reach import EngineReach, select_probed
 
 __all__ = ["EngineProber", "ReachMonitor"]
 
--- a/marjoramspool/request_limits.py
+++ b/marjoramspool/engine_state/request_limits.py
@@ -17,9 +17,9 @@
 from dataclasses import dataclass
 
 from marjoramspool.clock import now
-from marjoramspool.engine_loads import NO_LOAD, Load
+from marjoramspool.engine_state.engine_loads import NO_LOAD, Load
+from marjoramspool.engine_state.unreported_load import WorkRate
 from marjoramspool.events import Event, log
-from marjoramspool.unreported_load import WorkRate
 
 __all__ = [
     "MILLI",
--- a/marjoramspool/tests/test_engine_availability.py
+++ b/marjoramspool/engine_state/tests/test_engine_availability.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from marjoramspool.engine_list import RENEWAL_GRACE_S, Engine, EngineList
-from marjoramspool.engine_pauses import EnginePauses
-from marjoramspool.outlier_detection import OutlierDetector
+from marjoramspool.engine_state.engine_list import RENEWAL_GRACE_S, Engine, EngineList
+from marjoramspool.engine_state.engine_pauses import EnginePauses
+from marjoramspool.engine_state.outlier_detection import OutlierDetector
 from marjoramspool.retries import SharedRetryBudget
 
 
--- a/marjoramspool/tests/test_engine_reach.py
+++ b/marjoramspool/engine_state/tests/test_engine_reach.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from marjoramspool.engine_list import Engine, EngineList
-from marjoramspool.engine_reach import MAX_PROBED, EngineReach, Path, select_probed
-from marjoramspool.reach_monitor import ReachMonitor
+from marjoramspool.engine_state.engine_list import Engine, EngineList
+from marjoramspool.engine_state.engine_reach import MAX_PROBED, EngineReach, Path, select_probed
+from marjoramspool.engine_state.reach_monitor import ReachMonitor
 
 TIMEOUT_S = 0.25
 ENGINES = [Engine(f"i-{n}", "s", f"1.1.1.1:{n}", f"z{n % 3}", 8, False, 1) for n in range(9)]
--- a/marjoramspool/tests/test_poison_parts.py
+++ b/marjoramspool/engine_state/tests/test_poison_parts.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from marjoramspool.poison_parts import (
+from marjoramspool.engine_state.poison_parts import (
     FIRST_QUARANTINE_S,
     MIN_STRIKES,
     SETTLE_S,
--- a/marjoramspool/tests/test_request_limits.py
+++ b/marjoramspool/engine_state/tests/test_request_limits.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from marjoramspool.engine_loads import Load
-from marjoramspool.request_limits import LimitNotice, RequestLimits, allowance
+from marjoramspool.engine_state.engine_loads import Load
+from marjoramspool.engine_state.request_limits import LimitNotice, RequestLimits, allowance
 
 KEY = ("i-1", 1000)
 STEP_S = 0.01
--- a/marjoramspool/engines/orders.py
+++ b/marjoramspool/engines/orders.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from marjoramspool import hashing
+from marjoramspool.admission.token_bucket import TokenBucket
 from marjoramspool.answer_bodies import read_body
 from marjoramspool.audit import AuditLog
 from marjoramspool.configuration import Configuration
@@ -16,7 +17,6 @@
 from marjoramspool.failures import MayHaveRunError
 from marjoramspool.lease import Lease
 from marjoramspool.storage import Platform
-from marjoramspool.token_bucket import TokenBucket
 
 __all__ = ["Order", "OrderReconciler"]
 
--- a/marjoramspool/engines/tests/test_orders.py
+++ b/marjoramspool/engines/tests/test_orders.py
@@ -10,10 +10,10 @@
 import pytest
 
 from bench.local import wait_until
+from marjoramspool.admission.token_bucket import TokenBucket
 from marjoramspool.engines.orders import Order
 from marjoramspool.lease import Lease
 from marjoramspool.storage import Platform
-from marjoramspool.token_bucket import TokenBucket
 
 
 @pytest.fixture(autouse=True)
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -8,8 +8,11 @@
 
 from aiohttp import web
 
-from marjoramspool.engine_list import EngineList
-from marjoramspool.engine_selector import EngineSelector
+from marjoramspool.engine_state.engine_list import EngineList
+from marjoramspool.engine_state.poison_parts import describe_quarantines
+from marjoramspool.engine_state.quarantine_store import QuarantineStore
+from marjoramspool.engine_state.reach_monitor import ReachMonitor
+from marjoramspool.engine_state.request_limits import describe_limits
 from marjoramspool.events import Event, log
 from marjoramspool.forwarding import Forwarding
 from marjoramspool.lifecycle import Lifecycle
@@ -25,15 +28,12 @@
 from marjoramspool.peers.peer_paths import PeerPaths
 from marjoramspool.peers.state_sync import State, StateSync
 from marjoramspool.peers.watch_roles import WatchRoles
+from marjoramspool.placement.engine_selector import EngineSelector
 from marjoramspool.platform.egress import EngineSessions
 from marjoramspool.platform.ingress import Ingress
 from marjoramspool.platform.settings import BALANCER_REMOVAL_DELAY_S, READINESS_PATH, HostSettings
 from marjoramspool.platform.store import Store
 from marjoramspool.platform.watchers import new_engine_watcher, new_table_watcher
-from marjoramspool.poison_parts import describe_quarantines
-from marjoramspool.quarantine_store import QuarantineStore
-from marjoramspool.reach_monitor import ReachMonitor
-from marjoramspool.request_limits import describe_limits
 from marjoramspool.startup_wait import StartupWait
 from marjoramspool.status import MemberStatus, Status
 from marjoramspool.store_versions import epoch_of
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -4,6 +4,8 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 
+from marjoramspool.admission.load_shedding import Shed
+from marjoramspool.admission.queue_rank import RESUMED_RANK
 from marjoramspool.attempt_history import DEFAULT_RETRY_AFTER_S, AttemptHistory
 from marjoramspool.attempts import (
     Attempt,
@@ -14,11 +16,13 @@
 )
 from marjoramspool.bounds import Bounds
 from marjoramspool.clock import now
-from marjoramspool.engine_list import Engine
-from marjoramspool.engine_pauses import AllPaused
-from marjoramspool.engine_reach import Path
-from marjoramspool.engine_room import AllFull
-from marjoramspool.engine_selector import EngineSelector, Placement
+from marjoramspool.engine_state.engine_list import Engine
+from marjoramspool.engine_state.engine_pauses import AllPaused
+from marjoramspool.engine_state.engine_reach import Path
+from marjoramspool.engine_state.engine_room import AllFull
+from marjoramspool.engine_state.poison_parts import Quarantine
+from marjoramspool.engine_state.reach_monitor import ReachMonitor
+from marjoramspool.engine_state.request_limits import AllLimited
 from marjoramspool.events import Event, log
 from marjoramspool.failures import (
     AttemptError,
@@ -30,18 +34,14 @@
     ResetError,
     TargetRefusedError,
 )
-from marjoramspool.load_shedding import Shed
 from marjoramspool.metrics import Metrics
 from marjoramspool.outcomes import NotRun, Problem, Unknown
 from marjoramspool.peer_attempts import PeerAttempts, PeerPathSource
-from marjoramspool.poison_parts import Quarantine
-from marjoramspool.queue_rank import RESUMED_RANK
-from marjoramspool.reach_monitor import ReachMonitor
-from marjoramspool.request_limits import AllLimited
+from marjoramspool.placement.engine_selector import EngineSelector, Placement
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.retries import SharedRetryBudget
-from marjoramspool.stream_origins import OriginSource
-from marjoramspool.stream_resumption import StreamResumption
+from marjoramspool.streams.stream_origins import OriginSource
+from marjoramspool.streams.stream_resumption import StreamResumption
 
 __all__ = ["Forwarding"]
 
--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -8,8 +8,8 @@
 from aiohttp.client_proto import ResponseHandler
 
 from marjoramspool.answer_bodies import AnswerMemory
+from marjoramspool.engine_state.request_limits import EngineKey, parse_limit
 from marjoramspool.events import Event, log
-from marjoramspool.request_limits import EngineKey, parse_limit
 
 __all__ = [
     "SUCCESS_STATUSES",
--- a/marjoramspool/operators/server.py
+++ b/marjoramspool/operators/server.py
@@ -6,7 +6,7 @@
 import msgspec
 from aiohttp import web
 
-from marjoramspool.poison_parts import describe_quarantines
+from marjoramspool.engine_state.poison_parts import describe_quarantines
 from marjoramspool.routers import peers_pb2 as pb
 from marjoramspool.status import CellStatus, ControlStatus, MemberStatus, Status
 
--- a/marjoramspool/partition.py
+++ b/marjoramspool/partition.py
@@ -5,8 +5,8 @@
 from functools import lru_cache
 
 from marjoramspool import hashing
-from marjoramspool.bounded_placement import Holder
 from marjoramspool.document import Document
+from marjoramspool.placement.bounded_placement import Holder
 
 __all__ = ["cell_key", "cell_names", "cell_of", "engines_of", "service_of"]
 
--- a/marjoramspool/peers/cache_bootstrap.py
+++ b/marjoramspool/peers/cache_bootstrap.py
@@ -11,11 +11,11 @@
 from typing import Protocol
 
 from marjoramspool import hashing
-from marjoramspool.engine_list import Engine
-from marjoramspool.engine_selector import EngineSelector
+from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.events import Event, log
 from marjoramspool.peers.directory import Directory
 from marjoramspool.peers.state_sync import CACHES_PATH, StateSync
+from marjoramspool.placement.engine_selector import EngineSelector
 from marjoramspool.prompts import Part
 
 __all__ = ["CacheBootstrap", "CacheLister"]
--- a/marjoramspool/peers/discovery.py
+++ b/marjoramspool/peers/discovery.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from marjoramspool.clock import now
-from marjoramspool.engine_list import MAX_COPY_AGE_S
+from marjoramspool.engine_state.engine_list import MAX_COPY_AGE_S
 from marjoramspool.peers.directory import Directory
 from marjoramspool.platform.store import PlatformError, Store, StoredObject
 
--- a/marjoramspool/peers/forwarded_server.py
+++ b/marjoramspool/peers/forwarded_server.py
@@ -9,7 +9,7 @@
 
 from marjoramspool.attempts import StreamAnswer, WholeAnswer
 from marjoramspool.clock import now
-from marjoramspool.engine_reach import EngineReach, Path
+from marjoramspool.engine_state.engine_reach import EngineReach, Path
 from marjoramspool.events import Event, log
 from marjoramspool.failures import BrokenAnswerError
 from marjoramspool.forwarding import Forwarding
--- a/marjoramspool/peers/limit_reports.py
+++ b/marjoramspool/peers/limit_reports.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterator
 
+from marjoramspool.engine_state.request_limits import MILLI, EngineKey, LimitNotice, RequestLimits
 from marjoramspool.peers.messages import LimitReport, incarnation_id
-from marjoramspool.request_limits import MILLI, EngineKey, LimitNotice, RequestLimits
 
 __all__ = ["apply_limit_report", "report_limits"]
 
--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -6,9 +6,8 @@
 
 import msgspec
 
-from marjoramspool.engine_list import Engine
-from marjoramspool.engine_loads import Load
-from marjoramspool.engine_selector import EngineSelector
+from marjoramspool.engine_state.engine_list import Engine
+from marjoramspool.engine_state.engine_loads import Load
 from marjoramspool.events import Event, log
 from marjoramspool.peers import relays
 from marjoramspool.peers.directory import Directory, Peer
@@ -36,6 +35,7 @@
 from marjoramspool.peers.report_relay import OwnReport, ReportRelay, take_updates
 from marjoramspool.peers.room_reports import apply_room_report
 from marjoramspool.peers.state_transfer import apply_cache_update
+from marjoramspool.placement.engine_selector import EngineSelector
 from marjoramspool.prompts import Part
 
 __all__ = ["LoadBroadcast", "PathState", "StateVersions"]
--- a/marjoramspool/peers/load_sums.py
+++ b/marjoramspool/peers/load_sums.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
-from marjoramspool.engine_loads import Load
+from marjoramspool.engine_state.engine_loads import Load
 from marjoramspool.peers.messages import (
     DomainLoads,
     EngineLoadReport,
--- a/marjoramspool/peers/origin_exchange.py
+++ b/marjoramspool/peers/origin_exchange.py
@@ -6,7 +6,7 @@
 
 from marjoramspool.peers.directory import Directory
 from marjoramspool.peers.messages import OriginQuery, OriginReport, StreamOriginEntry, encode
-from marjoramspool.stream_origins import AMBIGUOUS, REPLICAS, StreamOrigins, select_replicas
+from marjoramspool.streams.stream_origins import AMBIGUOUS, REPLICAS, StreamOrigins, select_replicas
 
 __all__ = ["ORIGINS_REVISION", "OriginExchange"]
 
--- a/marjoramspool/peers/own_reports.py
+++ b/marjoramspool/peers/own_reports.py
@@ -4,9 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from marjoramspool.engine_list import Engine
-from marjoramspool.engine_loads import Load
-from marjoramspool.engine_selector import EngineSelector
+from marjoramspool.engine_state.engine_list import Engine
+from marjoramspool.engine_state.engine_loads import Load
 from marjoramspool.peers.directory import Directory
 from marjoramspool.peers.limit_reports import report_limits
 from marjoramspool.peers.load_sums import Loads, encode_loads
@@ -21,6 +20,7 @@
 )
 from marjoramspool.peers.poison_reports import report_ends, report_quarantines
 from marjoramspool.peers.room_reports import report_rooms
+from marjoramspool.placement.engine_selector import EngineSelector
 from marjoramspool.prompts import Part
 
 __all__ = ["OwnReports", "PathState", "StateVersions", "incarnation_id_of"]
--- a/marjoramspool/peers/peer_paths.py
+++ b/marjoramspool/peers/peer_paths.py
@@ -11,7 +11,6 @@
 from marjoramspool.answer_bodies import AnswerMemory
 from marjoramspool.attempts import StreamAnswer, WholeAnswer
 from marjoramspool.clock import now
-from marjoramspool.event_stream import StreamEvent
 from marjoramspool.failures import (
     MayHaveRunError,
     NoPathError,
@@ -40,6 +39,7 @@
 )
 from marjoramspool.peers.messages import service_id
 from marjoramspool.requests import RoutedRequest
+from marjoramspool.streams.event_stream import StreamEvent
 
 __all__ = ["REQUESTS_PATH", "PeerPaths"]
 
--- a/marjoramspool/peers/poison_reports.py
+++ b/marjoramspool/peers/poison_reports.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Iterator
 
+from marjoramspool.engine_state.poison_parts import EngineEnd, PoisonDetector, UnansweredAttempt
 from marjoramspool.peers.messages import (
     EngineEndReport,
     QuarantineReport,
     RouterReport,
     UnansweredReport,
 )
-from marjoramspool.poison_parts import EngineEnd, PoisonDetector, UnansweredAttempt
 
 __all__ = ["apply_poison_reports", "report_attempts", "report_ends", "report_quarantines"]
 
--- a/marjoramspool/peers/room_reports.py
+++ b/marjoramspool/peers/room_reports.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterator
 
-from marjoramspool.engine_list import Engine
-from marjoramspool.engine_room import Bound, EngineRoom
+from marjoramspool.engine_state.engine_list import Engine
+from marjoramspool.engine_state.engine_room import Bound, EngineRoom
+from marjoramspool.engine_state.request_limits import MILLI
 from marjoramspool.peers.messages import RoomReport, incarnation_id
-from marjoramspool.request_limits import MILLI
 
 __all__ = ["apply_room_report", "report_rooms"]
 
--- a/marjoramspool/peers/state_transfer.py
+++ b/marjoramspool/peers/state_transfer.py
@@ -1,8 +1,8 @@
 """Export and import of the engine list and of the cache contents."""
 
-from marjoramspool.engine_list import Engine, EngineList
-from marjoramspool.engine_selector import EngineSelector
+from marjoramspool.engine_state.engine_list import Engine, EngineList
 from marjoramspool.peers.messages import CacheUpdate, CacheUpdateKind, EngineEntry, incarnation_id
+from marjoramspool.placement.engine_selector import EngineSelector
 from marjoramspool.prompts import Part
 
 __all__ = [
--- a/marjoramspool/peers/tests/test_cache_bootstrap.py
+++ b/marjoramspool/peers/tests/test_cache_bootstrap.py
@@ -7,11 +7,11 @@
 
 import pytest
 
-from marjoramspool.engine_list import Engine, EngineList
-from marjoramspool.engine_selector import EngineSelector
+from marjoramspool.engine_state.engine_list import Engine, EngineList
 from marjoramspool.peers import cache_bootstrap
 from marjoramspool.peers.cache_bootstrap import LISTING_ROUNDS, CacheBootstrap
 from marjoramspool.peers.directory import Directory
+from marjoramspool.placement.engine_selector import EngineSelector
 from marjoramspool.routes import EngineCapacity, RouteTable, Service
 
 ENGINES = [Engine(f"i-{n}", "s", f"1.1.2.{n}:1", "z", 64, False, 1) for n in range(30)]
--- a/marjoramspool/peers/tests/test_load_broadcast.py
+++ b/marjoramspool/peers/tests/test_load_broadcast.py
@@ -7,13 +7,13 @@
 from bench.local import wait_until
 from bench.platform_fleet import route
 from marjoramspool import hashing
-from marjoramspool.engine_list import Engine, EngineList
-from marjoramspool.engine_loads import Load
-from marjoramspool.engine_selector import EngineSelector
+from marjoramspool.engine_state.engine_list import Engine, EngineList
+from marjoramspool.engine_state.engine_loads import Load
 from marjoramspool.peers import relays
 from marjoramspool.peers.directory import Directory
 from marjoramspool.peers.load_broadcast import LoadBroadcast, StateVersions
 from marjoramspool.peers.messages import decode_datagram
+from marjoramspool.placement.engine_selector import EngineSelector
 from marjoramspool.prompts import Part
 
 # Time limit for a change to reach all routers, and the report period of a fleet with relays.
--- a/marjoramspool/peers/tests/test_load_sums.py
+++ b/marjoramspool/peers/tests/test_load_sums.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from marjoramspool.engine_loads import Load
+from marjoramspool.engine_state.engine_loads import Load
 from marjoramspool.peers import relays
 from marjoramspool.peers.load_sums import MAX_LOADS_PER_MESSAGE, split_loads
 from marjoramspool.peers.messages import CacheUpdate, encode
--- a/marjoramspool/peers/tests/test_origin_exchange.py
+++ b/marjoramspool/peers/tests/test_origin_exchange.py
@@ -8,7 +8,7 @@
 from marjoramspool.peers.directory import Directory
 from marjoramspool.peers.messages import MESSAGE_REVISION, decode_datagram
 from marjoramspool.peers.origin_exchange import OriginExchange
-from marjoramspool.stream_origins import AMBIGUOUS
+from marjoramspool.streams.stream_origins import AMBIGUOUS
 
 DOMAINS = 6
 STREAMS = 200
--- a/marjoramspool/cache_sources.py
+++ b/marjoramspool/placement/cache_sources.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from marjoramspool.engine_list import Engine
+from marjoramspool.engine_state.engine_list import Engine
 
 __all__ = ["Holder", "select_cache_source"]
 
--- a/marjoramspool/candidate_engines.py
+++ b/marjoramspool/placement/candidate_engines.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 
 from marjoramspool import hashing
-from marjoramspool.engine_list import Engine
+from marjoramspool.engine_state.engine_list import Engine
 
 __all__ = ["MAX_COMPARED_ENGINES", "EngineRing"]
 
--- a/marjoramspool/cost_placement.py
+++ b/marjoramspool/placement/cost_placement.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 
 from marjoramspool import hashing
-from marjoramspool.engine_loads import Load
-from marjoramspool.unreported_load import first_unfilled, water_level
+from marjoramspool.engine_state.engine_loads import Load
+from marjoramspool.engine_state.unreported_load import first_unfilled, water_level
 
 __all__ = ["Candidate", "Choice", "UnreportedLoad", "choose_engine"]
 
--- a/marjoramspool/engine_selector.py
+++ b/marjoramspool/placement/engine_selector.py
@@ -3,32 +3,37 @@
 from collections.abc import Callable
 
 from marjoramspool import hashing
-from marjoramspool.cache_sources import Holder, select_cache_source
-from marjoramspool.candidate_engines import MAX_COMPARED_ENGINES, EngineRing
+from marjoramspool.admission.load_shedding import (
+    MIN_OVERTAKEN_RANK,
+    PrefillRate,
+    Shed,
+    shed_request,
+)
+from marjoramspool.admission.queue_rank import queue_rank
 from marjoramspool.clock import now
-from marjoramspool.cost_placement import (
+from marjoramspool.engine_state.engine_list import Engine, EngineList
+from marjoramspool.engine_state.engine_loads import EngineLoads
+from marjoramspool.engine_state.engine_pauses import AllPaused, EnginePauses
+from marjoramspool.engine_state.engine_room import AllFull, EngineRoom
+from marjoramspool.engine_state.outlier_detection import OutlierDetector
+from marjoramspool.engine_state.poison_parts import PoisonDetector, Quarantine
+from marjoramspool.engine_state.prefix_caches import PrefixCaches
+from marjoramspool.engine_state.request_limits import AllLimited, RequestLimits
+from marjoramspool.engine_state.unreported_load import HotParts, WorkRate
+from marjoramspool.peers.messages import incarnation_id
+from marjoramspool.placement.cache_sources import Holder, select_cache_source
+from marjoramspool.placement.candidate_engines import MAX_COMPARED_ENGINES, EngineRing
+from marjoramspool.placement.cost_placement import (
     REQUEST_COST_TOKENS,
     Candidate,
     Choice,
     UnreportedLoad,
     choose_engine,
 )
-from marjoramspool.engine_list import Engine, EngineList
-from marjoramspool.engine_loads import EngineLoads
-from marjoramspool.engine_pauses import AllPaused, EnginePauses
-from marjoramspool.engine_room import AllFull, EngineRoom
-from marjoramspool.load_shedding import MIN_OVERTAKEN_RANK, PrefillRate, Shed, shed_request
-from marjoramspool.outlier_detection import OutlierDetector
-from marjoramspool.peers.messages import incarnation_id
-from marjoramspool.poison_parts import PoisonDetector, Quarantine
-from marjoramspool.prefix_caches import PrefixCaches
+from marjoramspool.placement.shared_parts import SharedParts
 from marjoramspool.prompts import Part
-from marjoramspool.queue_rank import queue_rank
-from marjoramspool.request_limits import AllLimited, RequestLimits
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import RouteTable
-from marjoramspool.shared_parts import SharedParts
-from marjoramspool.unreported_load import HotParts, WorkRate
 
 __all__ = ["EngineSelector", "Placement"]
 
--- a/marjoramspool/tests/test_cache_sources.py
+++ b/marjoramspool/placement/tests/test_cache_sources.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from marjoramspool.cache_sources import Holder, select_cache_source
+from marjoramspool.admission.load_shedding import Shed
 from marjoramspool.clock import now
-from marjoramspool.engine_list import Engine, EngineList
-from marjoramspool.engine_selector import EngineSelector
-from marjoramspool.load_shedding import Shed
+from marjoramspool.engine_state.engine_list import Engine, EngineList
+from marjoramspool.placement.cache_sources import Holder, select_cache_source
+from marjoramspool.placement.engine_selector import EngineSelector
 from marjoramspool.prompts import Part, Prompt
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import (
--- a/marjoramspool/tests/test_candidate_engines.py
+++ b/marjoramspool/placement/tests/test_candidate_engines.py
@@ -4,10 +4,14 @@
 
 import pytest
 
-from marjoramspool.candidate_engines import MAX_COMPARED_ENGINES, WINDOW_ENGINES, EngineRing
 from marjoramspool.clock import now
-from marjoramspool.engine_list import Engine, EngineList
-from marjoramspool.engine_selector import MAX_HOLDERS, EngineSelector
+from marjoramspool.engine_state.engine_list import Engine, EngineList
+from marjoramspool.placement.candidate_engines import (
+    MAX_COMPARED_ENGINES,
+    WINDOW_ENGINES,
+    EngineRing,
+)
+from marjoramspool.placement.engine_selector import MAX_HOLDERS, EngineSelector
 from marjoramspool.prompts import Part, Prompt
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import EngineCapacity, Route, RouteKind, RouteTable, Service
--- a/marjoramspool/tests/test_cost_placement.py
+++ b/marjoramspool/placement/tests/test_cost_placement.py
@@ -5,17 +5,22 @@
 from heapq import heappop, heappush
 from random import Random
 
-from marjoramspool.cost_placement import (
+from marjoramspool.engine_state.engine_loads import EngineLoads, Load
+from marjoramspool.engine_state.prefix_caches import EngineCache
+from marjoramspool.engine_state.unreported_load import (
+    HotParts,
+    WorkRate,
+    first_unfilled,
+    water_level,
+)
+from marjoramspool.placement.cost_placement import (
     REQUEST_COST_TOKENS,
     Candidate,
     UnreportedLoad,
     choose_engine,
 )
-from marjoramspool.engine_loads import EngineLoads, Load
-from marjoramspool.prefix_caches import EngineCache
+from marjoramspool.placement.shared_parts import SharedParts
 from marjoramspool.prompts import Part, Prompt
-from marjoramspool.shared_parts import SharedParts
-from marjoramspool.unreported_load import HotParts, WorkRate, first_unfilled, water_level
 
 CHAIN = (Part(1, 500), Part(2, 10_000))
 
--- a/marjoramspool/tests/test_ranking.py
+++ b/marjoramspool/placement/tests/test_ranking.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from marjoramspool import hashing
-from marjoramspool.ranking import Rankings
+from marjoramspool.placement.ranking import Rankings
 
 names = st.sets(st.sampled_from([f"router-{n}" for n in range(12)]), min_size=1)
 
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -17,7 +17,7 @@
 )
 from marjoramspool.attempts import Attempt, StreamAnswer, WholeAnswer
 from marjoramspool.clock import now
-from marjoramspool.engine_list import Engine
+from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.events import Event, log
 from marjoramspool.failures import (
     DisplacedError,
--- a/marjoramspool/platform/registry.py
+++ b/marjoramspool/platform/registry.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from marjoramspool.engine_list import Engine
+from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.events import Event, log
 
 __all__ = ["decode_engine"]
--- a/marjoramspool/platform/tests/test_quarantine_store.py
+++ b/marjoramspool/platform/tests/test_quarantine_store.py
@@ -7,10 +7,10 @@
 
 from bench.local import wait_until
 from bench.platform_fleet import route
-from marjoramspool import quarantine_store
+from marjoramspool.engine_state import quarantine_store
+from marjoramspool.engine_state.poison_parts import PoisonDetector
+from marjoramspool.engine_state.quarantine_store import KIND, QuarantineStore
 from marjoramspool.platform.store import Store
-from marjoramspool.poison_parts import PoisonDetector
-from marjoramspool.quarantine_store import KIND, QuarantineStore
 
 PART = 0xBAD
 PARTS = (PART, 7)
--- a/marjoramspool/platform/watchers.py
+++ b/marjoramspool/platform/watchers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from marjoramspool.engine_list import Engine, EngineList
+from marjoramspool.engine_state.engine_list import Engine, EngineList
 from marjoramspool.platform.desired import decode_table
 from marjoramspool.platform.registry import decode_engine
 from marjoramspool.platform.store import Store, StoredObject
--- a/marjoramspool/recent_claims.py
+++ b/marjoramspool/recent_claims.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from marjoramspool.clock import now
-from marjoramspool.engine_list import MAX_COPY_AGE_S
+from marjoramspool.engine_state.engine_list import MAX_COPY_AGE_S
 from marjoramspool.ledger import Finish, Granted, Operation, Release, Result, Take
 
 __all__ = ["RecentClaims"]
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -8,12 +8,14 @@
 import msgspec
 
 from marjoramspool import partition
-from marjoramspool.admission_control import AdmissionController
+from marjoramspool.admission.admission_control import AdmissionController
 from marjoramspool.audit import AuditLog
 from marjoramspool.callers.server import CallersServer
 from marjoramspool.claims import Claims, select_preferred_router
 from marjoramspool.configuration import Configuration
 from marjoramspool.document_watcher import Watcher
+from marjoramspool.engine_state.poison_parts import PoisonDetector
+from marjoramspool.engine_state.quarantine_store import QuarantineStore
 from marjoramspool.engines.client import EngineDispatcher
 from marjoramspool.engines.orders import OrderReconciler
 from marjoramspool.events import Event, log
@@ -23,8 +25,6 @@
 from marjoramspool.membership import Member, Membership
 from marjoramspool.metrics import Metrics
 from marjoramspool.operators.server import OperatorsServer
-from marjoramspool.poison_parts import PoisonDetector
-from marjoramspool.quarantine_store import QuarantineStore
 from marjoramspool.routers.credentials import client_credentials, server_credentials
 from marjoramspool.routers.gossip import DRAIN_REPORT_SOURCE, Gossip
 from marjoramspool.routers.links import Links
--- a/marjoramspool/routers/convert.py
+++ b/marjoramspool/routers/convert.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
-from marjoramspool import admission_messages, bounded_placement, ledger, membership
+from marjoramspool import ledger, membership
+from marjoramspool.admission import admission_messages
+from marjoramspool.placement import bounded_placement
 from marjoramspool.routers import peers_pb2 as pb
 
 __all__ = [
--- a/marjoramspool/routers/gossip.py
+++ b/marjoramspool/routers/gossip.py
@@ -4,9 +4,9 @@
 import random
 
 from marjoramspool.configuration import Configuration
+from marjoramspool.engine_state.poison_parts import PoisonDetector
 from marjoramspool.membership import Member, Membership, State
 from marjoramspool.peers.poison_reports import apply_poison_reports
-from marjoramspool.poison_parts import PoisonDetector
 from marjoramspool.routers import peers_pb2 as pb
 from marjoramspool.routers.convert import decode_member, encode_member
 from marjoramspool.routers.limit_gossip import apply_limits, encode_limits
--- a/marjoramspool/routers/limit_gossip.py
+++ b/marjoramspool/routers/limit_gossip.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from marjoramspool.request_limits import MILLI, LimitNotice, RequestLimits
+from marjoramspool.engine_state.request_limits import MILLI, LimitNotice, RequestLimits
 from marjoramspool.routers import peers_pb2 as pb
 from marjoramspool.targets import limit_key
 
--- a/marjoramspool/routers/link.py
+++ b/marjoramspool/routers/link.py
@@ -6,8 +6,8 @@
 
 import grpc
 
-from marjoramspool.admission_control import OwnerNotReadyError, OwnerUnavailableError
-from marjoramspool.admission_messages import Admission, AdmissionRequest, Granted
+from marjoramspool.admission.admission_control import OwnerNotReadyError, OwnerUnavailableError
+from marjoramspool.admission.admission_messages import Admission, AdmissionRequest, Granted
 from marjoramspool.routers import peers_pb2 as pb
 from marjoramspool.routers import peers_pb2_grpc as rpc
 from marjoramspool.routers.convert import decode_admission, encode_admission_request, encode_grants
--- a/marjoramspool/routers/links.py
+++ b/marjoramspool/routers/links.py
@@ -7,8 +7,8 @@
 import grpc
 import msgspec
 
-from marjoramspool.admission_control import OwnerNotReadyError, OwnerUnavailableError
-from marjoramspool.admission_messages import Admission, AdmissionRequest
+from marjoramspool.admission.admission_control import OwnerNotReadyError, OwnerUnavailableError
+from marjoramspool.admission.admission_messages import Admission, AdmissionRequest
 from marjoramspool.ledger import Operation, Result
 from marjoramspool.membership import Member
 from marjoramspool.routers import peers_pb2 as pb
--- a/marjoramspool/routers/poison_gossip.py
+++ b/marjoramspool/routers/poison_gossip.py
@@ -1,7 +1,7 @@
 """Gossip of poison requests: messages of what ends engines."""
 
+from marjoramspool.engine_state.poison_parts import PoisonDetector
 from marjoramspool.peers.poison_reports import report_attempts
-from marjoramspool.poison_parts import PoisonDetector
 from marjoramspool.routers import peers_pb2 as pb
 
 __all__ = ["encode_poison_report"]
--- a/marjoramspool/routers/server.py
+++ b/marjoramspool/routers/server.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from marjoramspool import partition
-from marjoramspool.admission_control import AdmissionController
-from marjoramspool.admission_messages import AdmissionRequest, Granted
+from marjoramspool.admission.admission_control import AdmissionController
+from marjoramspool.admission.admission_messages import AdmissionRequest, Granted
 from marjoramspool.claims import Claims
 from marjoramspool.configuration import Configuration
 from marjoramspool.routers import peers_pb2 as pb
--- a/marjoramspool/routing.py
+++ b/marjoramspool/routing.py
@@ -8,13 +8,14 @@
 from dataclasses import dataclass, field, replace
 
 from marjoramspool import hashing, ledger, partition
-from marjoramspool.admission_control import AdmissionController, Grant
-from marjoramspool.admission_messages import URGENT_THRESHOLD, AdmissionRequest, Refused
-from marjoramspool.bounded_placement import Holder
+from marjoramspool.admission.admission_control import AdmissionController, Grant
+from marjoramspool.admission.admission_messages import URGENT_THRESHOLD, AdmissionRequest, Refused
+from marjoramspool.admission.token_bucket import RetryBudget
 from marjoramspool.claims import Claims
 from marjoramspool.clock import now
 from marjoramspool.dispatch import Answer, Dispatcher, Request, single_part
 from marjoramspool.document import Target
+from marjoramspool.engine_state.poison_parts import PoisonDetector, Quarantine
 from marjoramspool.events import Event, log
 from marjoramspool.explain import Trace, Traces
 from marjoramspool.failures import (
@@ -28,9 +29,8 @@
 from marjoramspool.http import is_refusing_connections
 from marjoramspool.metrics import Metrics
 from marjoramspool.outcomes import NotRun, Problem, Unknown
-from marjoramspool.poison_parts import PoisonDetector, Quarantine
+from marjoramspool.placement.bounded_placement import Holder
 from marjoramspool.targets import Targets
-from marjoramspool.token_bucket import RetryBudget
 
 __all__ = ["Routing"]
 
--- a/marjoramspool/storage.py
+++ b/marjoramspool/storage.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from marjoramspool.admission.token_bucket import TokenBucket
 from marjoramspool.events import Event, log
 from marjoramspool.peers.discovery import KIND as ROUTERS
 from marjoramspool.peers.discovery import RouterSpec, read_spec
@@ -19,7 +20,6 @@
     WriteUncertainError,
 )
 from marjoramspool.platform.store import Written as ObjectWritten
-from marjoramspool.token_bucket import TokenBucket
 
 __all__ = [
     "Listing",
--- a/marjoramspool/store_watchers.py
+++ b/marjoramspool/store_watchers.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from marjoramspool.clock import now
-from marjoramspool.engine_list import RENEWAL_GRACE_S, Engine, EngineList
+from marjoramspool.engine_state.engine_list import RENEWAL_GRACE_S, Engine, EngineList
 from marjoramspool.events import Event, log
 from marjoramspool.platform.store import (
     HistoryGoneError,
--- a/marjoramspool/stream_resumption.py
+++ b/marjoramspool/streams/stream_resumption.py
@@ -5,12 +5,12 @@
 
 from marjoramspool.attempt_history import AttemptHistory
 from marjoramspool.attempts import StreamAnswer
-from marjoramspool.event_stream import StreamEvent
+from marjoramspool.engine_state.poison_parts import MAX_END_DELAY_S
 from marjoramspool.events import Event, log
 from marjoramspool.failures import AttemptError, BrokenAnswerError
-from marjoramspool.poison_parts import MAX_END_DELAY_S
 from marjoramspool.requests import RoutedRequest
-from marjoramspool.stream_origins import (
+from marjoramspool.streams.event_stream import StreamEvent
+from marjoramspool.streams.stream_origins import (
     OriginSource,
     content_key,
     request_key,
--- a/marjoramspool/tests/test_event_stream.py
+++ b/marjoramspool/streams/tests/test_event_stream.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from marjoramspool.event_stream import EventSplitter
+from marjoramspool.streams.event_stream import EventSplitter
 
 
 @pytest.mark.parametrize("end", [b"\n", b"\r\n", b"\r"])
--- a/marjoramspool/tests/test_stream_origins.py
+++ b/marjoramspool/streams/tests/test_stream_origins.py
@@ -1,6 +1,6 @@
 """What a router keeps of the versions at which streams began, and who else keeps it."""
 
-from marjoramspool.stream_origins import (
+from marjoramspool.streams.stream_origins import (
     AMBIGUOUS,
     MAX_STREAMS,
     REPLICAS,
--- a/marjoramspool/targets.py
+++ b/marjoramspool/targets.py
@@ -7,8 +7,8 @@
 from reactivex import Subject
 
 from marjoramspool.document import Document, Target
+from marjoramspool.engine_state.request_limits import EngineKey, RequestLimits
 from marjoramspool.events import Event, log
-from marjoramspool.request_limits import EngineKey, RequestLimits
 
 __all__ = ["Decision", "LoadReport", "TargetState", "Targets", "limit_key"]
 
--- a/marjoramspool/tests/test_fuzz.py
+++ b/marjoramspool/tests/test_fuzz.py
@@ -5,11 +5,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from marjoramspool.bounded_placement import Holder
 from marjoramspool.callers.affinity import decode_hint, encode_hint
 from marjoramspool.configuration import Configuration
 from marjoramspool.document import InvalidFileError, read_document
 from marjoramspool.engines.stream import chunk_id, parse_event
+from marjoramspool.placement.bounded_placement import Holder
 from marjoramspool.routers import peers_pb2 as pb
 from marjoramspool.routers.convert import decode_operation, decode_result
 from marjoramspool.settings import read_settings
--- a/model/engines.py
+++ b/model/engines.py
@@ -5,7 +5,7 @@
 from heapq import heappop, heappush
 from itertools import count
 
-from marjoramspool.prefix_caches import EngineCache
+from marjoramspool.engine_state.prefix_caches import EngineCache
 from marjoramspool.prompts import Prompt
 from model.parameters import EngineParameters
 from model.virtual_clock import VirtualClock
--- a/model/fleet.py
+++ b/model/fleet.py
@@ -6,13 +6,14 @@
 from dataclasses import dataclass, field
 
 from marjoramspool import hashing
-from marjoramspool.cost_placement import LOAD_BOUND_EXTRA_REQUESTS
-from marjoramspool.engine_list import Engine, EngineList
-from marjoramspool.engine_selector import EngineSelector, Placement
-from marjoramspool.load_shedding import Shed
-from marjoramspool.outlier_detection import OutlierDetector
+from marjoramspool.admission.load_shedding import Shed
+from marjoramspool.engine_state.engine_list import Engine, EngineList
+from marjoramspool.engine_state.outlier_detection import OutlierDetector
+from marjoramspool.engine_state.unreported_load import HotParts, WorkRate
 from marjoramspool.peers.directory import Directory
 from marjoramspool.peers.load_broadcast import LoadBroadcast, StateVersions
+from marjoramspool.placement.cost_placement import LOAD_BOUND_EXTRA_REQUESTS
+from marjoramspool.placement.engine_selector import EngineSelector, Placement
 from marjoramspool.prompts import Part, Prompt
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import (
@@ -23,7 +24,6 @@
     Service,
     TrafficSplit,
 )
-from marjoramspool.unreported_load import HotParts, WorkRate
 from model.engines import Job, ModelEngine, PrefillCounts
 from model.network import Network
 from model.parameters import FleetParameters, RequestParameters
