--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -50,6 +50,7 @@
         self.routers: list[FleetRouter] = []
         self.ports = free_ports(3)
         self.version = 0
+        self.bounds = Bounds(shutdown_grace_s=3.0)
         self.started = 0
         self.session: aiohttp.ClientSession | None = None
 
@@ -112,7 +113,7 @@
             peers_port=peers,
             store_endpoint=f"127.0.0.1:{self.store_port}",
             link_mbps=1000,
-            bounds=Bounds(shutdown_grace_s=3.0),
+            bounds=self.bounds,
         )
 
     async def add_router(self, wait: bool = True) -> FleetRouter:
--- a/marjoramspool/attempt_history.py
+++ b/marjoramspool/attempt_history.py
@@ -4,6 +4,7 @@
 
 from marjoramspool.engine_state.engine_pauses import AllPaused
 from marjoramspool.engine_state.engine_room import AllFull
+from marjoramspool.engine_state.evacuations import AllEvacuated
 from marjoramspool.engine_state.poison_parts import Quarantine
 from marjoramspool.engine_state.request_limits import AllLimited
 from marjoramspool.failures import AttemptError
@@ -65,6 +66,12 @@
             remedy = "resume the stream later, or begin a new one"
             self.problem = Problem(503, why, remedy, RESUMPTION_RETRY_AFTER_S)
 
+    def record_all_evacuated(self, refusal: AllEvacuated) -> None:
+        """Record that all engines are evacuated; keep the problem of a possible run."""
+        why = "all engines of the service are in evacuated failure domains"
+        remedy = "retry after the given time"
+        self.record_problem_not_run(Problem(503, why, remedy, refusal.retry_after_s))
+
     def record_all_paused(self, pause: AllPaused) -> None:
         """Record that all engines are paused; keep the problem of an attempt that may have run."""
         if not self.possible_runs:
--- a/marjoramspool/bounds.py
+++ b/marjoramspool/bounds.py
@@ -13,3 +13,5 @@
     retry_ratio: float = 0.2
     retry_reserve: float = 50.0
     retry_window_s: float = 10.0
+    # Time within which an evacuation takes effect; None where operators evacuate nothing.
+    evacuation_s: float | None = None
--- a/marjoramspool/engine_state/engine_list.py
+++ b/marjoramspool/engine_state/engine_list.py
@@ -5,6 +5,7 @@
 
 from marjoramspool import hashing
 from marjoramspool.clock import now
+from marjoramspool.engine_state.evacuations import Evacuations
 from marjoramspool.events import Event, log
 
 __all__ = ["RENEWAL_GRACE_S", "Engine", "EngineList"]
@@ -59,6 +60,7 @@
         "clock",
         "engines",
         "departures",
+        "evacuations",
         "in_grace_period",
         "on_listed",
         "on_removed",
@@ -83,6 +85,8 @@
         self.stale_until: dict[tuple[str, int], float] = {}
         # Result of `usable` by service and version, kept until the list changes.
         self.usable_by_service: dict[tuple[str, str | None], list[Engine]] = {}
+        self.evacuations = Evacuations(clock)
+        self.evacuations.on_change.append(self.usable_by_service.clear)
         self.in_grace_period: dict[str, tuple[Engine, float]] = {}
         self.revision = 0
         self.cached_digest: int | None = None
@@ -253,11 +257,18 @@
         if self.stale_until and max(self.stale_until.values()) <= self.clock():
             self.stale_until.clear()
             self.usable_by_service.clear()
+        if self.evacuations.held_until:
+            self.evacuations.expire()
         key = (service, version)
         if key not in self.usable_by_service:
             self.usable_by_service[key] = self.find_usable(service, version)
         return self.usable_by_service[key]
 
+    def is_all_evacuated(self, service: str) -> bool:
+        """Return whether a service has engines, all of them in evacuated failure domains."""
+        domains = {e.failure_domain for e in self.engines.values() if e.service == service}
+        return bool(domains) and all(map(self.evacuations.is_evacuated, domains))
+
     def find(self, key: tuple[str, int]) -> Engine | None:
         """Return an incarnation that still serves, None if it does not."""
         engine = self.engines.get(key[0])
@@ -279,6 +290,7 @@
         """Return whether a listed engine may get new requests."""
         return not (
             self.is_draining(engine)
+            or self.evacuations.is_evacuated(engine.failure_domain)
             or self.is_stale(engine)
             or (engine.id, engine.started_ms) in self.reassigned
         )
--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -57,6 +57,8 @@
     ENGINES_IN_REACH = (517, "info", "engines of a service accept connections from here again")
     ENGINES_BRITTLE = (518, "warning", "engines fall over if they turn too many requests away")
     ENGINE_FULL = (519, "info", "a brittle engine turned a request away; its bound is tightened")
+    EVACUATION_BEGUN = (520, "warning", "the engines of a failure domain get no new requests")
+    EVACUATION_ENDED = (521, "info", "the engines of a failure domain get requests again")
     REGISTRATION_UNREADABLE = (509, "warning", "a registration could not be decoded and is ignored")
     ATTEMPT_FAILED = (601, "info", "an attempt failed")
     STREAM_RESUMED = (602, "info", "a stream was resumed over a new connection")
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from marjoramspool.clock import now
 from marjoramspool.engine_state.engine_list import EngineList
 from marjoramspool.engine_state.poison_parts import describe_quarantines
 from marjoramspool.engine_state.quarantine_store import QuarantineStore
@@ -24,7 +25,12 @@
 from marjoramspool.peers.discovery import Discovery
 from marjoramspool.peers.forwarded_server import ForwardedServer
 from marjoramspool.peers.load_broadcast import LoadBroadcast, PathState, StateVersions
-from marjoramspool.peers.messages import CachesState, EnginesState, TableState
+from marjoramspool.peers.messages import (
+    CachesState,
+    EnginesState,
+    EvacuationReport,
+    TableState,
+)
 from marjoramspool.peers.peer_paths import PeerPaths
 from marjoramspool.peers.state_sync import State, StateSync
 from marjoramspool.peers.watch_roles import WatchRoles
@@ -33,10 +39,15 @@
 from marjoramspool.platform.ingress import Ingress
 from marjoramspool.platform.settings import BALANCER_REMOVAL_DELAY_S, READINESS_PATH, HostSettings
 from marjoramspool.platform.store import Store
-from marjoramspool.platform.watchers import new_engine_watcher, new_table_watcher
+from marjoramspool.platform.watchers import (
+    new_engine_watcher,
+    new_evacuation_watcher,
+    new_table_watcher,
+)
 from marjoramspool.startup_wait import StartupWait
 from marjoramspool.status import MemberStatus, Status
 from marjoramspool.store_versions import epoch_of
+from marjoramspool.store_watchers import WatchRole
 
 __all__ = ["FleetRouter", "MetricsAddress"]
 
@@ -44,6 +55,9 @@
 STOP_MARGIN_S = 0.4
 RESTART_DELAY_S = 0.2
 BOOTSTRAP_CHECK_PERIOD_S = 0.02
+# Later than this after a start, a router serves without knowing the evacuations: neither the store
+# nor another router tells them.
+MAX_EVACUATIONS_WAIT_S = 4.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -63,6 +77,7 @@
         "discovery",
         "engine_watcher",
         "engines",
+        "evacuation_watcher",
         "forwarded",
         "forwarding",
         "ingress",
@@ -75,6 +90,7 @@
         "selector",
         "sessions",
         "settings",
+        "started_at",
         "startup_wait",
         "state_sync",
         "store",
@@ -95,6 +111,12 @@
         )
         self.table_watcher = new_table_watcher(self.store, self.watch_roles.current)
         self.engine_watcher = new_engine_watcher(self.store, self.engines, self.watch_roles.current)
+        self.evacuation_watcher = None
+        if settings.bounds.evacuation_s is not None:
+            self.evacuation_watcher = new_evacuation_watcher(
+                self.store, self.engines.evacuations, self.watch_roles.current
+            )
+        self.started_at = now()
         self.selector = EngineSelector(
             settings.failure_domain, self.engines, lambda: self.table_watcher.table
         )
@@ -161,8 +183,21 @@
 
     @property
     def has_initial_state(self) -> bool:
-        """Return whether the route table and the engine list are known."""
-        return self.table_watcher.table is not None and self.engine_watcher.revision is not None
+        """Return whether the route table, the engine list and the evacuations are known."""
+        return (
+            self.table_watcher.table is not None
+            and self.engine_watcher.revision is not None
+            and self.is_informed_of_evacuations
+        )
+
+    @property
+    def is_informed_of_evacuations(self) -> bool:
+        """Return whether the evacuations are known, or nobody could tell them for some seconds."""
+        return (
+            self.evacuation_watcher is None
+            or self.engines.evacuations.version is not None
+            or now() - self.started_at > MAX_EVACUATIONS_WAIT_S
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -182,8 +217,17 @@
             self.engines.digest(),
             self.is_store_available,
             self.table_watcher.table_version,
+            self.evacuation_report(),
         )
 
+    def evacuation_report(self) -> EvacuationReport | None:
+        """Return the evacuations to tell; only routers that watch the store tell them."""
+        evacuations = self.engines.evacuations
+        is_watching = self.watch_roles.current() is not WatchRole.PASSIVE
+        if self.evacuation_watcher is None or evacuations.version is None or not is_watching:
+            return None
+        return EvacuationReport(evacuations.version, tuple(sorted(evacuations.domains)))
+
     def path_state(self) -> PathState:
         """Return what other routers need to know to send requests through this one."""
         return PathState(
@@ -241,6 +285,9 @@
     def faults(self) -> dict[str, str]:
         """Return what operators should know of, by what it concerns."""
         faults = describe_quarantines(self.selector.poison) | describe_limits(self.selector.limits)
+        evacuations = self.engines.evacuations
+        for domain in sorted(evacuations.domains | evacuations.held_until.keys()):
+            faults[f"failure domain {domain}"] = "it is evacuated"
         if not self.is_store_available:
             faults["store"] = "it does not answer"
         return faults
@@ -281,6 +328,8 @@
         stack.push_async_callback(self.tasks.stop)
         self.tasks.start(self.table_watcher.run)
         self.tasks.start(self.engine_watcher.run)
+        if self.evacuation_watcher:
+            self.tasks.start(self.evacuation_watcher.run)
         stack.callback(self.load_broadcast.close)
         await self.load_broadcast.start()
         stack.push_async_callback(self.state_sync.close)
@@ -327,6 +376,7 @@
         self.metrics.gauges = {
             "requests_in_flight": lambda: len(self.ingress.active_connections),
             "routers_heard": lambda: len(self.directory.live_peers()),
+            "domains_evacuated": lambda: len(self.engines.evacuations.domains),
             "engines_listed": lambda: len(self.engines.engines),
             "table_revision": lambda: self.table_watcher.table_revision,
             "store_calls": lambda: self.store.calls,
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -20,6 +20,7 @@
 from marjoramspool.engine_state.engine_pauses import AllPaused
 from marjoramspool.engine_state.engine_reach import Path
 from marjoramspool.engine_state.engine_room import AllFull
+from marjoramspool.engine_state.evacuations import AllEvacuated
 from marjoramspool.engine_state.poison_parts import Quarantine
 from marjoramspool.engine_state.reach_monitor import ReachMonitor
 from marjoramspool.engine_state.request_limits import AllLimited
@@ -193,12 +194,14 @@
         self,
         request: RoutedRequest,
         history: AttemptHistory,
-        reason: Shed | AllPaused | AllLimited | AllFull | Quarantine | None,
+        reason: Shed | AllEvacuated | AllPaused | AllLimited | AllFull | Quarantine | None,
     ) -> None:
         """Record why no engine gets a request, and what its caller is told."""
         match reason:
             case Shed():
                 history.problem = self.shed_problem(request, reason)
+            case AllEvacuated():
+                history.record_all_evacuated(reason)
             case AllPaused():
                 history.record_all_paused(reason)
             case AllLimited():
--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -363,6 +363,9 @@
         for room in report.rooms:
             if engine := self.find_engine(room.incarnation_id):
                 apply_room_report(self.selector.room, engine, room)
+        if news := report.evacuations:
+            evacuations = self.selector.engines.evacuations
+            evacuations.replace(news.domains, news.version, report.address)
         for engine in filter(None, map(self.find_engine, report.leaving)):
             self.selector.engines.record_announcement(engine, report.address)
         if not relays.is_full_mesh(self.directory):
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -17,6 +17,7 @@
     "EngineEntry",
     "EngineLoadReport",
     "EngineRateReport",
+    "EvacuationReport",
     "EnginesState",
     "FleetLoads",
     "IncludedReport",
@@ -132,6 +133,13 @@
     probes: int
 
 
+class EvacuationReport(msgspec.Struct, array_like=True, frozen=True):
+    """Evacuated failure domains at a version of the store."""
+
+    version: int
+    domains: tuple[str, ...]
+
+
 class RouterReport(msgspec.Struct, array_like=True, frozen=True, tag=0):
     """Report of one router: its identity, state versions, loads and cache updates.
 
@@ -171,6 +179,8 @@
     in_flight: int = 0
     # Bounds on the requests in brittle engines that the reporting router has tightened itself.
     rooms: tuple[RoomReport, ...] = ()
+    # None from a router that does not watch the store, or where nothing is evacuated.
+    evacuations: EvacuationReport | None = None
 
 
 class ReportBatch(msgspec.Struct, array_like=True, frozen=True, tag=1):
--- a/marjoramspool/peers/own_reports.py
+++ b/marjoramspool/peers/own_reports.py
@@ -13,6 +13,7 @@
     MESSAGE_REVISION,
     CacheUpdate,
     CacheUpdateKind,
+    EvacuationReport,
     IncludedReport,
     RouterReport,
     incarnation_id,
@@ -35,13 +36,17 @@
 
 @dataclass(slots=True, frozen=True)
 class StateVersions:
-    """Versions of a router's route table and engine list, and whether it reaches the store."""
+    """Versions of a router's route table and engine list, and whether it reaches the store.
+
+    The few evacuations are told whole.
+    """
 
     table_revision: int
     engines_revision: int
     engines_digest: int
     has_store: bool
     table_version: int = 0
+    evacuations: EvacuationReport | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -182,6 +187,7 @@
             cut_off,
             path_state.in_flight,
             rooms,
+            state_versions.evacuations,
         )
 
     def own_loads(self) -> Loads:
--- a/marjoramspool/peers/report_relay.py
+++ b/marjoramspool/peers/report_relay.py
@@ -113,6 +113,7 @@
             report.quarantined,
             tuple((limit.incarnation_id, limit.milli_per_s) for limit in report.limits),
             tuple((room.incarnation_id, room.milli) for room in report.rooms),
+            report.evacuations,
         )
         last = self.forwarded.get(report.address)
         has_news = (
--- a/marjoramspool/placement/engine_selector.py
+++ b/marjoramspool/placement/engine_selector.py
@@ -15,6 +15,7 @@
 from marjoramspool.engine_state.engine_loads import EngineLoads
 from marjoramspool.engine_state.engine_pauses import AllPaused, EnginePauses
 from marjoramspool.engine_state.engine_room import AllFull, EngineRoom
+from marjoramspool.engine_state.evacuations import AllEvacuated
 from marjoramspool.engine_state.outlier_detection import OutlierDetector
 from marjoramspool.engine_state.poison_parts import PoisonDetector, Quarantine
 from marjoramspool.engine_state.prefix_caches import PrefixCaches
@@ -178,7 +179,9 @@
         return [
             engine
             for engine in self.engines.engines.values()
-            if engine.service in services and services[engine.service].engine_capacity
+            if engine.service in services
+            and services[engine.service].engine_capacity
+            and not self.engines.evacuations.is_evacuated(engine.failure_domain)
         ]
 
     def record_listed(self, engine: Engine, parts: tuple[Part, ...]) -> None:
@@ -188,7 +191,7 @@
 
     def place(
         self, request: RoutedRequest, exclude: set[str], version: str | None = None
-    ) -> Placement | Shed | AllPaused | AllLimited | AllFull | Quarantine | None:
+    ) -> Placement | Shed | AllEvacuated | AllPaused | AllLimited | AllFull | Quarantine | None:
         """Return a placement of a request at the best engine; None if no engine is usable.
 
         A stream that goes on is placed among the engines of the software `version` that began it.
@@ -196,6 +199,8 @@
         A request that has not been sent to any engine yet is shed if it would wait too long there.
         """
         serving = self.engines.usable(request.service, version)
+        if not serving and self.engines.is_all_evacuated(request.service):
+            return AllEvacuated(request.remaining_s(), hashing.fraction(request.id))
         if all_paused := self.pauses.all_paused(serving, hashing.fraction(request.id)):
             return all_paused
         prompt = request.prompt
--- a/marjoramspool/platform/settings.py
+++ b/marjoramspool/platform/settings.py
@@ -19,6 +19,7 @@
 READINESS_PATH = "/marjoramspool/readyz"
 # The load balancer probes once a second and removes a host after two failed probes.
 BALANCER_REMOVAL_DELAY_S = 2.3
+MS_PER_S = 1000.0
 
 
 class SettingsError(Exception):
@@ -40,6 +41,8 @@
     retry_budget_slack: float = 50.0
     budget_window_s: float = 10.0
     cap_x: float = 2.0
+    # Present where failure domains may be evacuated.
+    evacuate_ms: float | None = None
 
 
 class StoreFields(msgspec.Struct, frozen=True):
@@ -113,6 +116,7 @@
             retry_ratio=bounds.retry_budget_ratio,
             retry_reserve=bounds.retry_budget_slack,
             retry_window_s=bounds.budget_window_s,
+            evacuation_s=None if bounds.evacuate_ms is None else bounds.evacuate_ms / MS_PER_S,
         ),
     )
 
--- a/marjoramspool/platform/watchers.py
+++ b/marjoramspool/platform/watchers.py
@@ -1,18 +1,26 @@
-"""Watchers of the desired state and of the engine registrations in the store."""
+"""Watchers of the desired state, the engine registrations and the evacuations in the store."""
 
 from collections.abc import Callable
 
 from marjoramspool.engine_state.engine_list import Engine, EngineList
+from marjoramspool.engine_state.evacuations import Evacuations
 from marjoramspool.platform.desired import decode_table
 from marjoramspool.platform.registry import decode_engine
 from marjoramspool.platform.store import Store, StoredObject
-from marjoramspool.store_watchers import EngineWatcher, RouteTableWatcher, WatchRole
+from marjoramspool.store_watchers import (
+    EngineWatcher,
+    EvacuationWatcher,
+    RouteTableWatcher,
+    WatchRole,
+)
 
-__all__ = ["new_engine_watcher", "new_table_watcher"]
+__all__ = ["new_engine_watcher", "new_evacuation_watcher", "new_table_watcher"]
 
 DESIRED_KIND = "config"
 DESIRED_NAME = "main"
 ENGINES_KIND = "servers"
+# Each object is named after the failure domain that is to get no more requests.
+EVACUATIONS_KIND = "evacuations"
 
 
 def new_table_watcher(store: Store, watch_role: Callable[[], WatchRole]) -> RouteTableWatcher:
@@ -27,6 +35,13 @@
     return EngineWatcher(store, ENGINES_KIND, decode_registration, engines, watch_role)
 
 
+def new_evacuation_watcher(
+    store: Store, evacuations: Evacuations, watch_role: Callable[[], WatchRole]
+) -> EvacuationWatcher:
+    """Return a watcher of the evacuations of failure domains."""
+    return EvacuationWatcher(store, EVACUATIONS_KIND, evacuations, watch_role)
+
+
 def decode_registration(stored: StoredObject) -> Engine | None:
     """Return the engine that a stored object registers, or None if it is invalid."""
     return decode_engine(stored.name, stored.spec, stored.status)
--- a/marjoramspool/store_watchers.py
+++ b/marjoramspool/store_watchers.py
@@ -1,4 +1,4 @@
-"""Watchers that replicate the route table and the engine registrations from the store."""
+"""Watchers that replicate the route table, engine registrations and evacuations from the store."""
 
 import asyncio
 import enum
@@ -9,6 +9,7 @@
 
 from marjoramspool.clock import now
 from marjoramspool.engine_state.engine_list import RENEWAL_GRACE_S, Engine, EngineList
+from marjoramspool.engine_state.evacuations import Evacuations
 from marjoramspool.events import Event, log
 from marjoramspool.platform.store import (
     HistoryGoneError,
@@ -20,7 +21,13 @@
 from marjoramspool.routes import ClientLimits, RouteTable
 from marjoramspool.store_versions import epoch_of
 
-__all__ = ["EngineWatcher", "RouteTableWatcher", "StoreWatcher", "WatchRole"]
+__all__ = [
+    "EngineWatcher",
+    "EvacuationWatcher",
+    "RouteTableWatcher",
+    "StoreWatcher",
+    "WatchRole",
+]
 
 # A watch may stall without an error, possibly on all routers simultaneously, and is then
 # renewed after this time and the slack of the store's client: within 3 s of its stall.
@@ -108,8 +115,7 @@
             watch_timeout_s = CATCH_UP_TIMEOUT_S if self.has_failed else self.watch_timeout_s()
             changes, revision = await self.store.watch(self.kind, self.revision, watch_timeout_s)
             self.record_store_answer()
-            for change in changes:
-                self.apply_change(change)
+            self.apply_changes(changes, revision)
             self.revision = max(self.revision, revision)
             if self.watch_role() is WatchRole.STANDBY:
                 await asyncio.sleep(STANDBY_PERIOD_S)
@@ -137,6 +143,11 @@
         """Apply a full listing of the objects."""
         raise NotImplementedError
 
+    def apply_changes(self, changes: list[ObjectChange], revision: int) -> None:
+        """Apply the changes up to a revision."""
+        for change in changes:
+            self.apply_change(change)
+
     def apply_change(self, change: ObjectChange) -> None:
         """Apply one change."""
         raise NotImplementedError
@@ -258,3 +269,27 @@
             self.engines.remove(change.object.name, deadline)
         else:
             self.engines.register(engine)
+
+
+class EvacuationWatcher(StoreWatcher):
+    """Watcher of the evacuations; each object names a failure domain."""
+
+    __slots__ = ("evacuations",)
+
+    def __init__(
+        self,
+        store: Store,
+        kind: str,
+        evacuations: Evacuations,
+        watch_role: Callable[[], WatchRole],
+    ):
+        super().__init__(store, kind, watch_role)
+        self.evacuations = evacuations
+
+    def apply_listing(self, objects: list[StoredObject], revision: int) -> None:
+        """Apply a full listing of the evacuations."""
+        self.evacuations.replace((stored.name for stored in objects), revision, "store")
+
+    def apply_changes(self, changes: list[ObjectChange], revision: int) -> None:
+        """Apply new and removed evacuations."""
+        self.evacuations.apply_changes(((c.object.name, c.is_removed) for c in changes), revision)
