--- a/marjoramspool/store_watchers.py
+++ b/marjoramspool/store_watchers.py
@@ -36,6 +36,8 @@
 DESIGNATED_WATCH_TIMEOUT_S = 1.0
 # A standby's poll costs one call, however many changes there were.
 STANDBY_PERIOD_S = 1.0
+# Evacuations are rare and may take effect some seconds later, so that they cost fewer calls.
+EVACUATIONS_STANDBY_PERIOD_S = 2.5
 PASSIVE_CHECK_PERIOD_S = 0.15
 CATCH_UP_TIMEOUT_S = 0.001
 INITIAL_BACKOFF_S = 0.1
@@ -69,6 +71,7 @@
         "kind",
         "recovered_at",
         "revision",
+        "standby_period_s",
         "store",
         "watch_role",
     )
@@ -82,6 +85,7 @@
         self.is_listing_due = True
         self.has_failed = False
         self.recovered_at: float | None = None
+        self.standby_period_s = STANDBY_PERIOD_S
 
     async def run(self) -> None:
         """Synchronize with the store until cancelled, with backoff while it fails."""
@@ -118,7 +122,7 @@
             self.apply_changes(changes, revision)
             self.revision = max(self.revision, revision)
             if self.watch_role() is WatchRole.STANDBY:
-                await asyncio.sleep(STANDBY_PERIOD_S)
+                await asyncio.sleep(self.standby_period_s)
 
     def max_backoff_s(self) -> float:
         """Return the longest backoff between calls during an outage."""
@@ -285,6 +289,12 @@
     ):
         super().__init__(store, kind, watch_role)
         self.evacuations = evacuations
+        self.standby_period_s = EVACUATIONS_STANDBY_PERIOD_S
+
+    def watch_timeout_s(self) -> float:
+        """Return how long the store may keep a watch open; a standby's returns at once."""
+        is_standby = self.watch_role() is WatchRole.STANDBY
+        return CATCH_UP_TIMEOUT_S if is_standby else WATCH_TIMEOUT_S
 
     def apply_listing(self, objects: list[StoredObject], revision: int) -> None:
         """Apply a full listing of the evacuations."""
