--- a/marjoramspool/engine_state/request_limits.py
+++ b/marjoramspool/engine_state/request_limits.py
@@ -42,6 +42,9 @@
 MAX_TRANSIT_S = 1.0
 # The share of the routers that is heard is found again after this time.
 SHARE_AGE_S = 0.05
+# All routers find the same allowance free at about the same time, so that what is turned away
+# elsewhere arrives in bursts, above its mean rate by this much.
+SURGE_FACTOR = 4.0
 # Part of an allowance for which less urgent requests draw, so that urgent ones find room.
 RESERVED_FRACTION = 0.3
 # Changes of a limit by less than this fraction are not logged.
@@ -236,39 +239,56 @@
             return 0.0
         return max(0.0, 1.0 - self.room(key) / (allowance(limit_per_s) + 1.0))
 
-    def has_room(self, key: EngineKey, draw: float, is_urgent: bool) -> bool:
-        """Return whether a request may be sent to an engine; `draw`, 0 to 1, is its own.
+    def usable_room(self, key: EngineKey, draw: float, is_urgent: bool) -> float:
+        """Return the room of an engine for a request, less what is kept for urgent ones."""
+        room = self.room(key)
+        if room == math.inf or is_urgent:
+            return room
+        return room - RESERVED_FRACTION * draw * allowance(self.limit_per_s(key))
+
+    def unserved_per_s(self, key: EngineKey) -> float:
+        """Return the requests per second of the other routers that found no room at an engine.
 
-        Where more requests compete than there is room, before their reports arrive, each passes
-        with the probability at which the room suffices.
+        What was sent there is reported as wanted, too.
         """
-        room = self.room(key)
-        if room == math.inf:
-            return True
-        if not is_urgent:
-            room -= RESERVED_FRACTION * draw * allowance(self.limit_per_s(key))
-        if room < 1.0:
-            return False
-        competing_per_s = self.reported(key).wanted_milli / MILLI / SMOOTHING_S
-        competing = competing_per_s * self.report_age_s()
-        return draw * (1.0 + competing) < room
+        if self.limit_per_s(key) is None:
+            return 0.0
+        load = self.reported(key)
+        return max(0.0, (load.wanted_milli - load.sent_milli) / MILLI / SMOOTHING_S)
 
     def select(
         self, keys: Iterable[EngineKey], draw: Callable[[str], float], is_urgent: bool
     ) -> set[EngineKey]:
         """Return the engines with room for a request; count it as wanted at the others.
 
-        `draw` returns a number from 0 to 1 for an engine's id.
+        `draw` returns a number from 0 to 1 for an engine's id. Where more requests compete than
+        there is room, before their reports arrive, each passes with the probability at which the
+        room suffices. What finds no room elsewhere competes at the engines that have some.
         """
         keys = set(keys)
         if not self.notices:
             return keys
-        with_room = {key for key in keys if self.has_room(key, draw(key[0]), is_urgent)}
+        draws = {key: draw(key[0]) for key in keys}
+        rooms = {key: self.usable_room(key, draws[key], is_urgent) for key in keys}
+        open_keys = [key for key, room in rooms.items() if room >= 1.0]
+        unserved = {key: self.unserved_per_s(key) for key in keys}
+        unserved_per_s = sum(unserved.values())
+        with_room = set()
+        for key in open_keys:
+            turned_per_s = (unserved_per_s - unserved[key]) / len(open_keys)
+            competing = self.competing(key, turned_per_s)
+            if rooms[key] == math.inf or draws[key] * (1.0 + competing) < rooms[key]:
+                with_room.add(key)
         without_room = keys - with_room
         for key in without_room:
             rate_of(self.wanted, key, self.clock).record(1.0 / len(without_room))
         return with_room
 
+    def competing(self, key: EngineKey, turned_per_s: float) -> float:
+        """Return the requests of others that an engine may get before their reports arrive."""
+        wanted_per_s = self.reported(key).wanted_milli / MILLI / SMOOTHING_S
+        return max(wanted_per_s, SURGE_FACTOR * turned_per_s) * self.report_age_s()
+
     def all_limited(
         self, keys: Iterable[EngineKey], remaining_s: float, draw: float
     ) -> AllLimited | None:
