--- a/marjoramspool/attempt_history.py
+++ b/marjoramspool/attempt_history.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from marjoramspool.engine_state.cold_engines import AllCold
 from marjoramspool.engine_state.engine_pauses import AllPaused
 from marjoramspool.engine_state.engine_room import AllFull
 from marjoramspool.engine_state.evacuations import AllEvacuated
@@ -90,6 +91,12 @@
         remedy = "retry after the given time"
         self.record_problem_not_run(Problem(503, why, remedy, refusal.retry_after_s))
 
+    def record_all_cold(self, refusal: AllCold) -> None:
+        """Record that no cold engine takes one more; keep the problem of a possible run."""
+        why = "all engines of the service have just started and take few requests"
+        remedy = "retry after the given time"
+        self.record_problem_not_run(Problem(503, why, remedy, refusal.retry_after_s))
+
     def record_quarantine(self, quarantine: Quarantine, retry_after_s: float) -> None:
         """Record that the content of a request ends engines; keep the problem of a possible run."""
         if not self.possible_runs:
--- a/marjoramspool/bounds.py
+++ b/marjoramspool/bounds.py
@@ -15,3 +15,6 @@
     retry_window_s: float = 10.0
     # Time within which an evacuation takes effect; None where operators evacuate nothing.
     evacuation_s: float | None = None
+    # A cold engine may get this multiple of what it sustains in any second, and so many more.
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5.0
--- a/marjoramspool/engine_state/engine_list.py
+++ b/marjoramspool/engine_state/engine_list.py
@@ -1,7 +1,7 @@
 """List of the engines that have registered themselves."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from marjoramspool import hashing
 from marjoramspool.clock import now
@@ -26,7 +26,8 @@
 class Engine:
     """A registered engine; `started_ms` identifies its incarnation.
 
-    `version` is that of its software, empty if it is unknown.
+    `version` is that of its software, empty if it is unknown. `cold_remaining_s` is for how long it
+    was still cold when it registered, None if it does not say.
     """
 
     id: str
@@ -37,6 +38,7 @@
     is_draining: bool
     started_ms: int
     version: str = ""
+    cold_remaining_s: float | None = field(default=None, compare=False)
 
     @property
     def key(self) -> tuple[str, int]:
@@ -63,6 +65,7 @@
         "evacuations",
         "in_grace_period",
         "on_listed",
+        "on_registered",
         "on_removed",
         "pending_renewal",
         "reassigned",
@@ -91,6 +94,8 @@
         self.revision = 0
         self.cached_digest: int | None = None
         self.on_listed: list[Callable[[Engine], None]] = []
+        # Called with each registration, also with a renewed one.
+        self.on_registered: list[Callable[[Engine], None]] = []
         self.on_removed: list[Callable[[Engine], None]] = []
 
     def digest(self) -> int:
@@ -121,6 +126,8 @@
         if previous is None or previous.started_ms != engine.started_ms:
             for call in self.on_listed:
                 call(engine)
+        for call in self.on_registered:
+            call(engine)
         if previous is None or previous.is_draining != engine.is_draining:
             log(
                 Event.ENGINE_LISTED,
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from marjoramspool.clock import now
+from marjoramspool.engine_state.cold_shares import FleetView
 from marjoramspool.engine_state.engine_list import EngineList
 from marjoramspool.engine_state.poison_parts import describe_quarantines
 from marjoramspool.engine_state.quarantine_store import QuarantineStore
@@ -58,6 +59,8 @@
 # Later than this after a start, a router serves without knowing the evacuations: neither the store
 # nor another router tells them.
 MAX_EVACUATIONS_WAIT_S = 4.0
+# The heartbeats of the others arrive within this time after a start.
+MIN_SETTLING_S = 1.5
 
 
 @dataclass(slots=True, frozen=True)
@@ -125,6 +128,9 @@
         self.sessions.on_pause.append(self.selector.pauses.record)
         self.sessions.on_brittle.append(self.selector.room.record_answer)
         self.sessions.on_limit.append(self.selector.limits.record_answer)
+        self.sessions.on_cold.append(self.selector.cold.record_answer)
+        self.selector.cold.bounds = settings.bounds
+        self.selector.cold.shares.fleet = self.fleet_view
         self.reach = ReachMonitor(self.engines, self.sessions)
         self.reach.reach.on_returned.append(self.selector.forget_ejections)
         self.paths = PeerPaths(
@@ -282,6 +288,16 @@
             return self.directory.size()
         return 1 + len(self.directory.peers)
 
+    def fleet_view(self) -> FleetView:
+        """Return which routers this one hears, and how many it knows of."""
+        live = [peer.address for peer in self.directory.live_peers()]
+        return FleetView(
+            self.directory.local_address,
+            tuple(sorted([*live, self.directory.local_address])),
+            self.fleet_size(),
+            self.discovery.is_settled and now() - self.started_at > MIN_SETTLING_S,
+        )
+
     def faults(self) -> dict[str, str]:
         """Return what operators should know of, by what it concerns."""
         faults = describe_quarantines(self.selector.poison) | describe_limits(self.selector.limits)
@@ -301,7 +317,7 @@
                 self.table_watcher.table_revision, zlib.compress(self.table_watcher.spec)
             )
         if state_type is EnginesState:
-            entries = state_transfer.export_engines(self.engines)
+            entries = state_transfer.export_engines(self.engines, self.selector.cold)
             return EnginesState(self.engine_watcher.revision, entries)
         return CachesState(state_transfer.export_caches(self.selector))
 
@@ -377,6 +393,7 @@
             "requests_in_flight": lambda: len(self.ingress.active_connections),
             "routers_heard": lambda: len(self.directory.live_peers()),
             "domains_evacuated": lambda: len(self.engines.evacuations.domains),
+            "engines_cold": lambda: len(self.selector.cold.cold_engines()),
             "engines_listed": lambda: len(self.engines.engines),
             "table_revision": lambda: self.table_watcher.table_revision,
             "store_calls": lambda: self.store.calls,
@@ -399,6 +416,7 @@
         """Apply the settings that can change at runtime: the store address and the bounds."""
         self.store.address = settings.store_endpoint
         self.forwarding.bounds = settings.bounds
+        self.selector.cold.bounds = settings.bounds
 
     async def shut_down(self) -> None:
         """Drain this router before it stops.
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -16,6 +16,7 @@
 )
 from marjoramspool.bounds import Bounds
 from marjoramspool.clock import now
+from marjoramspool.engine_state.cold_engines import AllCold
 from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.engine_state.engine_pauses import AllPaused
 from marjoramspool.engine_state.engine_reach import Path
@@ -38,7 +39,7 @@
 from marjoramspool.metrics import Metrics
 from marjoramspool.outcomes import NotRun, Problem, Unknown
 from marjoramspool.peer_attempts import PeerAttempts, PeerPathSource
-from marjoramspool.placement.engine_selector import EngineSelector, Placement
+from marjoramspool.placement.engine_selector import EngineSelector, Placement, Refusal
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.retries import SharedRetryBudget
 from marjoramspool.streams.stream_origins import OriginSource
@@ -194,7 +195,7 @@
         self,
         request: RoutedRequest,
         history: AttemptHistory,
-        reason: Shed | AllEvacuated | AllPaused | AllLimited | AllFull | Quarantine | None,
+        reason: Refusal | None,
     ) -> None:
         """Record why no engine gets a request, and what its caller is told."""
         match reason:
@@ -208,6 +209,8 @@
                 history.record_all_limited(reason)
             case AllFull():
                 history.record_all_full(reason)
+            case AllCold():
+                history.record_all_cold(reason)
             case Quarantine():
                 history.record_quarantine(reason, reason.retry_after_s(now()))
 
--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -10,6 +10,7 @@
 from marjoramspool.engine_state.engine_loads import Load
 from marjoramspool.events import Event, log
 from marjoramspool.peers import relays
+from marjoramspool.peers.cold_reports import apply_cold_report
 from marjoramspool.peers.directory import Directory, Peer
 from marjoramspool.peers.limit_reports import apply_limit_report
 from marjoramspool.peers.load_sums import Loads, read_loads, subtract_loads
@@ -58,6 +59,8 @@
 REDISCOVERY_PERIOD_S = 1.0
 # An unanswered attempt or a quarantine in a report may take as many bytes as a short report.
 MAX_REPORTS_PER_BATCH = 100
+# As many cold engines take as many bytes as a short report.
+COLD_REPORTS_PER_REPORT = 8
 
 
 class LoadBroadcast(asyncio.DatagramProtocol):
@@ -250,6 +253,7 @@
         size = 0
         for report in reports:
             added = 1 + len(report.quarantined) + sum(len(end.attempts) for end in report.ended)
+            added += len(report.cold) // COLD_REPORTS_PER_REPORT
             if batch and size + added > MAX_REPORTS_PER_BATCH:
                 self.send(encode(ReportBatch(tuple(batch))), addresses)
                 batch, size = [], 0
@@ -363,6 +367,9 @@
         for room in report.rooms:
             if engine := self.find_engine(room.incarnation_id):
                 apply_room_report(self.selector.room, engine, room)
+        for cold in report.cold:
+            if engine := self.find_engine(cold.incarnation_id):
+                apply_cold_report(self.selector.cold, engine, cold)
         if news := report.evacuations:
             evacuations = self.selector.engines.evacuations
             evacuations.replace(news.domains, news.version, report.address)
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -12,6 +12,7 @@
     "CacheUpdate",
     "CacheUpdateKind",
     "CachesState",
+    "ColdReport",
     "DomainLoads",
     "EngineEndReport",
     "EngineEntry",
@@ -91,6 +92,14 @@
     age_ms: int
 
 
+class ColdReport(msgspec.Struct, array_like=True, frozen=True):
+    """Time for which an engine is still cold, 0 if it no longer is, and the age of its notice."""
+
+    incarnation_id: int
+    remaining_ms: int
+    age_ms: int
+
+
 class CacheUpdateKind(enum.IntEnum):
     """Source of a cache update, or its retraction."""
 
@@ -181,6 +190,8 @@
     rooms: tuple[RoomReport, ...] = ()
     # None from a router that does not watch the store, or where nothing is evacuated.
     evacuations: EvacuationReport | None = None
+    # Cold engines, and those that no longer are, that the reporting router heard itself.
+    cold: tuple[ColdReport, ...] = ()
 
 
 class ReportBatch(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -255,6 +266,8 @@
     started_ms: int
     # Version of its software, empty in the entries of a router of an earlier release.
     version: str = ""
+    # For how long it is still cold, None if it is not known to be.
+    cold_remaining_ms: int | None = None
 
 
 class TableState(msgspec.Struct, array_like=True, frozen=True):
--- a/marjoramspool/peers/own_reports.py
+++ b/marjoramspool/peers/own_reports.py
@@ -6,6 +6,7 @@
 
 from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.engine_state.engine_loads import Load
+from marjoramspool.peers.cold_reports import report_cold
 from marjoramspool.peers.directory import Directory
 from marjoramspool.peers.limit_reports import report_limits
 from marjoramspool.peers.load_sums import Loads, encode_loads
@@ -152,7 +153,8 @@
             answered,
             quarantined,
         )
-        is_unchanged = content == self.last_content and not self.queued_updates
+        has_news = bool(self.queued_updates) or self.selector.cold.has_news()
+        is_unchanged = content == self.last_content and not has_news
         if is_unchanged and now_s - self.sent_at < HEARTBEAT_PERIOD_S:
             return None
         self.sent_at = now_s
@@ -188,6 +190,7 @@
             path_state.in_flight,
             rooms,
             state_versions.evacuations,
+            tuple(report_cold(self.selector.cold)),
         )
 
     def own_loads(self) -> Loads:
--- a/marjoramspool/peers/report_relay.py
+++ b/marjoramspool/peers/report_relay.py
@@ -119,6 +119,8 @@
         has_news = (
             report.table_version > self.newest_table
             or report.engines_revision > self.newest_engines
+            # It is told when an engine becomes cold or warm, and seldom again.
+            or bool(report.cold)
         )
         now_s = self.clock()
         is_watcher = report.address in self.store_watchers
--- a/marjoramspool/peers/state_transfer.py
+++ b/marjoramspool/peers/state_transfer.py
@@ -1,5 +1,8 @@
 """Export and import of the engine list and of the cache contents."""
 
+import math
+
+from marjoramspool.engine_state.cold_engines import ColdEngines
 from marjoramspool.engine_state.engine_list import Engine, EngineList
 from marjoramspool.peers.messages import CacheUpdate, CacheUpdateKind, EngineEntry, incarnation_id
 from marjoramspool.placement.engine_selector import EngineSelector
@@ -14,9 +17,10 @@
 ]
 
 MAX_PARTS_PER_ENGINE = 1500
+MS = 1000.0
 
 
-def export_engines(engines: EngineList) -> tuple[EngineEntry, ...]:
+def export_engines(engines: EngineList, cold: ColdEngines) -> tuple[EngineEntry, ...]:
     """Return all registered engines as message entries."""
     return tuple(
         EngineEntry(
@@ -28,6 +32,7 @@
             e.is_draining,
             e.started_ms,
             e.version,
+            None if (cold_s := cold.last_said_s(e)) is None else math.ceil(cold_s * MS),
         )
         for e in engines.engines.values()
     )
@@ -57,6 +62,7 @@
         entry.is_draining,
         entry.started_ms,
         entry.version or (known.version if is_same else ""),
+        None if entry.cold_remaining_ms is None else entry.cold_remaining_ms / MS,
     )
 
 
--- a/marjoramspool/placement/cost_placement.py
+++ b/marjoramspool/placement/cost_placement.py
@@ -39,6 +39,8 @@
     # Requests that fit below the engine's rate limit, and the part of the limit that is used.
     room: float = math.inf
     used_limit: float = 0.0
+    # Whether it is cold and may be sent one more.
+    is_cold: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -83,6 +85,7 @@
     below_bound = [candidate for candidate in candidates if candidate.load.requests <= bound]
     if not below_bound:
         return None
+    below_bound = [c for c in below_bound if is_preferred(c, mean_requests)] or below_bound
     costs = {candidate.name: cost_tokens(candidate, prompt_tokens) for candidate in below_bound}
     level = water_level(list(costs.values()), unreported.tokens)
     level = max(level, min(costs.values()) + COST_TOLERANCE_TOKENS)
@@ -92,6 +95,15 @@
     return Choice(best, costs[best.name])
 
 
+def is_preferred(candidate: Candidate, mean_requests: float) -> bool:
+    """Return whether a candidate goes before the others, whatever it costs.
+
+    A router may seldom send to a cold engine, and no other may in its place: the engine gets work
+    only if the permission is used at the next request.
+    """
+    return candidate.is_cold and candidate.load.requests <= mean_requests
+
+
 def preference(key: int, name: str, cost: int, level: float) -> tuple[float, str]:
     """Return the sort key of an engine; the lowest is preferred.
 
--- a/marjoramspool/placement/engine_selector.py
+++ b/marjoramspool/placement/engine_selector.py
@@ -1,6 +1,6 @@
 """Selection of an engine for each request, from the loads and caches known to this router."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from marjoramspool import hashing
 from marjoramspool.admission.load_shedding import (
@@ -11,6 +11,7 @@
 )
 from marjoramspool.admission.queue_rank import queue_rank
 from marjoramspool.clock import now
+from marjoramspool.engine_state.cold_engines import AllCold, ColdEngines
 from marjoramspool.engine_state.engine_list import Engine, EngineList
 from marjoramspool.engine_state.engine_loads import EngineLoads
 from marjoramspool.engine_state.engine_pauses import AllPaused, EnginePauses
@@ -19,7 +20,7 @@
 from marjoramspool.engine_state.outlier_detection import OutlierDetector
 from marjoramspool.engine_state.poison_parts import PoisonDetector, Quarantine
 from marjoramspool.engine_state.prefix_caches import PrefixCaches
-from marjoramspool.engine_state.request_limits import AllLimited, RequestLimits
+from marjoramspool.engine_state.request_limits import AllLimited, EngineKey, RequestLimits
 from marjoramspool.engine_state.unreported_load import HotParts, WorkRate
 from marjoramspool.peers.messages import incarnation_id
 from marjoramspool.placement.cache_sources import Holder, select_cache_source
@@ -34,9 +35,12 @@
 from marjoramspool.placement.shared_parts import SharedParts
 from marjoramspool.prompts import Part
 from marjoramspool.requests import RoutedRequest
-from marjoramspool.routes import RouteTable
+from marjoramspool.routes import NEVER_COLD, ColdStart, RouteTable
 
-__all__ = ["EngineSelector", "Placement"]
+__all__ = ["EngineSelector", "Placement", "Refusal"]
+
+# Why no engine gets a request.
+Refusal = Shed | AllEvacuated | AllPaused | AllLimited | AllFull | AllCold | Quarantine
 
 # The rest of an engine's memory is used by its running requests.
 CACHE_MEMORY_FRACTION = 0.7
@@ -103,6 +107,7 @@
 
     __slots__ = (
         "caches",
+        "cold",
         "domain",
         "engines",
         "hot_parts",
@@ -135,6 +140,7 @@
         self.pauses = EnginePauses()
         self.limits = RequestLimits(lambda key: self.loads.others(key[0]))
         self.room = EngineRoom()
+        self.cold = ColdEngines(self.cold_start)
         # Requests that this router sends to each service.
         self.request_rates: dict[str, WorkRate] = {}
         self.poison = PoisonDetector()
@@ -157,6 +163,9 @@
         self.unknown_caches: set[tuple[str, int]] = set()
         engines.on_removed.append(self.remove_engine)
         engines.on_listed.append(self.room.record_listed)
+        engines.on_listed.append(self.cold.record_listed)
+        engines.on_registered.append(self.cold.record_registered)
+        engines.evacuations.on_ended.append(self.record_evacuation_ended)
 
     def remove_engine(self, engine: Engine) -> None:
         """Remove the state of an engine that is gone or has restarted."""
@@ -165,8 +174,20 @@
         self.pauses.remove_engine(engine)
         self.limits.remove_engine(engine.key)
         self.room.remove_engine(engine)
+        self.cold.remove_engine(engine.key)
         self.unknown_caches.discard((engine.id, engine.started_ms))
 
+    def cold_start(self, service: str) -> ColdStart:
+        """Return the cold start of a service's engines."""
+        table = self.table()
+        return table.cold_start(service) if table else NEVER_COLD
+
+    def record_evacuation_ended(self, domain: str) -> None:
+        """Take the engines of a failure domain for cold that may have started again meanwhile."""
+        for engine in self.engines.engines.values():
+            if engine.failure_domain == domain:
+                self.cold.record_doubt(engine)
+
     def forget_ejections(self, service: str) -> None:
         """Use the engines of a service again that were ejected while none was in reach."""
         for engine in self.engines.usable(service):
@@ -191,7 +212,7 @@
 
     def place(
         self, request: RoutedRequest, exclude: set[str], version: str | None = None
-    ) -> Placement | Shed | AllEvacuated | AllPaused | AllLimited | AllFull | Quarantine | None:
+    ) -> Placement | Refusal | None:
         """Return a placement of a request at the best engine; None if no engine is usable.
 
         A stream that goes on is placed among the engines of the software `version` that began it.
@@ -212,9 +233,13 @@
         if choice is None:
             left = [engine for engine in serving if engine.id not in exclude]
             draw = hashing.fraction(request.id)
-            return self.limits.all_limited(
-                (engine.key for engine in left), request.remaining_s(), draw
-            ) or self.room.all_full(left, draw)
+            return (
+                self.limits.all_limited(
+                    (engine.key for engine in left), request.remaining_s(), draw
+                )
+                or self.room.all_full(left, draw)
+                or self.cold.all_cold(left, request.remaining_s(), draw)
+            )
         engine = self.engines.engines[choice.engine.name]
         prefill_tokens = max(0, tokens - choice.engine.cached_tokens)
         rank = queue_rank(prefill_tokens, request.priority)
@@ -223,6 +248,7 @@
             return shed
         self.sent_rates[request.service].record(prefill_tokens + REQUEST_COST_TOKENS)
         self.limits.record_sent(engine.key)
+        self.cold.record_sent(engine)
         self.request_rates.setdefault(request.service, WorkRate()).record(1.0)
         if not parts:
             return Placement(engine, self.loads, prefill_tokens, choice, rank)
@@ -250,6 +276,8 @@
         key = hashing.digest(str(prompt.shared_part_id) if prompt else request.id)
         if len(serving) > MAX_COMPARED_ENGINES:
             holders = self.usable_holders(request.service, parts, version)
+            # Few routers may send to a cold engine: they compare it for each of their requests.
+            holders += self.listed(self.cold.permitted(request.service), request.service, version)
             ring_key = (request.service, version)
             window = self.ring(ring_key, serving).window(key, holders)
             mean = self.mean_requests(ring_key, serving)
@@ -263,10 +291,15 @@
         self, service: str, parts: tuple[Part, ...], version: str | None
     ) -> list[Engine]:
         """Return the usable engines of a service that have the most of a chain of parts cached."""
+        holders = self.caches.deepest_holders(parts)[:MAX_HOLDERS]
+        return self.listed(holders, service, version)
+
+    def listed(self, keys: Iterable[EngineKey], service: str, version: str | None) -> list[Engine]:
+        """Return the engines of some keys that are usable for a service and version."""
         listed = self.engines.engines
         return [
             engine
-            for name, started_ms in self.caches.deepest_holders(parts)[:MAX_HOLDERS]
+            for name, started_ms in keys
             if (engine := listed.get(name))
             and engine.started_ms == started_ms
             and engine.service == service
@@ -297,7 +330,11 @@
         return choose_engine(candidates, key, tokens, unreported, mean_requests)
 
     def with_room(self, engines: list[Engine], request: RoutedRequest) -> list[Engine]:
-        """Return the engines that are not full, and whose rate limits have room for a request."""
+        """Return the engines that are not full, and whose rate limits have room for a request.
+
+        Of the cold ones, these are only those that this router may send one more.
+        """
+        engines = self.cold.select(engines)
         if self.room.is_brittle(request.service):
             unreported = self.unreported_requests(request.service, len(engines))
             engines = [
@@ -427,6 +464,7 @@
             is_same_domain=engine.failure_domain == self.domain,
             room=self.limits.room(engine.key),
             used_limit=self.limits.used(engine.key),
+            is_cold=self.cold.is_cold(engine),
         )
 
     def record_end(self, placement: Placement, parts: tuple[int, ...]) -> None:
@@ -434,6 +472,8 @@
         engine = placement.engine
         incarnation = incarnation_id(engine.id, engine.started_ms)
         self.poison.record_end(incarnation, placement.placed_at, parts)
+        # It may be back under its id before it is listed again.
+        self.cold.record_doubt(engine)
 
     def revert_placement(self, placement: Placement) -> None:
         """Drop the parts of a placement whose engine refused or failed the request."""
--- a/marjoramspool/platform/desired.py
+++ b/marjoramspool/platform/desired.py
@@ -1,5 +1,7 @@
 """Decoder of the desired state, the object that holds the route table."""
 
+import math
+
 import msgspec
 
 from marjoramspool import routes
@@ -62,6 +64,10 @@
 
     name: str
     engine: EngineFields | None = None
+    # Time for which an engine is cold after its start, and the requests a second that it sustains
+    # meanwhile; 0 where engines are never cold.
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class LimitFields(msgspec.Struct, frozen=True):
@@ -149,7 +155,15 @@
     """Return the service that was decoded."""
     engine = fields.engine
     capacity = routes.EngineCapacity(engine.slots, engine.kv_capacity_tokens) if engine else None
-    return routes.Service(fields.name, capacity)
+    return routes.Service(fields.name, capacity, decode_cold_start(fields))
+
+
+def decode_cold_start(fields: ServiceFields) -> routes.ColdStart:
+    """Return the cold start of a service's engines; figures that make no sense mean none."""
+    figures = (fields.cold_start_s, fields.cold_per_s)
+    if not all(0.0 < figure < math.inf for figure in figures):
+        return routes.NEVER_COLD
+    return routes.ColdStart(*figures)
 
 
 def decode_accounts(tenants: list[TenantFields] | None) -> dict[str, routes.ClientAccount] | None:
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -35,6 +35,7 @@
     report_limit,
 )
 from marjoramspool.keepalive import keepalive_socket
+from marjoramspool.platform.cold_times import read_cold_time
 from marjoramspool.platform.headers import filter_answer_headers
 from marjoramspool.prompts import Part
 from marjoramspool.requests import RoutedRequest
@@ -77,7 +78,9 @@
     engine announces its departure call `on_departure`; refusals that ask for a pause call
     `on_pause` with its length in seconds; every answer calls `on_brittle` with whether its engine
     says that it is; answers that tell a rate limit, or that there is none,
-    call `on_limit` with the engine's key, the limit or None, and when the request was sent.
+    call `on_limit` with the engine's key, the limit or None, and when the request was sent;
+    answers that tell for how long their engine is cold call `on_cold` with the seconds and when the
+    request was sent.
     """
 
     __slots__ = (
@@ -85,6 +88,7 @@
         "local_address",
         "memory",
         "on_brittle",
+        "on_cold",
         "on_departure",
         "on_limit",
         "on_pause",
@@ -95,6 +99,7 @@
         self.local_address = local_address
         self.memory = AnswerMemory()
         self.on_brittle: list[Callable[[Engine, bool], None]] = []
+        self.on_cold: list[Callable[[Engine, float, float], None]] = []
         self.on_departure: list[Callable[[Engine], None]] = []
         self.on_pause: list[Callable[[Engine, float], None]] = []
         self.on_limit: list[LimitCallback] = []
@@ -140,7 +145,7 @@
             stack.callback(response.close)
             check_identity(request, engine, response, context.is_reused)
             report_limit(response, engine.key, sent_at, self.on_limit, "Server-Limit")
-            self.read_notices(engine, response)
+            self.read_notices(engine, response, sent_at)
             check_answer(engine, response)
             if response.status in SUCCESS_STATUSES and response.content_type == SSE:
                 events = read_events(response)
@@ -172,8 +177,14 @@
         session.trace_configs.append(trace)
         return session
 
-    def read_notices(self, engine: Engine, response: aiohttp.ClientResponse) -> None:
+    def read_notices(
+        self, engine: Engine, response: aiohttp.ClientResponse, sent_at: float
+    ) -> None:
         """Pass on what an engine says of itself beside its answer."""
+        cold_s = read_cold_time(engine.id, response.headers.get("X-Cold-Ms"))
+        if cold_s is not None:
+            for call in self.on_cold:
+                call(engine, cold_s, sent_at)
         if response.headers.get("Server-Leaving") == "1":
             for call in self.on_departure:
                 call(engine)
--- a/marjoramspool/platform/headers.py
+++ b/marjoramspool/platform/headers.py
@@ -47,7 +47,9 @@
 )
 MAX_REQUEST_ID_LENGTH = 256
 # Headers of an answer that are meant for the router.
-INTERNAL_ANSWER_HEADERS = frozenset(("x-server-load", "x-instance-id", "x-not-executed"))
+INTERNAL_ANSWER_HEADERS = frozenset(
+    ("x-server-load", "x-instance-id", "x-not-executed", "x-cold-ms")
+)
 
 
 def filter_request_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
--- a/marjoramspool/platform/registry.py
+++ b/marjoramspool/platform/registry.py
@@ -4,6 +4,7 @@
 
 from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.events import Event, log
+from marjoramspool.platform.cold_times import read_cold_time
 
 __all__ = ["decode_engine"]
 
@@ -22,6 +23,8 @@
     born: int = 0
     # Version of the engine's software; that of its model's weights is in other fields.
     version: str = ""
+    # How long the engine is still cold; of any type, so that a malformed one loses nothing else.
+    cold_remaining_ms: object = None
 
 
 def decode_engine(name: str, *payloads: msgspec.Raw) -> Engine | None:
@@ -49,6 +52,7 @@
             is_draining=fields.state == "draining",
             started_ms=fields.born,
             version=fields.version,
+            cold_remaining_s=read_cold_time(name, fields.cold_remaining_ms),
         )
     log(Event.REGISTRATION_UNREADABLE, engine=name, fault=str(reason))
     return None
--- a/marjoramspool/platform/settings.py
+++ b/marjoramspool/platform/settings.py
@@ -1,5 +1,6 @@
 """Settings file of a router process, which the platform writes."""
 
+import math
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -43,6 +44,9 @@
     cap_x: float = 2.0
     # Present where failure domains may be evacuated.
     evacuate_ms: float | None = None
+    # What a cold engine may get in a second: a multiple of what it sustains, and so many more.
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5.0
 
 
 class StoreFields(msgspec.Struct, frozen=True):
@@ -102,6 +106,9 @@
         if not is_endpoint(value):
             raise SettingsError(f"{path}: {key}: {value!r} is not IP:PORT; {remedy}")
     bounds = fields.bounds
+    for key in ("cold_overshoot", "cold_slack"):
+        if not 0.0 <= getattr(bounds, key) < math.inf:
+            raise SettingsError(f"{path}: bounds.{key}: it is no number from 0; {remedy}")
     return HostSettings(
         name=fields.node_name,
         address=fields.ip,
@@ -117,6 +124,8 @@
             retry_reserve=bounds.retry_budget_slack,
             retry_window_s=bounds.budget_window_s,
             evacuation_s=None if bounds.evacuate_ms is None else bounds.evacuate_ms / MS_PER_S,
+            cold_overshoot=bounds.cold_overshoot,
+            cold_slack=bounds.cold_slack,
         ),
     )
 
--- a/marjoramspool/routes.py
+++ b/marjoramspool/routes.py
@@ -7,8 +7,10 @@
 from marjoramspool import hashing
 
 __all__ = [
+    "NEVER_COLD",
     "ClientAccount",
     "ClientLimits",
+    "ColdStart",
     "EngineCapacity",
     "Route",
     "RouteKind",
@@ -78,12 +80,27 @@
     kv_cache_tokens: int
 
 
+@dataclass(slots=True, frozen=True)
+class ColdStart:
+    """How long an engine is cold after its start, in seconds, and the requests that it sustains.
+
+    Both are 0 where engines are never cold.
+    """
+
+    duration_s: float = 0.0
+    per_s: float = 0.0
+
+
+NEVER_COLD = ColdStart()
+
+
 @dataclass(slots=True, frozen=True)
 class Service:
     """Service of the route table; `engine_capacity` is None for a plain service."""
 
     name: str
     engine_capacity: EngineCapacity | None = None
+    cold_start: ColdStart = NEVER_COLD
 
 
 @dataclass(slots=True, frozen=True)
@@ -130,6 +147,11 @@
         """Return a client account by its name, None if it has no key."""
         return self.accounts_by_name.get(name)
 
+    def cold_start(self, service: str) -> ColdStart:
+        """Return the cold start of a service's engines."""
+        known = self.services.get(service)
+        return known.cold_start if known else NEVER_COLD
+
     def highest_priority(self, service: str) -> float:
         """Return the most urgent priority of the routes to a service; 0 is the highest."""
         priorities = (
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -42,6 +42,8 @@
     # Software version of the engine when the request arrived.
     version: str = ""
     has_sent_events: bool = False
+    # Whether the engine was cold when the request arrived.
+    is_cold: bool = False
 
 
 @dataclass(slots=True)
@@ -71,6 +73,8 @@
     limit_per_s: float | None = None
     # Requests that it serves at a time, without bound if None; it turns others away.
     room: int | None = None
+    # Until when it is cold, as `time.monotonic` counts; it says so in registrations and answers.
+    cold_until: float = 0.0
     # It names this in every answer, and ends once it has turned more away in one second.
     brittle_per_s: float | None = None
     turned_away_at: list[float] = field(default_factory=list)
@@ -110,12 +114,16 @@
             "version": self.version,
             "slots": 16,
             "state": "ready",
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": self.cold_ms(),
             "sequence": 1,
             "born": self.started_ms,
         }
         return entry | changes
 
+    def cold_ms(self) -> int:
+        """Return for how long the engine is still cold, in milliseconds."""
+        return max(0, int((self.cold_until - time.monotonic()) * 1000))
+
     def runs(self, request: str | None = None) -> int:
         """Return the number of executions, of all requests or of one."""
         return sum(a.has_run and request in (None, a.id) for a in self.arrivals)
@@ -134,6 +142,8 @@
             notices["Server-Limit"] = f"{self.limit_per_s}"
         if self.brittle_per_s is not None:
             notices["Server-Brittle"] = f"{self.brittle_per_s:g}"
+        if self.cold_until:
+            notices["X-Cold-Ms"] = f"{self.cold_ms()}"
         return head(status, request, length, **more, **notices)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -172,6 +182,7 @@
             writer.write(self.head(421, arrival.id, 0, **{"X-Instance-Id": self.id}))
             return True
         arrival.version = self.version
+        arrival.is_cold = self.cold_ms() > 0
         arrival.has_announced = self.is_leaving
         arrival.limit_per_s = self.limit_per_s
         if self.retry_after_s is not None:
