--- a/marjoramspool/engine_state/cold_engines.py
+++ b/marjoramspool/engine_state/cold_engines.py
@@ -268,7 +268,7 @@
         self.record_wanted(service)
         view = self.shares.view()
         wanted_per_s = self.wanted[service].rate_per_s() * len(view.live)
-        served_per_s = max(1e-3, self.per_s(service) * len(cold) * view.part)
+        served_per_s = max(1e-3, self.per_s(service) * len(cold) * view.rate_part)
         longest_s = max(0.0, remaining_s) * MAX_RETRY_DELAY_FRACTION
         # Half of the longest delay is left for the spread.
         shortest_s = min(MIN_RETRY_DELAY_S * max(1.0, wanted_per_s / served_per_s), longest_s / 2)
--- a/marjoramspool/engine_state/cold_shares.py
+++ b/marjoramspool/engine_state/cold_shares.py
@@ -7,9 +7,12 @@
 Fault: the fleet is partitioned, or a router is cut off from all others. Of the parts of a fleet at
 most one hears more than half of the routers; it has the whole rate. Every other part has the share
 of the rate that it is of the fleet, so that all of them together have at most half of it besides.
+Small parts are many, and all may have been idle: each takes turns at random times, with half of its
+share, and a turn that passes unused is lost.
 """
 
 import math
+import random
 from bisect import bisect
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -26,6 +29,10 @@
 VIEW_AGE_S = 0.1
 # A router that does not know the fleet yet counts itself as one of this many.
 UNKNOWN_FLEET_SIZE = 256
+# Smaller parts of a fleet take turns of a length.
+MIN_LARGE_PART = 0.25
+SMALL_PART_FACTOR = 0.5
+TURN_S = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,12 +53,28 @@
         return not self.is_settled or len(self.live) == 1 < self.known
 
     @property
-    def part(self) -> float:
-        """Return the part of the rate of an engine that the routers heard have together."""
+    def heard_part(self) -> float:
+        """Return the part of the fleet that is heard, itself included."""
         if not self.is_settled:
             return 1.0 / max(self.known, UNKNOWN_FLEET_SIZE)
-        heard = len(self.live)
-        return 1.0 if 2 * heard > self.known else heard / self.known
+        return len(self.live) / self.known
+
+    @property
+    def has_majority(self) -> bool:
+        """Return whether more than half of the fleet is heard."""
+        return self.heard_part > 0.5
+
+    @property
+    def is_small(self) -> bool:
+        """Return whether the part of the fleet that is heard takes turns."""
+        return self.heard_part < MIN_LARGE_PART
+
+    @property
+    def rate_part(self) -> float:
+        """Return the part of the rate of an engine that the routers heard have together."""
+        if self.has_majority:
+            return 1.0
+        return self.heard_part * (SMALL_PART_FACTOR if self.is_small else 1.0)
 
 
 @dataclass(slots=True, frozen=True)
@@ -91,9 +114,22 @@
 
     def refill(self, now_s: float, per_s: float) -> None:
         """Add what has accrued at a rate since the last refill."""
-        self.tokens = min(1.0, self.tokens + per_s * (now_s - self.refilled_at))
+        self.tokens = min(1.0, self.accrued(now_s, per_s))
         self.refilled_at = now_s
 
+    def refill_for_turn(self, now_s: float, per_s: float) -> None:
+        """Add what has accrued, but lose a token that has not been used within its turn."""
+        self.tokens = self.accrued(now_s, per_s)
+        self.refilled_at = now_s
+        turn = per_s * TURN_S
+        if self.tokens > 1.0 + turn:
+            phase = self.tokens % 1.0
+            self.tokens = phase + (1.0 if phase <= turn else 0.0)
+
+    def accrued(self, now_s: float, per_s: float) -> float:
+        """Return the tokens, with what has accrued at a rate since the last refill."""
+        return self.tokens + per_s * (now_s - self.refilled_at)
+
 
 class ColdShares:
     """Shares of this router in the rates of cold engines, and what is left of them.
@@ -101,10 +137,11 @@
     `fleet` returns the current view of the fleet.
     """
 
-    __slots__ = ("buckets", "clock", "fleet", "known_view", "ring", "view_at")
+    __slots__ = ("buckets", "clock", "draw", "fleet", "known_view", "ring", "view_at")
 
     def __init__(self, clock: Callable[[], float] = now):
         self.clock = clock
+        self.draw: Callable[[], float] = random.random
         self.fleet: Callable[[], FleetView] = FleetView
         self.known_view = FleetView()
         self.view_at = -math.inf
@@ -128,7 +165,7 @@
         There are as many senders as requests a second, so that none may send two in a second.
         """
         view = self.view()
-        per_s *= view.part
+        per_s *= view.rate_part
         if view.is_isolated:
             return Share(per_s, 0, 1)
         senders = min(len(view.live), max(1, math.ceil(per_s)))
@@ -138,6 +175,7 @@
     def has_permission(self, key: EngineKey, per_s: float) -> bool:
         """Return whether one more request may go to an engine that sustains a rate."""
         share = self.share(key, per_s)
+        view = self.known_view
         now_s = self.clock()
         bucket = self.buckets.get(key)
         if share is None:
@@ -145,10 +183,13 @@
                 bucket.tokens, bucket.refilled_at = min(0.0, bucket.tokens), now_s
             return False
         if bucket is None:
-            # The senders begin one after the other.
-            tokens = 1.0 - (share.place + 1) / share.senders
-            bucket = self.buckets[key] = Bucket(tokens, now_s)
-        bucket.refill(now_s, share.per_s)
+            # The senders begin one after the other; parts of the fleet do not know of each other.
+            phase = (share.place + 1) / share.senders if view.has_majority else self.draw()
+            bucket = self.buckets[key] = Bucket(1.0 - phase, now_s)
+        if view.is_small and share.per_s * TURN_S < 1.0:
+            bucket.refill_for_turn(now_s, share.per_s)
+        else:
+            bucket.refill(now_s, share.per_s)
         return bucket.tokens >= 1.0
 
     def record_sent(self, key: EngineKey) -> None:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -182,7 +182,7 @@
             writer.write(self.head(421, arrival.id, 0, **{"X-Instance-Id": self.id}))
             return True
         arrival.version = self.version
-        arrival.is_cold = self.cold_ms() > 0
+        arrival.is_cold = time.monotonic() < self.cold_until
         arrival.has_announced = self.is_leaving
         arrival.limit_per_s = self.limit_per_s
         if self.retry_after_s is not None:
