--- a/soak/faults.py
+++ b/soak/faults.py
@@ -30,6 +30,11 @@
 LIMIT_S = 9.0
 POISON_S = 12.0
 CUT_S = 8.0
+COLD_S = 6.0
+COLD_PER_S = 4.0
+HEARTBEAT_S = 1.2
+# A desired state is applied everywhere within this time.
+CONFIGURATION_S = 2.0
 ENGINE_FAULTS = ("shed", "error", "reset", "cut", "extra", "foreign", "bare", "unframed-cut")
 STORE_FAULTS = ("outage", "silent", "slow", "lose-reply")
 
@@ -293,6 +298,24 @@
     engine.limit_per_s = None
 
 
+async def cool_engine(fleet: Fleet, fault: ScheduledFault) -> None:
+    """Have a target be cold, as after a start, and register it again until it is warm."""
+    if not fleet.cold_per_s:
+        fleet.cold_per_s = COLD_PER_S
+        await fleet.write_desired_state()
+        await asyncio.sleep(CONFIGURATION_S)
+    engine = select_engine(fleet, fault, "desk")
+    if engine.cold_until:
+        return
+    fleet.history.record_engine_disturbance(time.monotonic(), COLD_S, "cold")
+    engine.cold_until = time.monotonic() + COLD_S
+    while engine.id not in fleet.history.drain_starts and engine.id not in fleet.ended_engines:
+        await fleet.register(engine)
+        if time.monotonic() > engine.cold_until:
+            break
+        await asyncio.sleep(HEARTBEAT_S)
+
+
 async def repeat_poison(fleet: Fleet, fault: ScheduledFault) -> None:
     """Repeat a request that ends every target which runs it."""
     content = f"poison {fault.random_value}".encode()
@@ -357,6 +380,7 @@
     "release version": release_version,
     "restart version": restart_version,
     "cut from engines": cut_from_engines,
+    "engine cold": cool_engine,
 }
 # Seeds draw from the kinds that existed when they were first played.
 FIRST_SEEDS = {
@@ -368,6 +392,7 @@
     "release version": 40_000,
     "restart version": 40_000,
     "cut from engines": 50_000,
+    "engine cold": 60_000,
 }
 # Kinds with many variants are drawn more often.
 KIND_WEIGHTS = {
@@ -382,6 +407,7 @@
     "release version": 6,
     "restart version": 3,
     "cut from engines": 6,
+    "engine cold": 6,
 }
 LINK_MODES = tuple(mode.value for mode in Mode if mode is not Mode.OPEN)
 VARIANTS = {
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -27,6 +27,7 @@
 POLL_INTERVAL_S = 1.0
 EVENT_INTERVAL_S = 0.02
 ROUTER_NETWORK = "127.0.40"
+COLD_START_S = 6.0
 ENGINE_COUNTS = (("desk", 3), ("model", 4))
 
 
@@ -58,6 +59,8 @@
         self.restarts: set[asyncio.Task] = set()
         # Contents that end the targets that run them.
         self.poison_bodies: frozenset[bytes] = frozenset()
+        # Requests a second that cold targets sustain, 0 before the first is cold.
+        self.cold_per_s = 0.0
         self.keys: tuple[str, ...] = ("key-0", "key-1", "key-2")
         # API keys that callers use, including revoked ones.
         self.caller_keys: tuple[str, ...] = self.keys
@@ -137,6 +140,8 @@
     async def write_desired_state(self) -> None:
         """Write a new desired state with a unique probe route and record its confirmation."""
         probe_prefix = f"/probe-{self.platform.version + 3}/"
+        engine = {"slots": 16, "kv_capacity_tokens": 100_000}
+        cold = {"cold_start_s": COLD_START_S, "cold_per_s": self.cold_per_s}
         await self.platform.configure(
             route("/lookup/", "idempotent", "desk"),
             route("/order/", "non_idempotent", "desk", max_attempts=1),
@@ -144,6 +149,7 @@
             route("/digest/", "streaming", "model", max_attempts=1),
             route(probe_prefix, "idempotent", "desk"),
             keys=self.keys,
+            services=[{"name": "model", "engine": engine}, {"name": "desk"} | cold],
         )
         version = self.platform.version
         self.history.changes.append(
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -32,6 +32,9 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA_REQUESTS = 5
+COLD_TOLD_S = 1.0
+COLD_WINDOW_S = 1.0
+MAX_COLD_ARRIVALS = 11
 MIN_POISON_ENDS = 3
 MAX_LATE_POISON = 3
 MAX_JOINED_STREAMS = 2
@@ -55,6 +58,7 @@
         *check_announcements(history),
         *check_pauses(history),
         *check_limits(history),
+        *check_cold(history),
         *check_poison(history),
         *check_versions(history),
         *check_paths(history),
@@ -181,6 +185,16 @@
                 break
 
 
+def check_cold(history: History) -> Iterator[Violation]:
+    """Check that a cold engine gets few requests in any second, once it has told that it is."""
+    for engine in history.platform.engines:
+        cold = sorted(a.at for a in engine.arrivals if a.is_cold)
+        due = [at for at in cold if at >= cold[0] + COLD_TOLD_S]
+        most = max((sum(s <= at < s + COLD_WINDOW_S for at in due) for s in due), default=0)
+        if most > MAX_COLD_ARRIVALS:
+            yield Violation("cold engines", f"{engine.id} got {most} requests in one second")
+
+
 def check_poison(history: History) -> Iterator[Violation]:
     """Check that a request under which three engines ended is kept from them."""
     routers = {sent.id: sent for sent in history.requests if sent.kind == "poison"}
--- a/soak/tests/test_invariants.py
+++ b/soak/tests/test_invariants.py
@@ -108,6 +108,17 @@
     assert violated(history) == {"engine limits"}
 
 
+def test_more_than_a_cold_engine_sustains_is_a_violation(history):
+    for number in range(20):
+        ask(history, f"r{number}", at=100.0 + number / 4)
+        arrive(history, f"r{number}", at=100.0 + number / 4).is_cold = True
+    assert not violated(history)
+    for number in range(20, 30):
+        ask(history, f"r{number}", at=104.0)
+        arrive(history, f"r{number}", at=104.0 + number / 100).is_cold = True
+    assert violated(history) == {"cold engines"}
+
+
 def test_a_request_that_ended_three_engines_and_reaches_more_is_a_violation(history):
     history.platform.engines.append(PlatformEngine("i-2", "desk"))
     for number in range(7):
