--- a/marjoramspool/engine_state/cold_engines.py
+++ b/marjoramspool/engine_state/cold_engines.py
@@ -15,7 +15,7 @@
 
 from marjoramspool.bounds import Bounds
 from marjoramspool.clock import now
-from marjoramspool.engine_state.cold_shares import ColdShares, shared_per_s
+from marjoramspool.engine_state.cold_shares import ColdRate, ColdShares
 from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.engine_state.request_limits import EngineKey
 from marjoramspool.engine_state.unreported_load import WorkRate
@@ -198,11 +198,10 @@
         remaining_s = self.remaining_s(engine.key)
         return remaining_s if remaining_s or engine.cold_remaining_s is not None else None
 
-    def per_s(self, service: str) -> float:
+    def rate(self, service: str) -> ColdRate:
         """Return the rate that the routers divide for each cold engine of a service."""
-        bounds = self.bounds
-        cold_per_s = self.cold_start(service).per_s
-        return shared_per_s(cold_per_s, bounds.cold_overshoot, bounds.cold_slack)
+        per_s = self.cold_start(service).per_s
+        return ColdRate.within(per_s, self.bounds.cold_overshoot, self.bounds.cold_slack)
 
     def cold_engines(self) -> list[EngineKey]:
         """Return the engines that get only a few requests now."""
@@ -225,22 +224,22 @@
             return engines
         if self.shares.view().is_isolated and len(cold) < len(engines):
             return [engine for engine in engines if engine.id not in cold]
-        per_s = self.per_s(engines[0].service)
+        rate = self.rate(engines[0].service)
         return [
             engine
             for engine in engines
-            if engine.id not in cold or self.shares.has_permission(engine.key, per_s)
+            if engine.id not in cold or self.shares.has_permission(engine.key, rate)
         ]
 
     def permitted(self, service: str) -> list[EngineKey]:
         """Return the cold engines of a service that this router may send a request now."""
         if not self.cold_keys or self.cold_start(service).per_s <= 0.0:
             return []
-        per_s = self.per_s(service)
+        rate = self.rate(service)
         return [
             key
             for key in self.cold_keys
-            if self.notices[key].service == service and self.shares.has_permission(key, per_s)
+            if self.notices[key].service == service and self.shares.has_permission(key, rate)
         ]
 
     def record_sent(self, engine: Engine) -> None:
@@ -268,7 +267,7 @@
         self.record_wanted(service)
         view = self.shares.view()
         wanted_per_s = self.wanted[service].rate_per_s() * len(view.live)
-        served_per_s = max(1e-3, self.per_s(service) * len(cold) * view.rate_part)
+        served_per_s = max(1e-3, self.rate(service).per_s * len(cold) * view.rate_part)
         longest_s = max(0.0, remaining_s) * MAX_RETRY_DELAY_FRACTION
         # Half of the longest delay is left for the spread.
         shortest_s = min(MIN_RETRY_DELAY_S * max(1.0, wanted_per_s / served_per_s), longest_s / 2)
--- a/marjoramspool/engine_state/cold_shares.py
+++ b/marjoramspool/engine_state/cold_shares.py
@@ -21,9 +21,9 @@
 from marjoramspool.clock import now
 from marjoramspool.engine_state.request_limits import EngineKey
 
-__all__ = ["ColdShares", "FleetView", "RouterRing", "Share", "shared_per_s"]
+__all__ = ["ColdRate", "ColdShares", "FleetView", "RouterRing", "Share"]
 
-# Parts of a partitioned fleet exceed the shared rate by at most this factor.
+# Parts of a partitioned fleet exceed what is divided by at most this factor.
 PARTITION_FACTOR = 1.5
 # The routers that are heard are found again after this time.
 VIEW_AGE_S = 0.1
@@ -35,6 +35,23 @@
 TURN_S = 1.0
 
 
+@dataclass(slots=True, frozen=True)
+class ColdRate:
+    """Requests a second that the routers divide for one engine, and by how many at most.
+
+    With all senders in the same second, a fleet in a few parts still keeps to the bound.
+    """
+
+    per_s: float
+    senders: float
+
+    @classmethod
+    def within(cls, cold_per_s: float, overshoot: float, slack: float) -> "ColdRate":
+        """Return the rate for a bound of `cold_per_s` times `overshoot` and `slack` more."""
+        senders = (cold_per_s * overshoot + slack) / PARTITION_FACTOR
+        return cls(min(cold_per_s, senders), senders)
+
+
 @dataclass(slots=True, frozen=True)
 class FleetView:
     """Addresses of the routers that `local` hears, itself included, and how many it knows of.
@@ -159,22 +176,24 @@
                 self.ring = RouterRing(view.local, view.live)
         return self.known_view
 
-    def share(self, key: EngineKey, per_s: float) -> Share | None:
+    def share(self, key: EngineKey, rate: ColdRate) -> Share | None:
         """Return the share in the rate of an engine, None if other routers have it all.
 
-        There are as many senders as requests a second, so that none may send two in a second.
+        There are as many senders as the bound allows, since one with little traffic seldom has a
+        request when it may send one; and enough that none may send two in a second.
         """
         view = self.view()
-        per_s *= view.rate_part
+        per_s = rate.per_s * view.rate_part
         if view.is_isolated:
             return Share(per_s, 0, 1)
-        senders = min(len(view.live), max(1, math.ceil(per_s)))
+        most = max(1, math.ceil(per_s), math.floor(rate.senders * view.rate_part))
+        senders = min(len(view.live), most)
         place = self.ring.place(key)
         return Share(per_s / senders, place, senders) if place < senders else None
 
-    def has_permission(self, key: EngineKey, per_s: float) -> bool:
+    def has_permission(self, key: EngineKey, rate: ColdRate) -> bool:
         """Return whether one more request may go to an engine that sustains a rate."""
-        share = self.share(key, per_s)
+        share = self.share(key, rate)
         view = self.known_view
         now_s = self.clock()
         bucket = self.buckets.get(key)
@@ -200,11 +219,3 @@
     def remove_engine(self, key: EngineKey) -> None:
         """Forget an engine that is no longer cold or has gone."""
         self.buckets.pop(key, None)
-
-
-def shared_per_s(cold_per_s: float, overshoot: float, slack: float) -> float:
-    """Return the rate to divide, at which the parts of any fleet stay within the bound.
-
-    The bound for any second is `cold_per_s` times `overshoot` and `slack` more.
-    """
-    return min(cold_per_s, (cold_per_s * overshoot + slack) / PARTITION_FACTOR)
--- a/marjoramspool/peers/state_transfer.py
+++ b/marjoramspool/peers/state_transfer.py
@@ -50,7 +50,11 @@
 
 
 def import_engine(engines: EngineList, entry: EngineEntry) -> Engine:
-    """Return the engine of an entry; a version that the entry lacks is kept if it is known."""
+    """Return the engine of an entry; a version that the entry lacks is kept if it is known.
+
+    What the other router knows of a cold engine is used only if the engine is new here: this router
+    may have heard more since.
+    """
     known = engines.engines.get(entry.id)
     is_same = known is not None and known.started_ms == entry.started_ms
     return Engine(
@@ -62,7 +66,7 @@
         entry.is_draining,
         entry.started_ms,
         entry.version or (known.version if is_same else ""),
-        None if entry.cold_remaining_ms is None else entry.cold_remaining_ms / MS,
+        None if is_same or entry.cold_remaining_ms is None else entry.cold_remaining_ms / MS,
     )
 
 
--- a/marjoramspool/peers/tests/test_load_broadcast.py
+++ b/marjoramspool/peers/tests/test_load_broadcast.py
@@ -1,6 +1,7 @@
 """Reports between routers, in a full mesh and through relays."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -383,7 +384,20 @@
 
 def test_the_engine_list_of_another_router_tells_what_is_cold():
     _, clock, (router, other) = make_cold_fleet(2)
-    router.selector.cold.record_answer(ENGINE, 8.0, clock.now)
+    new = Engine("i-2", "model", "1.1.1.1:2", "zone", 8, False, 1)
+    router.selector.engines.register(new)
+    router.selector.cold.record_answer(new, 8.0, clock.now)
     entries = export_engines(router.selector.engines, router.selector.cold)
     import_engines(other.selector.engines, entries, 2)
-    assert other.selector.cold.is_cold(ENGINE)
+    assert other.selector.cold.remaining_s(new.key) == 8.0
+
+
+def test_the_engine_list_of_another_router_does_not_shorten_what_an_engine_said():
+    _, clock, (router, other) = make_cold_fleet(2)
+    other.selector.cold.record_answer(ENGINE, 8.0, clock.now)
+    clock.now += 2.0
+    router.selector.engines.register(replace(ENGINE, cold_remaining_s=0.0))
+    entries = export_engines(router.selector.engines, router.selector.cold)
+    assert entries[0].cold_remaining_ms == 0
+    import_engines(other.selector.engines, entries, 2)
+    assert other.selector.cold.remaining_s(ENGINE.key) == pytest.approx(6.0)
