--- a/marjoramspool/attempt_history.py
+++ b/marjoramspool/attempt_history.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from marjoramspool.clock import now
+from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.engine_state.engine_pauses import AllPaused
 from marjoramspool.engine_state.engine_room import AllFull
 from marjoramspool.engine_state.evacuations import AllEvacuated
@@ -39,12 +41,23 @@
     # only there. Empty if it is not known.
     version: str | None = None
     has_brought_event: bool = False
+    # Events passed on to the caller, and when the first one was.
+    events: int = 0
+    first_event_at: float = 0.0
     # When the answer of the last attempt began, None once the engine has outlived its beginning.
     answered_at: float | None = None
+    # Engine that receives the memory of the last attempt's run.
+    backup: Engine | None = None
     problem: Problem = Problem(
         503, "no usable engine for the request", "retry the request", DEFAULT_RETRY_AFTER_S
     )
 
+    def record_event(self) -> None:
+        """Record an event that is passed on to the caller."""
+        if not self.events:
+            self.first_event_at = now()
+        self.events += 1
+
     def record_not_run(self, error: AttemptError) -> None:
         """Record an attempt that did not run; keep the problem of an earlier one that may have."""
         if not self.possible_runs:
--- a/marjoramspool/attempts.py
+++ b/marjoramspool/attempts.py
@@ -1,5 +1,6 @@
 """Attempts to send a request to an engine, and the answers of engines."""
 
+import enum
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager, AsyncExitStack
 from dataclasses import dataclass, field
@@ -14,6 +15,7 @@
     "Attempt",
     "EngineAnswer",
     "EngineClient",
+    "RunState",
     "StreamAnswer",
     "WholeAnswer",
     "wait_for_first_event",
@@ -47,13 +49,26 @@
     """One attempt to send a request to an engine.
 
     `queue_rank` is the rank of the request in the engine's queue. A stream is resumed after the
-    event `after_event`. The engine may copy cached prompt parts from `cache_source`.
+    event `after_event`. The engine may copy cached prompt parts from `cache_source`. It copies the
+    memory of the run to `backup`; with `run_memory`, it goes on with the run whose memory that is,
+    named by the address of an engine and a handle or the id of the request.
     """
 
     engine: Engine
     queue_rank: int
     after_event: int | None = None
     cache_source: Engine | None = None
+    backup: Engine | None = None
+    run_memory: str | None = None
+
+
+class RunState(enum.Enum):
+    """What is known of a run at an engine; `REFUSED` means that the engine takes no connection."""
+
+    AT_WORK = "at work"
+    GONE = "gone"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
 
 
 class EngineClient(Protocol):
@@ -70,6 +85,9 @@
     async def has_ended(self, engine: Engine) -> bool:
         """Return whether an engine refuses connections, as after the end of its process."""
 
+    async def run_state(self, engine: Engine, request_id: str) -> RunState:
+        """Return whether an engine still executes a request, by its own report."""
+
 
 async def wait_for_first_event(
     events: AsyncIterator[StreamEvent], stack: AsyncExitStack
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -41,6 +41,7 @@
 from marjoramspool.placement.engine_selector import EngineSelector, Placement
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.retries import SharedRetryBudget
+from marjoramspool.streams.run_continuation import RunContinuation
 from marjoramspool.streams.stream_origins import OriginSource
 from marjoramspool.streams.stream_resumption import StreamResumption
 
@@ -72,6 +73,7 @@
         "reach",
         "retry_budgets",
         "router_count",
+        "runs",
         "selector",
         "streams",
     )
@@ -92,6 +94,7 @@
         self.metrics = metrics
         self.streams = StreamResumption(self, origins)
         self.selector = selector
+        self.runs = RunContinuation(self, router_count)
         self.client = client
         self.bounds = bounds
         self.router_count = router_count
@@ -254,14 +257,21 @@
         history: AttemptHistory,
         stack: AsyncExitStack,
         after_event: int | None,
+        run_memory: str | None = None,
     ) -> WholeAnswer | StreamAnswer | AttemptError:
-        """Send one attempt; the stack owns its placement and its connection."""
+        """Send one attempt; the stack owns its placement and its connection.
+
+        With `run_memory` it goes on with a run, as `Attempt` specifies.
+        """
         engine = placement.engine
         stack.enter_context(placement)
         self.record_placement(request, placement, history, after_event)
         try:
             async with asyncio.timeout(self.attempt_timeout_s(request, placement, history)):
-                opening = self.client.open(request, make_attempt(placement, after_event))
+                is_continued = run_memory is not None
+                backup = self.runs.begin_backup(request, placement, history, stack, is_continued)
+                attempt = make_attempt(placement, after_event, backup, run_memory)
+                opening = self.client.open(request, attempt)
                 answer = await stack.enter_async_context(opening)
                 if isinstance(answer, StreamAnswer):
                     answer.events = await wait_for_first_event(answer.events, stack)
@@ -410,7 +420,13 @@
                 )
 
 
-def make_attempt(placement: Placement, after_event: int | None) -> Attempt:
+def make_attempt(
+    placement: Placement,
+    after_event: int | None,
+    backup: Engine | None = None,
+    run_memory: str | None = None,
+) -> Attempt:
     """Return the attempt for a placement; a resumed stream gets the rank `RESUMED_RANK`."""
     rank = placement.queue_rank if after_event is None else RESUMED_RANK
-    return Attempt(placement.engine, rank, after_event, placement.cache_source)
+    source = placement.cache_source
+    return Attempt(placement.engine, rank, after_event, source, backup, run_memory)
--- a/marjoramspool/placement/engine_selector.py
+++ b/marjoramspool/placement/engine_selector.py
@@ -9,7 +9,7 @@
     Shed,
     shed_request,
 )
-from marjoramspool.admission.queue_rank import queue_rank
+from marjoramspool.admission.queue_rank import RESUMED_RANK, queue_rank
 from marjoramspool.clock import now
 from marjoramspool.engine_state.engine_list import Engine, EngineList
 from marjoramspool.engine_state.engine_loads import EngineLoads
@@ -429,6 +429,33 @@
             used_limit=self.limits.used(engine.key),
         )
 
+    def takeover_engines(self, engine: Engine, request_id: str) -> list[Engine]:
+        """Return the engines that may go on with what an engine of their version has begun."""
+        if not engine.version:
+            return []
+        key = (engine.service, engine.version)
+        serving = self.engines.usable(*key)
+        if len(serving) > MAX_COMPARED_ENGINES:
+            serving = self.ring(key, serving).window(hashing.digest(request_id))
+        others = [e for e in serving if e.key != engine.key and not self.pauses.is_paused(e)]
+        not_ejected = self.outliers.exclude_ejected(e.id for e in others)
+        return [e for e in others if e.id in not_ejected]
+
+    def may_go_on_at(self, engine: Engine) -> bool:
+        """Return whether an engine may be sent a run that began elsewhere."""
+        return (
+            engine in self.engines.usable(engine.service, engine.version)
+            and not self.pauses.is_paused(engine)
+            and self.limits.room(engine.key) >= 1.0
+            and self.room.has_room(engine, self.loads.requests(engine.id), 0.0, 0.0)
+        )
+
+    def place_at(self, engine: Engine) -> Placement:
+        """Return a placement of a run that goes on at an engine, whose prompt is not read again."""
+        self.limits.record_sent(engine.key)
+        choice = Choice(self.candidate(engine, ()), 0)
+        return Placement(engine, self.loads, 0, choice, RESUMED_RANK)
+
     def record_end(self, placement: Placement, parts: tuple[int, ...]) -> None:
         """Record that an engine ended while a request with some parts had no answer."""
         engine = placement.engine
--- a/marjoramspool/platform/desired.py
+++ b/marjoramspool/platform/desired.py
@@ -51,10 +51,16 @@
 
 
 class EngineFields(msgspec.Struct, frozen=True):
-    """Capacity of the model engines of a service."""
+    """Capacity of the model engines of a service, and what they do with the memory of runs."""
 
     slots: int
     kv_capacity_tokens: int
+    moves: bool = False
+    backups: bool = False
+    # Time for which an engine keeps memory that it was sent.
+    handle_s: float = 0.0
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
 
 
 class ServiceFields(msgspec.Struct, frozen=True):
@@ -147,9 +153,20 @@
 
 def decode_service(fields: ServiceFields) -> routes.Service:
     """Return the service that was decoded."""
-    engine = fields.engine
-    capacity = routes.EngineCapacity(engine.slots, engine.kv_capacity_tokens) if engine else None
-    return routes.Service(fields.name, capacity)
+    return routes.Service(fields.name, decode_capacity(fields.engine) if fields.engine else None)
+
+
+def decode_capacity(fields: EngineFields) -> routes.EngineCapacity:
+    """Return the capacity of the engines of a service."""
+    return routes.EngineCapacity(
+        fields.slots,
+        fields.kv_capacity_tokens,
+        has_moves=fields.moves,
+        has_backups=fields.backups,
+        copy_retention_s=fields.handle_s,
+        kv_token_bytes=fields.kv_token_bytes,
+        link_mbps=fields.link_mbps,
+    )
 
 
 def decode_accounts(tenants: list[TenantFields] | None) -> dict[str, routes.ClientAccount] | None:
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -15,7 +15,7 @@
     read_body,
     read_events,
 )
-from marjoramspool.attempts import Attempt, StreamAnswer, WholeAnswer
+from marjoramspool.attempts import Attempt, RunState, StreamAnswer, WholeAnswer
 from marjoramspool.clock import now
 from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.events import Event, log
@@ -53,6 +53,8 @@
 CACHE_LIST_TIMEOUT_S = 1.0
 REPORT_PATH = "/marjoramspool/report"
 REPORT_TIMEOUT_S = 0.4
+# Short, since a broken stream waits for the result.
+RUN_REPORT_TIMEOUT_S = 0.15
 SSE = "text/event-stream"
 
 
@@ -70,6 +72,14 @@
     born: int = 0
 
 
+class RunsFields(msgspec.Struct, frozen=True):
+    """Runs in the report of an engine."""
+
+    # Each entry begins with the id of the request; None where engines do not list them.
+    runs: list[tuple[str, int, int, int]] | None = None
+    born: int = 0
+
+
 class EngineSessions:
     """HTTP sessions to engines; use as an async context manager.
 
@@ -206,6 +216,28 @@
         """Return whether an engine refuses connections, as after the end of its process."""
         return await is_refusing_connections(engine.address)
 
+    async def run_state(self, engine: Engine, request_id: str) -> RunState:
+        """Return whether an engine still executes a request, by its own report.
+
+        Only a refused connection shows that the process has ended; other errors may be of this
+        host.
+        """
+        url = f"http://{engine.address}{REPORT_PATH}"
+        try:
+            async with asyncio.timeout(RUN_REPORT_TIMEOUT_S), self.fresh.get(url) as response:
+                body = await read_body(response, self.memory)
+            report = msgspec.json.decode(body, type=RunsFields)
+        except aiohttp.ClientConnectorError as error:
+            is_refused = isinstance(error.os_error, ConnectionRefusedError)
+            return RunState.REFUSED if is_refused else RunState.UNKNOWN
+        except (aiohttp.ClientError, MayHaveRunError, OSError, TimeoutError, ValueError):
+            return RunState.UNKNOWN
+        if report.runs is not None:
+            is_listed = any(run_id == request_id for run_id, *_ in report.runs)
+            return RunState.AT_WORK if is_listed else RunState.GONE
+        is_other = engine.started_ms and report.born and report.born != engine.started_ms
+        return RunState.GONE if is_other else RunState.UNKNOWN
+
     async def can_connect(self, engine: Engine, timeout_s: float) -> bool:
         """Return whether an engine accepts a new connection within some seconds."""
         return await can_connect(engine.address, timeout_s, self.local_address)
@@ -258,6 +290,10 @@
         headers.append(("Last-Event-Id", str(attempt.after_event)))
     if attempt.cache_source is not None:
         headers.append(("Kv-Fetch", attempt.cache_source.address))
+    if attempt.backup is not None:
+        headers.append(("X-Kv-Backup", attempt.backup.address))
+    if attempt.run_memory is not None:
+        headers.append(("Kv-From", attempt.run_memory))
     return headers
 
 
--- a/marjoramspool/routes.py
+++ b/marjoramspool/routes.py
@@ -17,6 +17,8 @@
     "TrafficSplit",
 ]
 
+BYTES_PER_S_PER_MBPS = 125_000.0
+
 
 class RouteKind(enum.Enum):
     """Kind of the requests of a route, which decides whether they may be retried."""
@@ -72,10 +74,24 @@
 
 @dataclass(slots=True, frozen=True)
 class EngineCapacity:
-    """Capacity of an engine of a model service: concurrent requests, KV memory in tokens."""
+    """Capacity of an engine of a model service: concurrent requests, KV memory in tokens.
+
+    Engines with `has_backups` copy the memory of a run to another engine as it grows, those with
+    `has_moves` on demand; what is copied is kept for `copy_retention_s`.
+    """
 
     slots: int
     kv_cache_tokens: int
+    has_moves: bool = False
+    has_backups: bool = False
+    copy_retention_s: float = 0.0
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
+
+    @property
+    def link_bytes_per_s(self) -> float:
+        """Return the bytes per second that the link of an engine carries."""
+        return self.link_mbps * BYTES_PER_S_PER_MBPS
 
 
 @dataclass(slots=True, frozen=True)
--- a/marjoramspool/streams/stream_resumption.py
+++ b/marjoramspool/streams/stream_resumption.py
@@ -114,7 +114,9 @@
                     self.forwarding.confirm_answer(request, history, MAX_END_DELAY_S)
                     if history.version is None and history.placement is not None:
                         history.version = history.placement.engine.version
+                    history.record_event()
                     yield event
+                self.forwarding.runs.record_pace(request, history)
                 self.forwarding.confirm_answer(request, history, 0.0)
                 return
             except AttemptError as error:
@@ -126,6 +128,11 @@
                     await self.forwarding.record_if_ended(request, history.placement)
                 self.forwarding.selector.outliers.record_failure(history.placement.engine.id)
                 await self.forwarding.reach.confirm(request.service)
+            if not request.route.is_resumable and history.backup and last_event_id is not None:
+                events = await self.forwarding.runs.go_on(
+                    request, history, stack, last_event_id, failure
+                )
+                continue
             if not request.route.is_resumable or last_event_id is None:
                 raise BrokenAnswerError(str(failure))
             if history.version is None:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -13,7 +13,7 @@
 
 from standins.faults import reset_connection
 
-__all__ = ["Arrival", "PlatformEngine"]
+__all__ = ["Arrival", "PlatformEngine", "RunMemory"]
 
 PIECE_INTERVAL_S = 0.005
 PIECES_PER_STREAM = 6
@@ -42,6 +42,23 @@
     # Software version of the engine when the request arrived.
     version: str = ""
     has_sent_events: bool = False
+    # Whether the engine goes on with a run that began elsewhere, from its memory.
+    is_continued: bool = False
+    # When the engine stopped to execute it, None while it does or if it never did.
+    ended_at: float | None = None
+
+    @property
+    def content(self) -> tuple[str, str, bytes]:
+        """Return what the memory of a run belongs to."""
+        return self.method, self.path, self.body
+
+
+@dataclass(slots=True)
+class RunMemory:
+    """Memory of a run: the request that it belongs to, and the events that were generated."""
+
+    content: tuple[str, str, bytes]
+    events: int
 
 
 @dataclass(slots=True)
@@ -58,6 +75,10 @@
     While `retry_after_s` is set, requests are refused with it. While `limit_per_s` is set, every
     response names it. The engine ends when it begins to answer a request with a prompt part in
     `poison`, or when it begins to run one with a body in `poison_bodies`.
+
+    With `memory_peers` it lists its runs, copies the memory of a run to the engine that the request
+    names while that one has room, and goes on from memory that it was sent. Faults of these: detach
+    (the connection of a stream is reset midway and the run goes on for `detached_s`).
     """
 
     id: str
@@ -82,6 +103,14 @@
     arrivals: list[Arrival] = field(default_factory=list)
     poison: frozenset[str] = frozenset()
     poison_bodies: frozenset[bytes] = frozenset()
+    # Engines by address that take memory of runs and send it, None if this one does neither.
+    memory_peers: dict[str, "PlatformEngine"] | None = None
+    # Memory that other engines have sent, by the id of the run, and the limit on their number.
+    copies: dict[str, RunMemory] = field(default_factory=dict)
+    copy_room: int = 1000
+    # Time for which a run goes on after its connection has been reset by the fault `detach`.
+    detached_s: float = 0.0
+    at_work: dict[str, Arrival] = field(default_factory=dict)
     on_poisoned: Callable[[], None] = lambda: None
     cached_blocks: list[tuple[str, str, int, str]] = field(default_factory=list)
     lists: int = 0
@@ -98,6 +127,8 @@
     async def stop(self) -> None:
         """Stop listening and abort all open connections."""
         self.server.close()
+        for arrival in list(self.at_work.values()):
+            self.end_run(arrival)
         for writer in list(self.open_writers):
             writer.transport.abort()
 
@@ -164,7 +195,10 @@
             writer.write(self.head(200, arrival.id, len(body)) + body)
             return True
         if arrival.path == "/marjoramspool/report":
-            body = msgspec.json.encode({"running": self.running, "born": self.started_ms})
+            report = {"running": self.running, "born": self.started_ms}
+            if self.memory_peers is not None:
+                report["runs"] = [(name, 0, 0, 0) for name in self.at_work]
+            body = msgspec.json.encode(report)
             writer.write(self.head(200, arrival.id, len(body)) + body)
             return not self.consume("close-after-report")
         self.arrivals.append(arrival)
@@ -188,6 +222,8 @@
         if self.poison & prompt_parts(arrival):
             await self.end_poisoned()
             return False
+        if "kv-from" in arrival.headers:
+            return await self.go_on(arrival, reader, writer)
         arrival.has_run = True
         if arrival.body in self.poison_bodies:
             await self.end_poisoned()
@@ -208,6 +244,30 @@
             return await self.stream(arrival, reader, writer)
         return await self.plain(arrival, writer)
 
+    async def go_on(self, arrival: Arrival, reader, writer) -> bool:
+        """Go on with a run from its memory, or refuse it if there is none."""
+        address, _, name = arrival.headers["kv-from"].partition("/")
+        memory = self.copies.pop(name, None) if address == self.address else None
+        if memory is None or memory.content != arrival.content:
+            writer.write(self.head(503, arrival.id, 0, **{"X-Not-Executed": "1"}))
+            return True
+        arrival.is_continued = True
+        return await self.stream(arrival, reader, writer)
+
+    def back_up(self, arrival: Arrival, events: int) -> None:
+        """Copy the memory of a run to the engine that the request names."""
+        peer = (self.memory_peers or {}).get(arrival.headers.get("x-kv-backup", ""))
+        if peer is None or peer.server is None or not peer.server.is_serving():
+            return
+        if arrival.id in peer.copies or len(peer.copies) < peer.copy_room:
+            peer.copies[arrival.id] = RunMemory(arrival.content, events)
+
+    def drop_backup(self, arrival: Arrival) -> None:
+        """Free the copy of a run that has ended successfully."""
+        peer = (self.memory_peers or {}).get(arrival.headers.get("x-kv-backup", ""))
+        if peer is not None:
+            peer.copies.pop(arrival.id, None)
+
     async def has_fallen(self) -> bool:
         """Count a request that was turned away; return whether that ended the engine."""
         now = time.monotonic()
@@ -251,6 +311,20 @@
         return True
 
     async def stream(self, arrival: Arrival, reader, writer) -> bool:
+        """Execute a request whose answer is a stream; return whether the connection is kept."""
+        self.at_work[arrival.id] = arrival
+        try:
+            return await self.send_events(arrival, reader, writer)
+        finally:
+            self.end_run(arrival)
+
+    def end_run(self, arrival: Arrival) -> None:
+        """Record the end of an execution."""
+        if self.at_work.get(arrival.id) is arrival:
+            del self.at_work[arrival.id]
+            arrival.ended_at = time.monotonic()
+
+    async def send_events(self, arrival: Arrival, reader, writer) -> bool:
         """Send events, starting after the one that Last-Event-ID names."""
         first = int(arrival.headers.get("last-event-id", "0")) + 1
         if first > 1 and self.consume("repeat"):
@@ -270,12 +344,18 @@
                 await writer.drain()
                 reset_connection(writer)
                 return False
+            if number == first + 2 and self.consume("detach"):
+                reset_connection(writer)
+                await asyncio.sleep(self.detached_s)
+                return False
             if number == first + 2 and ends_inside:
                 writer.write(event[:8])
                 return False
             writer.write(event if is_unframed else chunk(event))
             arrival.has_sent_events = True
+            self.back_up(arrival, number)
             await writer.drain()
+        self.drop_backup(arrival)
         if is_unframed:
             return False
         writer.write(b"0\r\n\r\n")
