--- a/marjoramspool/attempt_history.py
+++ b/marjoramspool/attempt_history.py
@@ -12,6 +12,7 @@
 from marjoramspool.failures import AttemptError
 from marjoramspool.outcomes import Problem
 from marjoramspool.placement.engine_selector import Placement
+from marjoramspool.streams.moved_events import RunMove
 
 __all__ = ["DEFAULT_RETRY_AFTER_S", "AttemptHistory"]
 
@@ -44,6 +45,11 @@
     # Events passed on to the caller, and when the first one was.
     events: int = 0
     first_event_at: float = 0.0
+    last_event_id: int | None = None
+    # Where its run was moved last.
+    move: RunMove | None = None
+    # No move of the run is begun before this time.
+    next_move_at: float = 0.0
     # When the answer of the last attempt began, None once the engine has outlived its beginning.
     answered_at: float | None = None
     # Engine that receives the memory of the last attempt's run.
@@ -52,8 +58,9 @@
         503, "no usable engine for the request", "retry the request", DEFAULT_RETRY_AFTER_S
     )
 
-    def record_event(self) -> None:
+    def record_event(self, event_id: int | None) -> None:
         """Record an event that is passed on to the caller."""
+        self.last_event_id = event_id
         if not self.events:
             self.first_event_at = now()
         self.events += 1
--- a/marjoramspool/attempts.py
+++ b/marjoramspool/attempts.py
@@ -15,6 +15,7 @@
     "Attempt",
     "EngineAnswer",
     "EngineClient",
+    "MoveAnswer",
     "RunState",
     "StreamAnswer",
     "WholeAnswer",
@@ -71,6 +72,19 @@
     UNKNOWN = "unknown"
 
 
+@dataclass(slots=True, frozen=True)
+class MoveAnswer:
+    """Answer to the call that moves a run.
+
+    `handle` names its memory, None if the engine has not stopped the run; `is_copied` says whether
+    the memory is at the destination, with the first `events` events of the run.
+    """
+
+    handle: str | None = None
+    is_copied: bool = False
+    events: int | None = None
+
+
 class EngineClient(Protocol):
     """Client that sends attempts to engines."""
 
@@ -88,6 +102,11 @@
     async def run_state(self, engine: Engine, request_id: str) -> RunState:
         """Return whether an engine still executes a request, by its own report."""
 
+    async def move_run(
+        self, source: Engine, destination: Engine, request_id: str, timeout_s: float
+    ) -> MoveAnswer:
+        """Stop a run and move its memory to another engine."""
+
 
 async def wait_for_first_event(
     events: AsyncIterator[StreamEvent], stack: AsyncExitStack
--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -75,6 +75,8 @@
     STREAM_NOT_RESUMED = (612, "warning", "a stream cannot go on at the version that began it")
     RUN_CONTINUED = (614, "info", "a run went on from its copied memory at another engine")
     RUN_NOT_CONTINUED = (615, "warning", "a run with a copy of its memory could not go on there")
+    RUN_MOVED = (616, "info", "a run went on elsewhere, moved off an engine that leaves")
+    RUN_NOT_MOVED = (617, "info", "a run could not be moved off an engine that leaves")
     CLAIM_RELEASED = (701, "info", "the claim of an attempt that was never executed was released")
     CLAIM_UNSETTLED = (702, "warning", "it is unknown whether a claim was written")
     LEASE_TAKEN = (801, "info", "this router acquired the lease for a service's engine orders")
--- a/marjoramspool/failures.py
+++ b/marjoramspool/failures.py
@@ -12,6 +12,7 @@
     "PeerFailedError",
     "PeerRefusedError",
     "ResetError",
+    "RunMovedError",
     "SilentConnectionError",
     "TargetRefusedError",
 ]
@@ -65,5 +66,17 @@
     """The connection went silent although the target answers on new connections."""
 
 
+class RunMovedError(AttemptError):
+    """The target has stopped the run in order to move it; `handle` names its memory.
+
+    It was copied to the destination if `is_copied`, else the source has kept it.
+    """
+
+    def __init__(self, handle: str, is_copied: bool):
+        super().__init__("the target stopped the run to move it")
+        self.handle = handle
+        self.is_copied = is_copied
+
+
 class BrokenAnswerError(Exception):
     """The answer broke off after a part of it was passed on."""
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -15,7 +15,7 @@
     read_body,
     read_events,
 )
-from marjoramspool.attempts import Attempt, RunState, StreamAnswer, WholeAnswer
+from marjoramspool.attempts import Attempt, MoveAnswer, RunState, StreamAnswer, WholeAnswer
 from marjoramspool.clock import now
 from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.events import Event, log
@@ -47,11 +47,14 @@
 # Clients infer from these statuses that the request did not run, so they are not passed on from an
 # engine that may have run it.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+HTTP_OK = 200
 HTTP_MISDIRECTED = 421
 HTTP_UNAVAILABLE = 503
 CACHE_LIST_PATH = "/marjoramspool/kv-list"
 CACHE_LIST_TIMEOUT_S = 1.0
 REPORT_PATH = "/marjoramspool/report"
+MOVE_PATH = "/marjoramspool/kv-move"
+JSON_HEADERS = {"Content-Type": "application/json"}
 REPORT_TIMEOUT_S = 0.4
 # Short, since a broken stream waits for the result.
 RUN_REPORT_TIMEOUT_S = 0.15
@@ -80,6 +83,13 @@
     born: int = 0
 
 
+class MoveFields(msgspec.Struct, frozen=True):
+    """Answer of an engine that was asked to move a run."""
+
+    handle: str | None = None
+    create_revision: int | None = None
+
+
 class EngineSessions:
     """HTTP sessions to engines; use as an async context manager.
 
@@ -238,6 +248,32 @@
         is_other = engine.started_ms and report.born and report.born != engine.started_ms
         return RunState.GONE if is_other else RunState.UNKNOWN
 
+    async def move_run(
+        self, source: Engine, destination: Engine, request_id: str, timeout_s: float
+    ) -> MoveAnswer:
+        """Stop a run and move its memory to another engine."""
+        url = f"http://{source.address}{MOVE_PATH}"
+        body = msgspec.json.encode({"id": request_id, "to": destination.address, "last": True})
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self.fresh.post(url, data=body, headers=JSON_HEADERS) as response,
+            ):
+                content = await read_body(response, self.memory)
+            if response.status not in (HTTP_OK, HTTP_UNAVAILABLE):
+                return MoveAnswer()
+            fields = msgspec.json.decode(content, type=MoveFields)
+        except (
+            aiohttp.ClientError,
+            MayHaveRunError,
+            OSError,
+            TimeoutError,
+            ValueError,
+        ) as error:
+            log(Event.ATTEMPT_FAILED, request=request_id, target=source.id, why=f"{error!r}")
+            return MoveAnswer()
+        return MoveAnswer(fields.handle, response.status == HTTP_OK, fields.create_revision)
+
     async def can_connect(self, engine: Engine, timeout_s: float) -> bool:
         """Return whether an engine accepts a new connection within some seconds."""
         return await can_connect(engine.address, timeout_s, self.local_address)
--- a/marjoramspool/streams/run_backups.py
+++ b/marjoramspool/streams/run_backups.py
@@ -210,10 +210,12 @@
     capacity: EngineCapacity,
     destinations: Iterable[Destination],
     copied_tokens: dict[str, int],
+    prefers_same_domain: bool = False,
 ) -> Engine | None:
     """Return the engine that takes the memory of a run, None if none has room.
 
-    One of another failure domain than `engine` goes first, then the least loaded.
+    One of another failure domain than `engine` goes first, or one of the same, then the least
+    loaded.
     """
     best: tuple[tuple[bool, int, int], Engine] | None = None
     for destination in destinations:
@@ -226,7 +228,7 @@
         load = fill + copied / capacity.kv_cache_tokens
         draw = hashing.digest(f"{run.request_id}/{other.id}")
         is_same_domain = other.failure_domain == engine.failure_domain
-        rank = (is_same_domain, int(load / FILL_STEP), draw)
+        rank = (is_same_domain != prefers_same_domain, int(load / FILL_STEP), draw)
         if best is None or rank < best[0]:
             best = (rank, other)
     return best[1] if best else None
--- a/marjoramspool/streams/stream_pace.py
+++ b/marjoramspool/streams/stream_pace.py
@@ -1,6 +1,6 @@
 """Time between the events of streams, from which the time that a stream takes is estimated."""
 
-__all__ = ["StreamPace"]
+__all__ = ["MIN_EVENTS", "StreamPace"]
 
 # Assumed of a service of which no stream has been seen.
 DEFAULT_SECONDS_PER_EVENT = 0.03
--- a/marjoramspool/streams/stream_resumption.py
+++ b/marjoramspool/streams/stream_resumption.py
@@ -7,7 +7,7 @@
 from marjoramspool.attempts import StreamAnswer
 from marjoramspool.engine_state.poison_parts import MAX_END_DELAY_S
 from marjoramspool.events import Event, log
-from marjoramspool.failures import AttemptError, BrokenAnswerError
+from marjoramspool.failures import AttemptError, BrokenAnswerError, RunMovedError
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.streams.event_stream import StreamEvent
 from marjoramspool.streams.stream_origins import (
@@ -106,7 +106,7 @@
         last_event_id = request.after_event
         while True:
             try:
-                async for event in events:
+                async for event in self.forwarding.runs.follow(request, history, events):
                     if event.event_id is not None:
                         if last_event_id is not None and event.event_id <= last_event_id:
                             continue
@@ -114,11 +114,14 @@
                     self.forwarding.confirm_answer(request, history, MAX_END_DELAY_S)
                     if history.version is None and history.placement is not None:
                         history.version = history.placement.engine.version
-                    history.record_event()
+                    history.record_event(event.event_id)
                     yield event
                 self.forwarding.runs.record_pace(request, history)
                 self.forwarding.confirm_answer(request, history, 0.0)
                 return
+            except RunMovedError as error:
+                events = await self.forwarding.runs.go_on_moved(request, history, stack, error)
+                continue
             except AttemptError as error:
                 failure = error
             self.forwarding.confirm_answer(request, history, MAX_END_DELAY_S)
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -44,6 +44,9 @@
     has_sent_events: bool = False
     # Whether the engine goes on with a run that began elsewhere, from its memory.
     is_continued: bool = False
+    # Events generated, and whether the run was stopped to move it.
+    events: int = 0
+    is_stopped: bool = False
     # When the engine stopped to execute it, None while it does or if it never did.
     ended_at: float | None = None
 
@@ -78,7 +81,9 @@
 
     With `memory_peers` it lists its runs, copies the memory of a run to the engine that the request
     names while that one has room, and goes on from memory that it was sent. Faults of these: detach
-    (the connection of a stream is reset midway and the run goes on for `detached_s`).
+    (the connection of a stream is reset midway and the run goes on for `detached_s`), move-busy (a
+    move is refused with 409), move-mute (a move is not answered and the run goes on), move-full
+    (the destination of a move has no room, so that the source keeps the memory of a stopped run).
     """
 
     id: str
@@ -111,6 +116,10 @@
     # Time for which a run goes on after its connection has been reset by the fault `detach`.
     detached_s: float = 0.0
     at_work: dict[str, Arrival] = field(default_factory=dict)
+    # Memory that was moved here or kept here, by the address of its source and its handle.
+    handles: dict[tuple[str, str], RunMemory] = field(default_factory=dict)
+    move_s: float = 0.02
+    moves: list[Arrival] = field(default_factory=list)
     on_poisoned: Callable[[], None] = lambda: None
     cached_blocks: list[tuple[str, str, int, str]] = field(default_factory=list)
     lists: int = 0
@@ -201,6 +210,8 @@
             body = msgspec.json.encode(report)
             writer.write(self.head(200, arrival.id, len(body)) + body)
             return not self.consume("close-after-report")
+        if arrival.path == "/marjoramspool/kv-move":
+            return await self.move(arrival, writer)
         self.arrivals.append(arrival)
         if arrival.headers.get("x-expect-instance", self.id) != self.id:
             writer.write(self.head(421, arrival.id, 0, **{"X-Instance-Id": self.id}))
@@ -247,13 +258,50 @@
     async def go_on(self, arrival: Arrival, reader, writer) -> bool:
         """Go on with a run from its memory, or refuse it if there is none."""
         address, _, name = arrival.headers["kv-from"].partition("/")
-        memory = self.copies.pop(name, None) if address == self.address else None
+        memory = self.handles.pop((address, name), None)
+        if memory is None and address == self.address:
+            memory = self.copies.pop(name, None)
         if memory is None or memory.content != arrival.content:
             writer.write(self.head(503, arrival.id, 0, **{"X-Not-Executed": "1"}))
             return True
         arrival.is_continued = True
         return await self.stream(arrival, reader, writer)
 
+    async def move(self, arrival: Arrival, writer) -> bool:
+        """Move the memory of a run to another engine, and stop the run first if that is asked."""
+        self.moves.append(arrival)
+        handle = f"h{len(self.moves)}"
+        fields = msgspec.json.decode(arrival.body)
+        run = self.at_work.get(fields["id"])
+        if self.memory_peers is None or run is None:
+            writer.write(self.head(404, arrival.id, 0))
+            return True
+        if self.consume("move-busy"):
+            writer.write(self.head(409, arrival.id, 0))
+            return True
+        if self.consume("move-mute"):
+            await asyncio.sleep(5.0)
+            return False
+        if fields["last"]:
+            run.is_stopped = True
+            while self.at_work.get(run.id) is run:
+                await asyncio.sleep(0.002)
+        memory = RunMemory(run.content, run.events)
+        await asyncio.sleep(self.move_s)
+        peer = self.memory_peers.get(fields["to"])
+        is_full = self.consume("move-full")
+        if peer is not None and peer.server.is_serving() and not is_full:
+            peer.handles[(self.address, handle)] = memory
+            status, answer = 200, {"handle": handle, "create_revision": memory.events}
+        else:
+            status, answer = 503, {}
+            if fields["last"]:
+                self.handles[(self.address, handle)] = memory
+                answer = {"handle": handle}
+        body = msgspec.json.encode(answer)
+        writer.write(self.head(status, arrival.id, len(body)) + body)
+        return True
+
     def back_up(self, arrival: Arrival, events: int) -> None:
         """Copy the memory of a run to the engine that the request names."""
         peer = (self.memory_peers or {}).get(arrival.headers.get("x-kv-backup", ""))
@@ -338,6 +386,8 @@
             if reader.at_eof():
                 arrival.is_disconnected = True
                 return False
+            if arrival.is_stopped:
+                return False
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if number == first + 2 and self.consume("cut"):
                 writer.write(chunk(event[:8]))
@@ -353,6 +403,7 @@
                 return False
             writer.write(event if is_unframed else chunk(event))
             arrival.has_sent_events = True
+            arrival.events = number
             self.back_up(arrival, number)
             await writer.drain()
         self.drop_backup(arrival)
