--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -379,6 +379,8 @@
             "domains_evacuated": lambda: len(self.engines.evacuations.domains),
             "engines_listed": lambda: len(self.engines.engines),
             "table_revision": lambda: self.table_watcher.table_revision,
+            "run_copies_at_work": lambda: len(self.forwarding.runs.backups.copies),
+            "run_moves_at_work": lambda: self.forwarding.runs.moves.active,
             "store_calls": lambda: self.store.calls,
             "store_answers": lambda: float(self.is_store_available),
         }
--- a/marjoramspool/streams/run_continuation.py
+++ b/marjoramspool/streams/run_continuation.py
@@ -240,7 +240,10 @@
             return None
         source = history.placement.engine
         capacity = self.capacity(request.service)
-        if capacity is None or not capacity.has_moves or not self.is_leaving(source):
+        if capacity is None or not capacity.has_moves:
+            return None
+        if not self.is_leaving(source):
+            self.moves.record_staying(source)
             return None
         if min(capacity.kv_token_bytes, capacity.link_mbps) <= 0.0:
             return None
--- a/marjoramspool/streams/run_moves.py
+++ b/marjoramspool/streams/run_moves.py
@@ -40,9 +40,14 @@
     def record_removed(self, engine: Engine) -> None:
         """Record that an engine has left or started again."""
         since = self.leaving_since.pop(engine.key, None)
-        if since is not None:
+        # What an evacuation does with engines says nothing of drain periods.
+        if since is not None and engine.is_draining:
             self.drain_periods_s[engine.service] = self.clock() - since
 
+    def record_staying(self, engine: Engine) -> None:
+        """Record that an engine is not leaving, or no longer."""
+        self.leaving_since.pop(engine.key, None)
+
     def drain_left_s(self, engine: Engine) -> float:
         """Return the time until an engine that is leaving is expected to end."""
         now_s = self.clock()
--- a/marjoramspool/streams/stream_resumption.py
+++ b/marjoramspool/streams/stream_resumption.py
@@ -106,16 +106,18 @@
         last_event_id = request.after_event
         while True:
             try:
-                async for event in self.forwarding.runs.follow(request, history, events):
-                    if event.event_id is not None:
-                        if last_event_id is not None and event.event_id <= last_event_id:
-                            continue
-                        last_event_id = event.event_id
-                    self.forwarding.confirm_answer(request, history, MAX_END_DELAY_S)
-                    if history.version is None and history.placement is not None:
-                        history.version = history.placement.engine.version
-                    history.record_event(event.event_id)
-                    yield event
+                followed = self.forwarding.runs.follow(request, history, events)
+                async with aclosing(followed):
+                    async for event in followed:
+                        if event.event_id is not None:
+                            if last_event_id is not None and event.event_id <= last_event_id:
+                                continue
+                            last_event_id = event.event_id
+                        self.forwarding.confirm_answer(request, history, MAX_END_DELAY_S)
+                        if history.version is None and history.placement is not None:
+                            history.version = history.placement.engine.version
+                        history.record_event(event.event_id)
+                        yield event
                 self.forwarding.runs.record_pace(request, history)
                 self.forwarding.confirm_answer(request, history, 0.0)
                 return
