--- a/marjoramspool/platform/desired.py
+++ b/marjoramspool/platform/desired.py
@@ -1,5 +1,7 @@
 """Decoder of the desired state, the object that holds the route table."""
 
+from typing import Any
+
 import msgspec
 
 from marjoramspool import routes
@@ -20,6 +22,8 @@
 MIN_FIRST_EVENT_TIMEOUT_MS = 2_000.0
 LATENCY_TARGET_MULTIPLE = 4.0
 EVENT_GAP_MULTIPLE = 8.0
+# No size, rate or time is larger; an integer may exceed what a float can hold.
+MAX_FIGURE = 1e15
 
 
 class SplitFields(msgspec.Struct, frozen=True):
@@ -55,12 +59,13 @@
 
     slots: int
     kv_capacity_tokens: int
-    moves: bool = False
-    backups: bool = False
+    # These are read leniently, since a service is served without them too.
+    moves: Any = False
+    backups: Any = False
     # Time for which an engine keeps memory that it was sent.
-    handle_s: float = 0.0
-    kv_token_bytes: float = 0.0
-    link_mbps: float = 0.0
+    handle_s: Any = 0.0
+    kv_token_bytes: Any = 0.0
+    link_mbps: Any = 0.0
 
 
 class ServiceFields(msgspec.Struct, frozen=True):
@@ -161,14 +166,20 @@
     return routes.EngineCapacity(
         fields.slots,
         fields.kv_capacity_tokens,
-        has_moves=fields.moves,
-        has_backups=fields.backups,
-        copy_retention_s=fields.handle_s,
-        kv_token_bytes=fields.kv_token_bytes,
-        link_mbps=fields.link_mbps,
+        has_moves=fields.moves is True,
+        has_backups=fields.backups is True,
+        copy_retention_s=positive_number(fields.handle_s),
+        kv_token_bytes=positive_number(fields.kv_token_bytes),
+        link_mbps=positive_number(fields.link_mbps),
     )
 
 
+def positive_number(value: object) -> float:
+    """Return a value as a number up to `MAX_FIGURE`, 0 if it is none or negative."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return float(min(max(0, value), MAX_FIGURE)) if is_number else 0.0
+
+
 def decode_accounts(tenants: list[TenantFields] | None) -> dict[str, routes.ClientAccount] | None:
     """Return the client account of each API key, or None if requests need no key."""
     if tenants is None:
--- a/marjoramspool/platform/tests/test_run_backups.py
+++ b/marjoramspool/platform/tests/test_run_backups.py
@@ -22,8 +22,8 @@
 MEMORY = {"backups": True, "moves": True, "kv_token_bytes": 1000, "link_mbps": 1000, "handle_s": 5}
 
 
-async def start(site, domains=("zone-a", "zone-b"), **capacity):
-    """Start engines that can copy the memory of runs, and a router."""
+async def start(site, domains=("zone-a", "zone-b"), routers=1, **capacity):
+    """Start engines that can copy the memory of runs, and routers."""
     peers = {}
     for domain in domains:
         engine = await site.add_engine(
@@ -38,13 +38,15 @@
         await site.put("servers", engine.id, engine.registration(zone=domain))
     fields = {"slots": 16, "kv_capacity_tokens": 100_000} | MEMORY | capacity
     await site.configure(REPORT, CHAT, services=[{"name": "model", "engine": fields}])
-    await site.add_router()
+    for _ in range(routers):
+        await site.add_router()
+    await site.wait_for_peers()
 
 
-async def read_stream(site, request, path="/report/x", body=b"", **headers):
+async def read_stream(site, request, path="/report/x", body=b"", index=0, **headers):
     """Send a request; return its status, its events, and whether the answer is whole."""
     headers = {"X-Request-Id": request, "Host": HOST, "Api-Key": KEY} | PROMPT | headers
-    url = URL(f"http://{site.routers[0].settings.client_endpoint}{path}")
+    url = URL(f"http://{site.routers[index].settings.client_endpoint}{path}")
     received = b""
     is_whole = True
     async with site.session.post(url, headers=headers, data=body) as response:
@@ -115,10 +117,16 @@
     )
 
 
-async def test_many_streams_of_an_engine_that_ends_are_delivered_whole(site):
-    await start(site, domains=("zone-a", "zone-b", "zone-c"))
+@pytest.mark.parametrize("routers", [1, 3, 8])
+async def test_many_streams_of_an_engine_that_ends_are_delivered_whole(site, routers):
+    await start(site, domains=("zone-a", "zone-b", "zone-c"), routers=routers)
     names = [f"r{number}" for number in range(12)]
-    begun = await asyncio.gather(*[begin(site, name, body=name.encode()) for name in names])
+    begun = await asyncio.gather(
+        *[
+            begin(site, name, body=name.encode(), index=number % routers)
+            for number, name in enumerate(names)
+        ]
+    )
     ended = begun[0][1]
     await ended.stop()
     results = await asyncio.gather(*[task for task, _ in begun])
@@ -137,7 +145,18 @@
     await asyncio.gather(*[task for task, _ in begun])
 
 
-@pytest.mark.parametrize("capacity", [{"backups": False}, {"kv_token_bytes": 0}])
+@pytest.mark.parametrize(
+    "capacity",
+    [
+        {"backups": False},
+        {"backups": "yes"},
+        {"kv_token_bytes": 0},
+        {"kv_token_bytes": None},
+        {"link_mbps": -5},
+        {"handle_s": 10**400, "link_mbps": []},
+        {"link_mbps": "fast"},
+    ],
+)
 async def test_without_a_copy_a_stream_breaks_as_before(site, capacity):
     await start(site, **capacity)
     task, engine = await begin(site, "r1", copied=False)
