--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -380,7 +380,7 @@
             "engines_listed": lambda: len(self.engines.engines),
             "table_revision": lambda: self.table_watcher.table_revision,
             "run_copies_at_work": lambda: len(self.forwarding.runs.backups.copies),
-            "run_moves_at_work": lambda: self.forwarding.runs.moves.active,
+            "run_moves_at_work": lambda: self.forwarding.mover.moves.active,
             "store_calls": lambda: self.store.calls,
             "store_answers": lambda: float(self.is_store_available),
         }
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -42,6 +42,7 @@
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.retries import SharedRetryBudget
 from marjoramspool.streams.run_continuation import RunContinuation
+from marjoramspool.streams.run_mover import RunMover
 from marjoramspool.streams.stream_origins import OriginSource
 from marjoramspool.streams.stream_resumption import StreamResumption
 
@@ -69,6 +70,7 @@
         "bounds",
         "client",
         "metrics",
+        "mover",
         "peer_attempts",
         "reach",
         "retry_budgets",
@@ -95,6 +97,7 @@
         self.streams = StreamResumption(self, origins)
         self.selector = selector
         self.runs = RunContinuation(self, router_count)
+        self.mover = RunMover(self, self.runs)
         self.client = client
         self.bounds = bounds
         self.router_count = router_count
--- a/marjoramspool/platform/tests/test_run_moves.py
+++ b/marjoramspool/platform/tests/test_run_moves.py
@@ -24,29 +24,32 @@
 async def start_moving(site, **options):
     """Start a fleet whose engines drain for a short time and copy nothing beforehand."""
     await start(site, **{"backups": False} | options)
-    site.routers[0].forwarding.runs.moves.drain_periods_s["model"] = DRAIN_S
+    site.routers[0].forwarding.mover.moves.drain_periods_s["model"] = DRAIN_S
 
 
-async def drain(site, engine, is_announced=False):
-    """Let an engine drain, by its registration or an announcement."""
-    if is_announced:
-        engines = site.routers[0].engines
-        engines.record_announcement(engines.engines[engine.id])
-    else:
-        changes = {"state": "draining", "zone": site.routers[0].engines.engines[engine.id]}
-        changes["zone"] = changes["zone"].failure_domain
-        await site.put("servers", engine.id, engine.registration(**changes))
+async def drain(site, engine, sign="registration"):
+    """Let an engine leave, by its registration, an announcement or an evacuation."""
+    engines = site.routers[0].engines
+    listed = engines.engines[engine.id]
+    match sign:
+        case "registration":
+            spec = engine.registration(state="draining", zone=listed.failure_domain)
+            await site.put("servers", engine.id, spec)
+        case "announcement":
+            engines.record_announcement(listed)
+        case "evacuation":
+            engines.evacuations.replace([listed.failure_domain], 1, "test")
 
 
 def moves(site):
     return sum(len(engine.moves) for engine in site.engines)
 
 
-@pytest.mark.parametrize("is_announced", [False, True])
-async def test_a_stream_is_moved_off_an_engine_that_drains(site, is_announced):
+@pytest.mark.parametrize("sign", ["registration", "announcement", "evacuation"])
+async def test_a_stream_is_moved_off_an_engine_that_leaves(site, sign):
     await start_moving(site)
     task, engine = await begin(site, "r1", copied=False, body=b"one")
-    await drain(site, engine, is_announced)
+    await drain(site, engine, sign)
     assert await task == (200, EVENTS, True)
     (destination,) = continued(site, "r1")
     assert destination is not engine
@@ -54,26 +57,30 @@
     assert runs(site, "r1") == 1
     assert not are_at_work_together(site, "r1")
     assert site.routers[0].metrics.counts["runs_moved"] == 1
-    assert site.routers[0].forwarding.runs.moves.active == 0
+    assert site.routers[0].forwarding.mover.moves.active == 0
 
 
-async def test_a_stream_is_moved_off_an_evacuated_domain(site):
-    await start_moving(site)
+@pytest.mark.parametrize("why", ["engines without moves", "ends in time", "no retry budget"])
+async def test_a_stream_that_is_not_to_be_moved_stays(site, why):
+    await start_moving(site, moves=why != "engines without moves")
+    forwarding = site.routers[0].forwarding
+    if why == "ends in time":
+        forwarding.mover.moves.drain_periods_s["model"] = 30.0
     task, engine = await begin(site, "r1", copied=False)
-    router = site.routers[0]
-    router.engines.evacuations.replace([router.engines.engines[engine.id].failure_domain], 1, "t")
+    while why == "no retry budget" and forwarding.retry_budget("model").try_acquire():
+        pass
+    await drain(site, engine)
     assert await task == (200, EVENTS, True)
-    assert continued(site, "r1")[0] is not engine
-    assert runs(site, "r1") == 1
+    assert moves(site) == 0
 
 
-async def test_a_stream_that_ends_within_the_drain_period_stays(site):
+async def test_nothing_goes_on_in_an_evacuated_domain_when_its_memory_stays_there(site):
     await start_moving(site)
-    site.routers[0].forwarding.runs.moves.drain_periods_s["model"] = 30.0
     task, engine = await begin(site, "r1", copied=False)
-    await drain(site, engine)
-    assert await task == (200, EVENTS, True)
-    assert moves(site) == 0
+    engine.faults["move-full"] = 1
+    await drain(site, engine, "evacuation")
+    assert not (await task)[2]
+    assert len(engine.arrivals) == 1
 
 
 async def test_a_run_whose_destination_takes_nothing_goes_on_at_its_engine(site):
@@ -135,7 +142,7 @@
     for engine in site.engines:
         engine.move_s = 0.1
     most = 0
-    runs_moves = site.routers[0].forwarding.runs.moves
+    runs_moves = site.routers[0].forwarding.mover.moves
     await drain(site, begun[0][1])
     tasks = [task for task, _ in begun]
     while not all(task.done() for task in tasks):
@@ -144,22 +151,3 @@
     assert [task.result() for task in tasks] == [(200, EVENTS, True)] * len(names)
     assert 0 < most <= 4
     assert not any(are_at_work_together(site, name) for name in names)
-
-
-async def test_without_moves_a_draining_engine_serves_its_streams_as_before(site):
-    await start_moving(site, moves=False)
-    task, engine = await begin(site, "r1", copied=False)
-    await drain(site, engine)
-    assert await task == (200, EVENTS, True)
-    assert moves(site) == 0
-
-
-async def test_nothing_is_moved_without_the_retry_budget(site):
-    await start_moving(site)
-    task, engine = await begin(site, "r1", copied=False)
-    budget = site.routers[0].forwarding.retry_budget("model")
-    while budget.try_acquire():
-        pass
-    await drain(site, engine)
-    assert await task == (200, EVENTS, True)
-    assert moves(site) == 0
--- a/marjoramspool/streams/stream_resumption.py
+++ b/marjoramspool/streams/stream_resumption.py
@@ -106,7 +106,7 @@
         last_event_id = request.after_event
         while True:
             try:
-                followed = self.forwarding.runs.follow(request, history, events)
+                followed = self.forwarding.mover.follow(request, history, events)
                 async with aclosing(followed):
                     async for event in followed:
                         if event.event_id is not None:
@@ -122,7 +122,7 @@
                 self.forwarding.confirm_answer(request, history, 0.0)
                 return
             except RunMovedError as error:
-                events = await self.forwarding.runs.go_on_moved(request, history, stack, error)
+                events = await self.forwarding.mover.go_on_moved(request, history, stack, error)
                 continue
             except AttemptError as error:
                 failure = error
