--- a/marjoramspool/attempts.py
+++ b/marjoramspool/attempts.py
@@ -1,5 +1,6 @@
 """Attempts to send a request to an engine, and the answers of engines."""
 
+import enum
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager, AsyncExitStack
 from dataclasses import dataclass, field
@@ -14,6 +15,8 @@
     "Attempt",
     "EngineAnswer",
     "EngineClient",
+    "MoveAnswer",
+    "RunState",
     "StreamAnswer",
     "WholeAnswer",
     "wait_for_first_event",
@@ -47,13 +50,39 @@
     """One attempt to send a request to an engine.
 
     `queue_rank` is the rank of the request in the engine's queue. A stream is resumed after the
-    event `after_event`. The engine may copy cached prompt parts from `cache_source`.
+    event `after_event`. The engine may copy cached prompt parts from `cache_source`. It copies the
+    memory of the run to `backup`; with `run_memory`, it goes on with the run whose memory that is,
+    named by the address of an engine and a handle or the id of the request.
     """
 
     engine: Engine
     queue_rank: int
     after_event: int | None = None
     cache_source: Engine | None = None
+    backup: Engine | None = None
+    run_memory: str | None = None
+
+
+class RunState(enum.Enum):
+    """What is known of a run at an engine; `REFUSED` means that the engine takes no connection."""
+
+    AT_WORK = "at work"
+    GONE = "gone"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True, frozen=True)
+class MoveAnswer:
+    """Answer to the call that moves a run.
+
+    `handle` names its memory, None if the engine has not stopped the run; `is_copied` says whether
+    the memory is at the destination, with the first `events` events of the run.
+    """
+
+    handle: str | None = None
+    is_copied: bool = False
+    events: int | None = None
 
 
 class EngineClient(Protocol):
@@ -70,6 +99,14 @@
     async def has_ended(self, engine: Engine) -> bool:
         """Return whether an engine refuses connections, as after the end of its process."""
 
+    async def run_state(self, engine: Engine, request_id: str) -> RunState:
+        """Return whether an engine still executes a request, by its own report."""
+
+    async def move_run(
+        self, source: Engine, destination: Engine, request_id: str, timeout_s: float
+    ) -> MoveAnswer:
+        """Stop a run and move its memory to another engine."""
+
 
 async def wait_for_first_event(
     events: AsyncIterator[StreamEvent], stack: AsyncExitStack
--- a/marjoramspool/platform/desired.py
+++ b/marjoramspool/platform/desired.py
@@ -1,6 +1,7 @@
 """Decoder of the desired state, the object that holds the route table."""
 
 import math
+from typing import Any
 
 import msgspec
 
@@ -22,6 +23,8 @@
 MIN_FIRST_EVENT_TIMEOUT_MS = 2_000.0
 LATENCY_TARGET_MULTIPLE = 4.0
 EVENT_GAP_MULTIPLE = 8.0
+# No size, rate or time is larger; an integer may exceed what a float can hold.
+MAX_FIGURE = 1e15
 
 
 class SplitFields(msgspec.Struct, frozen=True):
@@ -53,10 +56,17 @@
 
 
 class EngineFields(msgspec.Struct, frozen=True):
-    """Capacity of the model engines of a service."""
+    """Capacity of the model engines of a service, and what they do with the memory of runs."""
 
     slots: int
     kv_capacity_tokens: int
+    # These are read leniently, since a service is served without them too.
+    moves: Any = False
+    backups: Any = False
+    # Time for which an engine keeps memory that it was sent.
+    handle_s: Any = 0.0
+    kv_token_bytes: Any = 0.0
+    link_mbps: Any = 0.0
 
 
 class ServiceFields(msgspec.Struct, frozen=True):
@@ -153,8 +163,7 @@
 
 def decode_service(fields: ServiceFields) -> routes.Service:
     """Return the service that was decoded."""
-    engine = fields.engine
-    capacity = routes.EngineCapacity(engine.slots, engine.kv_capacity_tokens) if engine else None
+    capacity = decode_capacity(fields.engine) if fields.engine else None
     return routes.Service(fields.name, capacity, decode_cold_start(fields))
 
 
@@ -166,6 +175,25 @@
     return routes.ColdStart(*figures)
 
 
+def decode_capacity(fields: EngineFields) -> routes.EngineCapacity:
+    """Return the capacity of the engines of a service."""
+    return routes.EngineCapacity(
+        fields.slots,
+        fields.kv_capacity_tokens,
+        has_moves=fields.moves is True,
+        has_backups=fields.backups is True,
+        copy_retention_s=positive_number(fields.handle_s),
+        kv_token_bytes=positive_number(fields.kv_token_bytes),
+        link_mbps=positive_number(fields.link_mbps),
+    )
+
+
+def positive_number(value: object) -> float:
+    """Return a value as a number up to `MAX_FIGURE`, 0 if it is none or negative."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return float(min(max(0, value), MAX_FIGURE)) if is_number else 0.0
+
+
 def decode_accounts(tenants: list[TenantFields] | None) -> dict[str, routes.ClientAccount] | None:
     """Return the client account of each API key, or None if requests need no key."""
     if tenants is None:
