--- a/marjoramspool/streams/run_backups.py
+++ b/marjoramspool/streams/run_backups.py
@@ -34,10 +34,12 @@
 # An engine that was listed this recently may be cold, and ends more readily.
 NEW_ENGINE_S = 15.0
 NEW_ENGINE_FACTOR = 4.0
+# What is listed this soon after a start of the router has been there before.
+FIRST_LISTING_S = 3.0
 # Expected loss for each copied token at which a copy is made while nothing else is copied, and the
 # factor by which this rises until all that may be copied is used.
-MIN_WORTH = 0.001
-FULL_PRICE_FACTOR = 200.0
+MIN_WORTH = 0.02
+FULL_PRICE_FACTOR = 10.0
 # Engines whose fill differs by less than this are taken by a draw, so that routers spread.
 FILL_STEP = 0.25
 
@@ -85,11 +87,20 @@
 class RunBackups:
     """Copies that this router has asked for, and the ends of engines that make more of them."""
 
-    __slots__ = ("clock", "copies", "ended_at", "kept_until", "listed_at", "router_count")
+    __slots__ = (
+        "clock",
+        "copies",
+        "ended_at",
+        "kept_until",
+        "listed_at",
+        "router_count",
+        "started_at",
+    )
 
     def __init__(self, router_count: Callable[[], int], clock: Callable[[], float] = now):
         self.router_count = router_count
         self.clock = clock
+        self.started_at = clock()
         self.copies: set[RunCopy] = set()
         # Until when a copy that is no longer at work may be found under the id of its request.
         self.kept_until: dict[str, float] = {}
@@ -99,7 +110,8 @@
 
     def record_listed(self, engine: Engine) -> None:
         """Record that an engine has been listed or has started again."""
-        self.listed_at[engine.key] = self.clock()
+        if self.clock() - self.started_at > FIRST_LISTING_S:
+            self.listed_at[engine.key] = self.clock()
 
     def record_end(self, engine: Engine) -> None:
         """Record that an engine has ended or left; each incarnation counts once."""
--- a/marjoramspool/streams/run_continuation.py
+++ b/marjoramspool/streams/run_continuation.py
@@ -94,7 +94,8 @@
     def estimate(self, request: RoutedRequest) -> RunEstimate:
         """Return the size and expected duration of a stream."""
         prompt = request.prompt
-        duration_s = prompt.output_tokens * self.pace.seconds_per_event(request.service)
+        events = self.pace.expected_events(request.service, prompt.output_tokens)
+        duration_s = events * self.pace.event_period_s(request.service)
         return RunEstimate(
             request.id,
             max(0, prompt.input_tokens),
@@ -106,7 +107,8 @@
     def record_pace(self, request: RoutedRequest, history: AttemptHistory) -> None:
         """Record how long a whole stream took."""
         duration_s = now() - history.first_event_at
-        self.pace.record(request.service, history.events - 1, duration_s)
+        tokens = request.prompt.output_tokens if request.prompt else 0
+        self.pace.record(request.service, tokens, history.events, duration_s)
 
     async def go_on(
         self,
--- a/marjoramspool/streams/run_mover.py
+++ b/marjoramspool/streams/run_mover.py
@@ -133,10 +133,11 @@
 
     def time_left_s(self, request: RoutedRequest, history: AttemptHistory) -> float:
         """Return the time that a stream is expected to take from now."""
-        pace_s = self.runs.pace.seconds_per_event(request.service)
+        pace_s = self.runs.pace.event_period_s(request.service)
         if history.events >= MIN_EVENTS:
             pace_s = (now() - history.first_event_at) / (history.events - 1)
-        events_left = max(0, request.prompt.output_tokens - history.events)
+        expected = self.runs.pace.expected_events(request.service, request.prompt.output_tokens)
+        events_left = max(0.0, expected - history.events)
         return min(events_left * pace_s, max(0.0, request.remaining_s()))
 
     def find_destination(
--- a/marjoramspool/streams/tests/test_run_backup_choice.py
+++ b/marjoramspool/streams/tests/test_run_backup_choice.py
@@ -9,6 +9,7 @@
 from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.routes import EngineCapacity
 from marjoramspool.streams.run_backups import (
+    FIRST_LISTING_S,
     LINK_SHARE,
     MAX_COPIES,
     Destination,
@@ -120,6 +121,10 @@
 def test_ended_new_and_draining_engines_make_copies_more_likely():
     backups, clock = new_backups()
     steady = backups.end_rate_per_s(engine(0), 4, False)
+    # What is listed at the start of a router was there before.
+    backups.record_listed(engine(0))
+    assert backups.end_rate_per_s(engine(0), 4, False) == steady
+    clock.now_s += 2 * FIRST_LISTING_S
     backups.record_listed(engine(0))
     assert backups.end_rate_per_s(engine(0), 4, False) > steady
     clock.now_s += 30.0
