--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -17,6 +17,8 @@
 
 PIECE_INTERVAL_S = 0.005
 PIECES_PER_STREAM = 6
+# Work is done in steps of this length, so that a change of the slowness reaches running requests.
+WORK_STEP_S = 0.01
 SIGNATURE = "sig.1"
 
 
@@ -56,7 +58,8 @@
     signature), repeat (a resumed stream starts over), mute (no response), busy503 (a 503 that does
     not say that the request was not executed). While `is_leaving` is set, every response says so.
     While `retry_after_s` is set, requests are refused with it. While `limit_per_s` is set, every
-    response names it. The engine ends when it begins to answer a request with a prompt part in
+    response names it. With `load_figures`, every response tells the load in that many figures, the
+    fourth being the slowness; `load_text` replaces them. The engine ends when it begins to answer a request with a prompt part in
     `poison`, or when it begins to run one with a body in `poison_bodies`.
     """
 
@@ -76,6 +79,17 @@
     turned_away_at: list[float] = field(default_factory=list)
     on_fallen: Callable[[], None] = lambda: None
     work_s: float = 0.0
+    # Current processing time, relative to the usual.
+    slowness: float = 1.0
+    # Requests that it works on at a time, without bound if None; others wait.
+    work_slots: int | None = None
+    working: int = 0
+    waiting: int = 0
+    load_figures: int = 0
+    load_text: str | None = None
+    health_path: str | None = None
+    # When each request for the health path arrived.
+    probed_at: list[float] = field(default_factory=list)
     piece_interval_s: float = PIECE_INTERVAL_S
     pieces: int = PIECES_PER_STREAM
     faults: Counter = field(default_factory=Counter)
@@ -89,9 +103,11 @@
     server: asyncio.Server | None = None
     address: str = ""
     open_writers: set = field(default_factory=set)
+    free_slots: asyncio.Semaphore | None = None
 
     async def start(self, host: str = "127.0.0.1") -> None:
         """Listen on a free port."""
+        self.free_slots = asyncio.Semaphore(self.work_slots) if self.work_slots else None
         self.server = await asyncio.start_server(self.serve, host, 0)
         self.address = "{}:{}".format(*self.server.sockets[0].getsockname()[:2])
 
@@ -108,7 +124,7 @@
             "address": self.address,
             "zone": "zone-a",
             "version": self.version,
-            "slots": 16,
+            "slots": self.work_slots or 16,
             "state": "ready",
             "cold_remaining_ms": 0,
             "sequence": 1,
@@ -134,8 +150,16 @@
             notices["Server-Limit"] = f"{self.limit_per_s}"
         if self.brittle_per_s is not None:
             notices["Server-Brittle"] = f"{self.brittle_per_s:g}"
+        if self.load_text is not None or self.load_figures:
+            notices["X-Server-Load"] = self.load_text or self.load_header()
         return head(status, request, length, **more, **notices)
 
+    def load_header(self) -> str:
+        """Return the figures that it tells of its load."""
+        slots = self.work_slots or 16
+        figures = (self.working, self.waiting, slots, round(100 * self.slowness))
+        return ", ".join(map(str, figures[: self.load_figures]))
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection."""
         self.open_writers.add(writer)
@@ -167,6 +191,10 @@
             body = msgspec.json.encode({"running": self.running, "born": self.started_ms})
             writer.write(self.head(200, arrival.id, len(body)) + body)
             return not self.consume("close-after-report")
+        if self.health_path is not None and arrival.path == self.health_path:
+            self.probed_at.append(arrival.at)
+            writer.write(self.head(200, arrival.id, 0))
+            return True
         self.arrivals.append(arrival)
         if arrival.headers.get("x-expect-instance", self.id) != self.id:
             writer.write(self.head(421, arrival.id, 0, **{"X-Instance-Id": self.id}))
@@ -226,7 +254,7 @@
 
     async def plain(self, arrival: Arrival, writer) -> bool:
         """Send a short response."""
-        await asyncio.sleep(self.work_s)
+        await self.work()
         body = f"answer to {arrival.id}".encode()
         name = "another" if self.consume("foreign") else arrival.id
         if self.consume("unframed"):
@@ -250,6 +278,31 @@
             writer.write(self.head(200, name, len(body)) + body)
         return True
 
+    async def work(self) -> None:
+        """Wait for a free slot and work on a request, at the speed of each moment."""
+        if self.free_slots:
+            self.waiting += 1
+            try:
+                await self.free_slots.acquire()
+            finally:
+                self.waiting -= 1
+        self.working += 1
+        try:
+            await self.process(self.work_s)
+        finally:
+            self.working -= 1
+            if self.free_slots:
+                self.free_slots.release()
+
+    async def process(self, left_s: float) -> None:
+        """Process work of a number of seconds at the usual speed."""
+        at = time.monotonic()
+        while left_s > 0.0:
+            slowness = self.slowness
+            await asyncio.sleep(min(WORK_STEP_S, left_s * slowness))
+            before, at = at, time.monotonic()
+            left_s -= (at - before) / slowness
+
     async def stream(self, arrival: Arrival, reader, writer) -> bool:
         """Send events, starting after the one that Last-Event-ID names."""
         first = int(arrival.headers.get("last-event-id", "0")) + 1
