--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -59,6 +59,13 @@
     ENGINE_FULL = (519, "info", "a brittle engine turned a request away; its bound is tightened")
     EVACUATION_BEGUN = (520, "warning", "the engines of a failure domain get no new requests")
     EVACUATION_ENDED = (521, "info", "the engines of a failure domain get requests again")
+    NOTICE_MALFORMED = (530, "warning", "a target's answers have a malformed notice; it is ignored")
+    SPEEDS_REPORTED = (
+        531,
+        "info",
+        "targets of a service tell their speed, which placement uses",
+    )
+    SPEED_DOUBTED = (532, "warning", "a target's answers take far longer than it tells; they count")
     REGISTRATION_UNREADABLE = (509, "warning", "a registration could not be decoded and is ignored")
     ATTEMPT_FAILED = (601, "info", "an attempt failed")
     STREAM_RESUMED = (602, "info", "a stream was resumed over a new connection")
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -14,6 +14,7 @@
 from marjoramspool.engine_state.quarantine_store import QuarantineStore
 from marjoramspool.engine_state.reach_monitor import ReachMonitor
 from marjoramspool.engine_state.request_limits import describe_limits
+from marjoramspool.engine_state.slow_probes import SlowProbes
 from marjoramspool.events import Event, log
 from marjoramspool.forwarding import Forwarding
 from marjoramspool.lifecycle import Lifecycle
@@ -90,6 +91,7 @@
         "selector",
         "sessions",
         "settings",
+        "slow_probes",
         "started_at",
         "startup_wait",
         "state_sync",
@@ -125,6 +127,7 @@
         self.sessions.on_pause.append(self.selector.pauses.record)
         self.sessions.on_brittle.append(self.selector.room.record_answer)
         self.sessions.on_limit.append(self.selector.limits.record_answer)
+        self.sessions.on_load.append(self.selector.speeds.record_answer)
         self.reach = ReachMonitor(self.engines, self.sessions)
         self.reach.reach.on_returned.append(self.selector.forget_ejections)
         self.paths = PeerPaths(
@@ -175,6 +178,15 @@
         )
         self.selector.limits.share = lambda: self.load_broadcast.heard_share(self.fleet_size())
         self.selector.poison.is_trial_router = self.directory.is_first
+        self.slow_probes = SlowProbes(
+            self.engines,
+            self.selector.speeds,
+            self.selector.loads,
+            self.sessions,
+            self.health_path,
+            self.directory.is_first,
+            lambda: self.load_broadcast.heard_share(self.fleet_size()),
+        )
         self.quarantine_store = QuarantineStore(self.store, self.selector.poison)
         self.startup_wait = StartupWait(
             lambda: self.has_initial_state and self.quarantine_store.is_listed
@@ -282,6 +294,12 @@
             return self.directory.size()
         return 1 + len(self.directory.peers)
 
+    def health_path(self, service: str) -> str | None:
+        """Return the health path of a service, None if it has none."""
+        table = self.table_watcher.table
+        entry = table.services.get(service) if table else None
+        return entry.health_path if entry else None
+
     def faults(self) -> dict[str, str]:
         """Return what operators should know of, by what it concerns."""
         faults = describe_quarantines(self.selector.poison) | describe_limits(self.selector.limits)
@@ -339,6 +357,7 @@
         self.tasks.start(self.discovery.run)
         self.tasks.start(self.quarantine_store.run)
         self.tasks.start(self.reach.run)
+        self.tasks.start(self.slow_probes.run)
         self.tasks.start(self.bootstrap_caches)
         stack.push_async_callback(self.ingress.close)
         await self.ingress.start(*split_endpoint(self.settings.client_endpoint))
@@ -378,6 +397,8 @@
             "routers_heard": lambda: len(self.directory.live_peers()),
             "domains_evacuated": lambda: len(self.engines.evacuations.domains),
             "engines_listed": lambda: len(self.engines.engines),
+            "speed_probes": lambda: self.slow_probes.sent,
+            "targets_slow": self.slow_probes.slow_targets,
             "table_revision": lambda: self.table_watcher.table_revision,
             "store_calls": lambda: self.store.calls,
             "store_answers": lambda: float(self.is_store_available),
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AbstractAsyncContextManager, AsyncExitStack, asynccontextmanager
 
 from marjoramspool.admission.load_shedding import Shed
 from marjoramspool.admission.queue_rank import RESUMED_RANK
 from marjoramspool.attempt_history import DEFAULT_RETRY_AFTER_S, AttemptHistory
+from marjoramspool.attempt_outlook import AttemptOutlook, attempt_limit
 from marjoramspool.attempts import (
     Attempt,
     EngineClient,
@@ -68,6 +69,7 @@
         "bounds",
         "client",
         "metrics",
+        "outlook",
         "peer_attempts",
         "reach",
         "retry_budgets",
@@ -92,6 +94,7 @@
         self.metrics = metrics
         self.streams = StreamResumption(self, origins)
         self.selector = selector
+        self.outlook = AttemptOutlook(selector)
         self.client = client
         self.bounds = bounds
         self.router_count = router_count
@@ -260,7 +263,7 @@
         stack.enter_context(placement)
         self.record_placement(request, placement, history, after_event)
         try:
-            async with asyncio.timeout(self.attempt_timeout_s(request, placement, history)):
+            async with self.limit_attempt(request, placement, history):
                 opening = self.client.open(request, make_attempt(placement, after_event))
                 answer = await stack.enter_async_context(opening)
                 if isinstance(answer, StreamAnswer):
@@ -274,6 +277,7 @@
                 await self.record_if_ended(request, placement)
             return error
         except TimeoutError:
+            self.outlook.record_abandoned(placement)
             return MayHaveRunError(f"engine {engine.id} did not answer before the attempt timeout")
         placement.record_prefilled()
         history.answered_at = now()
@@ -287,6 +291,7 @@
         )
         self.metrics.observe(f"first_answer_seconds.{request.service}", waited_s)
         self.selector.record_first_event(placement, waited_s)
+        self.outlook.record_answer(placement, now() - placement.placed_at)
         if answer.status >= MIN_SERVER_ERROR_STATUS:
             self.selector.revert_placement(placement)
             if self.is_retry_allowed(request, history):
@@ -356,6 +361,26 @@
             left_s=round(request.remaining_s(), 3),
         )
 
+    def limit_attempt(
+        self, request: RoutedRequest, placement: Placement, history: AttemptHistory
+    ) -> AbstractAsyncContextManager[None]:
+        """Return the limit of an attempt: by its target's speed where that is known."""
+        timeout_s = self.attempt_timeout_s(request, placement, history)
+        remaining_s = max(0.0, request.remaining_s())
+        if timeout_s >= remaining_s or not self.outlook.is_known(request.service):
+            return attempt_limit(timeout_s)
+
+        def further_wait_s() -> float:
+            is_allowed = self.is_retry_allowed(request, history)
+            left_s = max(0.0, request.remaining_s())
+            wait_s = self.outlook.further_wait_s(
+                placement, history.tried_engines, is_allowed, left_s
+            )
+            self.metrics.count("attempts_given_up", int(wait_s <= 0.0 < left_s))
+            return wait_s
+
+        return attempt_limit(remaining_s, further_wait_s)
+
     def attempt_timeout_s(
         self, request: RoutedRequest, placement: Placement, history: AttemptHistory
     ) -> float:
--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -34,6 +34,7 @@
 from marjoramspool.peers.poison_reports import apply_poison_reports
 from marjoramspool.peers.report_relay import OwnReport, ReportRelay, take_updates
 from marjoramspool.peers.room_reports import apply_room_report
+from marjoramspool.peers.speed_reports import apply_speed_report
 from marjoramspool.peers.state_transfer import apply_cache_update
 from marjoramspool.placement.engine_selector import EngineSelector
 from marjoramspool.prompts import Part
@@ -249,7 +250,8 @@
         batch: list[RouterReport] = []
         size = 0
         for report in reports:
-            added = 1 + len(report.quarantined) + sum(len(end.attempts) for end in report.ended)
+            added = 1 + len(report.quarantined) + len(report.speeds) // 8
+            added += sum(len(end.attempts) for end in report.ended)
             if batch and size + added > MAX_REPORTS_PER_BATCH:
                 self.send(encode(ReportBatch(tuple(batch))), addresses)
                 batch, size = [], 0
@@ -363,6 +365,9 @@
         for room in report.rooms:
             if engine := self.find_engine(room.incarnation_id):
                 apply_room_report(self.selector.room, engine, room)
+        for speed in report.speeds:
+            if engine := self.find_engine(speed.incarnation_id):
+                apply_speed_report(self.selector.speeds, engine, speed)
         if news := report.evacuations:
             evacuations = self.selector.engines.evacuations
             evacuations.replace(news.domains, news.version, report.address)
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -28,6 +28,7 @@
     "ReportBatch",
     "RoomReport",
     "RouterReport",
+    "SpeedReport",
     "StreamOriginEntry",
     "TableState",
     "UnansweredReport",
@@ -91,6 +92,14 @@
     age_ms: int
 
 
+class SpeedReport(msgspec.Struct, array_like=True, frozen=True):
+    """Processing time that a target told, 100 if it is as usual, and the time since then."""
+
+    incarnation_id: int
+    percent: int
+    age_ms: int
+
+
 class CacheUpdateKind(enum.IntEnum):
     """Source of a cache update, or its retraction."""
 
@@ -181,6 +190,8 @@
     rooms: tuple[RoomReport, ...] = ()
     # None from a router that does not watch the store, or where nothing is evacuated.
     evacuations: EvacuationReport | None = None
+    # Processing times that targets told the reporting router within the last second.
+    speeds: tuple[SpeedReport, ...] = ()
 
 
 class ReportBatch(msgspec.Struct, array_like=True, frozen=True, tag=1):
--- a/marjoramspool/peers/own_reports.py
+++ b/marjoramspool/peers/own_reports.py
@@ -21,6 +21,7 @@
 )
 from marjoramspool.peers.poison_reports import report_ends, report_quarantines
 from marjoramspool.peers.room_reports import report_rooms
+from marjoramspool.peers.speed_reports import report_speeds
 from marjoramspool.placement.engine_selector import EngineSelector
 from marjoramspool.prompts import Part
 
@@ -137,12 +138,15 @@
         quarantined = report_quarantines(poison)
         rooms = tuple(report_rooms(self.selector.room))
         bounds = tuple((room.incarnation_id, room.milli) for room in rooms)
+        speeds = tuple(report_speeds(self.selector.speeds, self.directory))
+        told_speeds = tuple((speed.incarnation_id, speed.percent) for speed in speeds)
         limited = tuple((limit.incarnation_id, limit.milli_per_s) for limit in limits)
         content = (
             loads,
             rates,
             limited,
             bounds,
+            told_speeds,
             state_versions,
             unreachable,
             path_state.takes_forwarded,
@@ -188,6 +192,7 @@
             path_state.in_flight,
             rooms,
             state_versions.evacuations,
+            speeds,
         )
 
     def own_loads(self) -> Loads:
--- a/marjoramspool/placement/cost_placement.py
+++ b/marjoramspool/placement/cost_placement.py
@@ -10,6 +10,7 @@
 from marjoramspool import hashing
 from marjoramspool.engine_state.engine_loads import Load
 from marjoramspool.engine_state.unreported_load import first_unfilled, water_level
+from marjoramspool.placement.engine_slowness import scaled_cost
 
 __all__ = ["Candidate", "Choice", "UnreportedLoad", "choose_engine"]
 
@@ -39,6 +40,9 @@
     # Requests that fit below the engine's rate limit, and the part of the limit that is used.
     room: float = math.inf
     used_limit: float = 0.0
+    # Requests that it works on at a time, and its processing time relative to the usual.
+    slots: int = 1
+    slowness: float = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -120,4 +124,5 @@
     limit_cost = int(LIMIT_COST_TOKENS * candidate.used_limit)
     load = candidate.load
     load_cost = load.prefill_tokens + REQUEST_COST_TOKENS * load.requests
-    return prefill_cost + load_cost + distance_cost + limit_cost
+    work_cost = scaled_cost(prefill_cost + load_cost, REQUEST_COST_TOKENS, candidate.slowness)
+    return work_cost + distance_cost + limit_cost
--- a/marjoramspool/placement/engine_selector.py
+++ b/marjoramspool/placement/engine_selector.py
@@ -11,6 +11,7 @@
 )
 from marjoramspool.admission.queue_rank import queue_rank
 from marjoramspool.clock import now
+from marjoramspool.engine_state.answer_times import AnswerTimes
 from marjoramspool.engine_state.engine_list import Engine, EngineList
 from marjoramspool.engine_state.engine_loads import EngineLoads
 from marjoramspool.engine_state.engine_pauses import AllPaused, EnginePauses
@@ -19,6 +20,7 @@
 from marjoramspool.engine_state.outlier_detection import OutlierDetector
 from marjoramspool.engine_state.poison_parts import PoisonDetector, Quarantine
 from marjoramspool.engine_state.prefix_caches import PrefixCaches
+from marjoramspool.engine_state.reported_speed import ReportedSpeeds
 from marjoramspool.engine_state.request_limits import AllLimited, RequestLimits
 from marjoramspool.engine_state.unreported_load import HotParts, WorkRate
 from marjoramspool.peers.messages import incarnation_id
@@ -31,6 +33,7 @@
     UnreportedLoad,
     choose_engine,
 )
+from marjoramspool.placement.expected_time import choose_fastest
 from marjoramspool.placement.shared_parts import SharedParts
 from marjoramspool.prompts import Part
 from marjoramspool.requests import RoutedRequest
@@ -102,6 +105,7 @@
     """Selector of engines that keeps track of their loads and cached prompt parts."""
 
     __slots__ = (
+        "answer_times",
         "caches",
         "domain",
         "engines",
@@ -122,6 +126,7 @@
         "rings",
         "sent_rates",
         "shared_parts",
+        "speeds",
         "table",
         "unknown_caches",
     )
@@ -135,6 +140,8 @@
         self.pauses = EnginePauses()
         self.limits = RequestLimits(lambda key: self.loads.others(key[0]))
         self.room = EngineRoom()
+        self.speeds = ReportedSpeeds()
+        self.answer_times = AnswerTimes()
         # Requests that this router sends to each service.
         self.request_rates: dict[str, WorkRate] = {}
         self.poison = PoisonDetector()
@@ -165,6 +172,8 @@
         self.pauses.remove_engine(engine)
         self.limits.remove_engine(engine.key)
         self.room.remove_engine(engine)
+        self.speeds.remove_engine(engine)
+        self.answer_times.remove_engine(engine)
         self.unknown_caches.discard((engine.id, engine.started_ms))
 
     def forget_ejections(self, service: str) -> None:
@@ -293,6 +302,9 @@
         for candidate in candidates:
             candidate.cached_elsewhere_tokens = most_cached - candidate.cached_tokens
         tokens = request.prompt.input_tokens if request.prompt else 0
+        if self.is_placed_by_time(request.service):
+            others = self.unreported_requests(request.service, 1) * share
+            return choose_fastest(candidates, hashing.digest(request.id), others, tokens)
         unreported = self.unreported_load(request, share)
         return choose_engine(candidates, key, tokens, unreported, mean_requests)
 
@@ -319,6 +331,25 @@
         )
         return [engine for engine in engines if engine.key in selected]
 
+    def is_placed_by_time(self, service: str) -> bool:
+        """Return whether requests for a service go where an answer is expected first.
+
+        Its engines tell their processing times and have no prefix caches.
+        """
+        return self.speeds.is_used(service) and not self.has_caches(service)
+
+    def has_caches(self, service: str) -> bool:
+        """Return whether the engines of a service have prefix caches."""
+        table = self.table()
+        entry = table.services.get(service) if table else None
+        return entry is not None and entry.engine_capacity is not None
+
+    def slowness(self, engine: Engine) -> float:
+        """Return the processing time that an engine is expected to have, 1.0 if as usual."""
+        if not self.speeds.is_used(engine.service):
+            return 1.0
+        return self.speeds.slowness(engine) * self.answer_times.excess(engine)
+
     def unreported_requests(self, service: str, engines: int) -> float:
         """Return the requests that others have sent to each engine and not reported yet."""
         rate = self.request_rates.get(service)
@@ -427,6 +458,8 @@
             is_same_domain=engine.failure_domain == self.domain,
             room=self.limits.room(engine.key),
             used_limit=self.limits.used(engine.key),
+            slots=self.speeds.slots_of(engine),
+            slowness=self.slowness(engine),
         )
 
     def record_end(self, placement: Placement, parts: tuple[int, ...]) -> None:
--- a/marjoramspool/platform/desired.py
+++ b/marjoramspool/platform/desired.py
@@ -62,6 +62,8 @@
 
     name: str
     engine: EngineFields | None = None
+    # Path at which its engines tell their state at once.
+    health_path: str | None = None
 
 
 class LimitFields(msgspec.Struct, frozen=True):
@@ -149,7 +151,7 @@
     """Return the service that was decoded."""
     engine = fields.engine
     capacity = routes.EngineCapacity(engine.slots, engine.kv_capacity_tokens) if engine else None
-    return routes.Service(fields.name, capacity)
+    return routes.Service(fields.name, capacity, fields.health_path)
 
 
 def decode_accounts(tenants: list[TenantFields] | None) -> dict[str, routes.ClientAccount] | None:
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -18,6 +18,7 @@
 from marjoramspool.attempts import Attempt, StreamAnswer, WholeAnswer
 from marjoramspool.clock import now
 from marjoramspool.engine_state.engine_list import Engine
+from marjoramspool.engine_state.reported_speed import LoadFigures
 from marjoramspool.events import Event, log
 from marjoramspool.failures import (
     DisplacedError,
@@ -35,7 +36,8 @@
     report_limit,
 )
 from marjoramspool.keepalive import keepalive_socket
-from marjoramspool.platform.headers import filter_answer_headers
+from marjoramspool.malformed_notices import MalformedNotices
+from marjoramspool.platform.headers import filter_answer_headers, parse_load
 from marjoramspool.prompts import Part
 from marjoramspool.requests import RoutedRequest
 
@@ -53,6 +55,8 @@
 CACHE_LIST_TIMEOUT_S = 1.0
 REPORT_PATH = "/marjoramspool/report"
 REPORT_TIMEOUT_S = 0.4
+PROBE_TIMEOUT_S = 0.4
+LOAD_HEADER = "X-Server-Load"
 SSE = "text/event-stream"
 
 
@@ -76,28 +80,33 @@
     `pooled` reuses connections, `fresh` opens a new one for each request. Answers in which an
     engine announces its departure call `on_departure`; refusals that ask for a pause call
     `on_pause` with its length in seconds; every answer calls `on_brittle` with whether its engine
-    says that it is; answers that tell a rate limit, or that there is none,
+    says that it is; answers and probes that tell an engine's load call `on_load` with it; answers
+    that tell a rate limit, or that there is none,
     call `on_limit` with the engine's key, the limit or None, and when the request was sent.
     """
 
     __slots__ = (
         "fresh",
         "local_address",
+        "malformed",
         "memory",
         "on_brittle",
         "on_departure",
         "on_limit",
+        "on_load",
         "on_pause",
         "pooled",
     )
 
     def __init__(self, local_address: str | None = None):
         self.local_address = local_address
+        self.malformed = MalformedNotices()
         self.memory = AnswerMemory()
         self.on_brittle: list[Callable[[Engine, bool], None]] = []
         self.on_departure: list[Callable[[Engine], None]] = []
         self.on_pause: list[Callable[[Engine, float], None]] = []
         self.on_limit: list[LimitCallback] = []
+        self.on_load: list[Callable[[Engine, LoadFigures], None]] = []
 
     async def __aenter__(self):
         trace = aiohttp.TraceConfig()
@@ -179,11 +188,40 @@
                 call(engine)
         for call in self.on_brittle:
             call(engine, "Server-Brittle" in response.headers)
+        self.read_load(engine, response)
         pause_s = requested_pause_s(engine, response)
         if pause_s > 0.0:
             for call in self.on_pause:
                 call(engine, pause_s)
 
+    def read_load(self, engine: Engine, response: aiohttp.ClientResponse) -> None:
+        """Pass on the load that an engine tells."""
+        text = response.headers.get(LOAD_HEADER)
+        if text is None:
+            return
+        try:
+            load = parse_load(text)
+        except ValueError as error:
+            self.malformed.record(engine.id, str(error))
+            return
+        for call in self.on_load:
+            call(engine, load)
+
+    async def probe_speed(self, engine: Engine, path: str) -> None:
+        """Ask an engine for its load at the health path of its service."""
+        url = URL(f"http://{engine.address}{path}", encoded=True)
+        headers = {"X-Expect-Instance": engine.id}
+        try:
+            async with (
+                asyncio.timeout(PROBE_TIMEOUT_S),
+                self.pooled.get(url, headers=headers, allow_redirects=False) as response,
+            ):
+                if response.status in SUCCESS_STATUSES:
+                    self.read_load(engine, response)
+                await read_body(response, self.memory)
+        except (aiohttp.ClientError, MayHaveRunError, OSError, TimeoutError, ValueError) as error:
+            log(Event.ATTEMPT_FAILED, target=engine.id, why=f"probe failed: {error!r}")
+
     async def list_cache(self, engine: Engine) -> tuple[Part, ...] | None:
         """Return the prompt parts in an engine's cache, None if the listing fails."""
         url = f"http://{engine.address}{CACHE_LIST_PATH}"
--- a/marjoramspool/platform/headers.py
+++ b/marjoramspool/platform/headers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 
+from marjoramspool.engine_state.reported_speed import LoadFigures
 from marjoramspool.prompts import Part, Prompt
 
 __all__ = [
@@ -9,6 +10,7 @@
     "filter_request_headers",
     "parse_first_request",
     "parse_last_event",
+    "parse_load",
     "parse_prompt",
 ]
 
@@ -46,6 +48,8 @@
     )
 )
 MAX_REQUEST_ID_LENGTH = 256
+MAX_FIGURE_DIGITS = 7
+MAX_QUOTED_LENGTH = 80
 # Headers of an answer that are meant for the router.
 INTERNAL_ANSWER_HEADERS = frozenset(("x-server-load", "x-instance-id", "x-not-executed"))
 
@@ -95,6 +99,19 @@
     return int(text)
 
 
+def parse_load(text: str) -> LoadFigures:
+    """Return the figures of an X-Server-Load header; raise ValueError if it is malformed."""
+    entries = [entry.strip() for entry in text.split(",")]
+    if len(entries) not in (3, 4) or not all(e.isascii() and e.isdigit() for e in entries):
+        raise ValueError(f"X-Server-Load is {text[:MAX_QUOTED_LENGTH]!r}, not 3 or 4 figures")
+    if any(len(entry) > MAX_FIGURE_DIGITS for entry in entries):
+        raise ValueError("X-Server-Load has a figure that is too large")
+    running, waiting, slots, *percent = map(int, entries)
+    if slots == 0 or percent == [0]:
+        raise ValueError(f"X-Server-Load is {text!r}, with no slots or no processing time")
+    return LoadFigures(running, waiting, slots, *percent)
+
+
 def parse_first_request(values: list[str]) -> str | None:
     """Return the request that brought a stream's first event, None if none is named.
 
--- a/marjoramspool/platform/tests/test_uneven_targets.py
+++ b/marjoramspool/platform/tests/test_uneven_targets.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import random
-import time
 from contextlib import asynccontextmanager
 
 import pytest
@@ -34,7 +33,7 @@
 SEED = 4
 
 
-async def start_site(site, routers, targets=TARGETS, figures=4, health_path=HEALTH_PATH):
+async def start_site(site, routers, targets=TARGETS, figures=4, health_path=HEALTH_PATH, **options):
     added = [
         await site.add_engine(
             "desk",
@@ -42,6 +41,7 @@
             work_slots=SLOTS,
             load_figures=figures,
             health_path=health_path,
+            **options,
         )
         for _ in range(targets)
     ]
@@ -89,9 +89,13 @@
 
 
 @pytest.mark.parametrize("routers", [3, 8])
-async def test_requests_go_to_targets_that_are_not_slow_at_the_moment(site, routers):
+@pytest.mark.parametrize("keeps_slowness", [False, True])
+async def test_requests_go_to_targets_that_are_not_slow_at_the_moment(
+    site, routers, keeps_slowness
+):
     """Guards against placement by load alone, and against attempts given up too early."""
-    results = await play(site, await start_site(site, routers))
+    engines = await start_site(site, routers, keeps_slowness=keeps_slowness)
+    results = await play(site, engines)
     answered = [result for result in results if result.status == 200]
     on_time = [result for result in answered if result.waited_s <= LATENCY_TARGET_S]
     print(len(answered) / len(results), len(on_time) / len(results), len(results))
--- a/marjoramspool/routes.py
+++ b/marjoramspool/routes.py
@@ -80,10 +80,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Service:
-    """Service of the route table; `engine_capacity` is None for a plain service."""
+    """Service of the route table; `engine_capacity` is None for a plain service.
+
+    Its engines tell their state at `health_path`, if that is not None.
+    """
 
     name: str
     engine_capacity: EngineCapacity | None = None
+    health_path: str | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -53,13 +53,13 @@
     Faults: shed, error, reset (request executed, connection reset without a response), cut
     (connection closed midway), extra (a second response follows), unframed (no length, ends with
     the connection), unframed-cut (no length, reset midway), unframed-part (a stream without length
-    or chunks that ends inside an event), close-after-report
-    (connection closed after a report), foreign (response to another request), bare (no
-    signature), repeat (a resumed stream starts over), mute (no response), busy503 (a 503 that does
-    not say that the request was not executed). While `is_leaving` is set, every response says so.
-    While `retry_after_s` is set, requests are refused with it. While `limit_per_s` is set, every
-    response names it. With `load_figures`, every response tells the load in that many figures, the
-    fourth being the slowness; `load_text` replaces them. The engine ends when it begins to answer a request with a prompt part in
+    or chunks that ends inside an event), close-after-report (connection closed after a report),
+    foreign (response to another request), bare (no signature), repeat (a resumed stream starts
+    over), mute (no response), busy503 (a 503 that does not say that the request was not executed).
+    While `is_leaving` is set, every response says so. While `retry_after_s` is set, requests are
+    refused with it. While `limit_per_s` is set, every response names it. With `load_figures`, every
+    response tells the load in that many figures, the fourth being the slowness; `load_text`
+    replaces them. The engine ends when it begins to answer a request with a prompt part in
     `poison`, or when it begins to run one with a body in `poison_bodies`.
     """
 
@@ -81,6 +81,8 @@
     work_s: float = 0.0
     # Current processing time, relative to the usual.
     slowness: float = 1.0
+    # Whether a request keeps the slowness at its start.
+    keeps_slowness: bool = False
     # Requests that it works on at a time, without bound if None; others wait.
     work_slots: int | None = None
     working: int = 0
@@ -297,8 +299,9 @@
     async def process(self, left_s: float) -> None:
         """Process work of a number of seconds at the usual speed."""
         at = time.monotonic()
+        slowness = self.slowness
         while left_s > 0.0:
-            slowness = self.slowness
+            slowness = slowness if self.keeps_slowness else self.slowness
             await asyncio.sleep(min(WORK_STEP_S, left_s * slowness))
             before, at = at, time.monotonic()
             left_s -= (at - before) / slowness
