--- a/marjoramspool/attempt_outlook.py
+++ b/marjoramspool/attempt_outlook.py
@@ -7,7 +7,12 @@
 
 from marjoramspool.clock import now
 from marjoramspool.engine_state.engine_list import Engine
-from marjoramspool.placement.attempt_patience import RECHECK_S, Outlook, further_wait_s
+from marjoramspool.placement.attempt_patience import (
+    RECHECK_S,
+    REMAINING_RATIO,
+    Outlook,
+    further_wait_s,
+)
 from marjoramspool.placement.engine_selector import EngineSelector, Placement
 from marjoramspool.placement.expected_time import expected_factor
 
@@ -55,8 +60,14 @@
     def elsewhere_factor(self, service: str, tried: set[str]) -> float:
         """Return the time of an answer at the best other engine in usual times, maybe infinite."""
         selector = self.selector
-        others = [engine for engine in selector.engines.usable(service) if engine.id not in tried]
-        return min(map(self.current_factor, others[:MAX_COMPARED_ENGINES]), default=math.inf)
+        others = [
+            engine
+            for engine in selector.engines.usable(service)
+            if engine.id not in tried and not selector.pauses.is_paused(engine)
+        ][:MAX_COMPARED_ENGINES]
+        not_ejected = selector.outliers.exclude_ejected(engine.id for engine in others)
+        usable = [engine for engine in others if engine.id in not_ejected]
+        return min(map(self.current_factor, usable), default=math.inf)
 
     def current_factor(self, engine: Engine) -> float:
         """Return the time of an answer at an engine, in usual times, if it is sent now."""
@@ -80,8 +91,13 @@
         engine = placement.engine
         if selector.is_placed_by_time(engine.service):
             slowness = max(placement.choice.engine.slowness, selector.slowness(engine))
-            factor = expected_factor(self.used_at_placement(placement), slowness)
+            used = self.used_at_placement(placement)
             waited_s = now() - placement.placed_at
+            if usual := selector.answer_times.usual(engine.service):
+                expected_s = usual.mean_s * expected_factor(used, 1.0)
+                taken_s = (1.0 + REMAINING_RATIO) * waited_s
+                selector.speeds.record_overdue(engine, taken_s / expected_s)
+            factor = expected_factor(used, slowness)
             selector.answer_times.record_abandoned(engine, waited_s, factor)
 
 
--- a/marjoramspool/engine_state/answer_times.py
+++ b/marjoramspool/engine_state/answer_times.py
@@ -25,6 +25,8 @@
 MAX_AGE_S = 10.0
 # Time constant with which the judgement of a target fades, so that it is tried again.
 JUDGEMENT_FADE_S = 10.0
+# What the answers of other targets take is compared again after this time.
+BASELINE_AGE_S = 0.1
 # Targets are judged if their answers take this many times what they say, in the geometric mean.
 # Single answers of honest targets take several times as long when the speed changes meanwhile.
 JUDGED_FACTOR = 2.0
@@ -65,6 +67,7 @@
 class Judgement:
     """Decaying mean of the logarithm of taken over expected times of a target's answers."""
 
+    service: str
     count: int = 0
     log_ratio: float = 0.0
     updated_at: float = 0.0
@@ -78,12 +81,14 @@
 class AnswerTimes:
     """Answer times of services, and the targets that are judged by theirs."""
 
-    __slots__ = ("clock", "judgements", "samples")
+    __slots__ = ("baselines", "clock", "judgements", "samples")
 
     def __init__(self, clock: Callable[[], float] = now):
         self.clock = clock
         self.samples: dict[str, Samples] = {}
         self.judgements: dict[EngineKey, Judgement] = {}
+        # Baseline of each service, and when it was computed.
+        self.baselines: dict[str, tuple[float, float]] = {}
 
     def record(self, engine: Engine, waited_s: float, before: float, after: float) -> None:
         """Record an answer.
@@ -94,7 +99,8 @@
         if usual := self.usual(engine.service):
             self.judge(engine, waited_s / (usual.mean_s * max(before, after)))
         samples = self.samples.setdefault(engine.service, Samples())
-        samples.add(waited_s / math.sqrt(before * after), self.clock())
+        expected = math.sqrt(before * after) * self.excess(engine)
+        samples.add(waited_s / expected, self.clock())
 
     def record_abandoned(self, engine: Engine, waited_s: float, expected: float) -> None:
         """Record an attempt without an answer, at which `expected` usual times were expected."""
@@ -103,7 +109,7 @@
 
     def judge(self, engine: Engine, ratio: float) -> None:
         """Add the ratio of the taken to the expected time of one attempt."""
-        judgement = self.judgements.setdefault(engine.key, Judgement())
+        judgement = self.judgements.setdefault(engine.key, Judgement(engine.service))
         now_s = self.clock()
         log_ratio = math.log(min(MAX_RATIO, max(1.0 / MAX_RATIO, ratio)))
         before = judgement.faded(now_s)
@@ -120,9 +126,27 @@
         judgement = self.judgements.get(engine.key)
         if judgement is None or judgement.count < MIN_JUDGED_ANSWERS:
             return 1.0
-        ratio = math.exp(judgement.faded(self.clock()))
+        ratio = math.exp(judgement.faded(self.clock()) - self.baseline(engine.service))
         return ratio if ratio >= JUDGED_FACTOR else 1.0
 
+    def baseline(self, service: str) -> float:
+        """Return the median of a service's judgements, at most 0.
+
+        It is below 0 if targets that are slower than they say are so many that they have raised the
+        usual time.
+        """
+        now_s = self.clock()
+        baseline, computed_at = self.baselines.get(service, (0.0, -math.inf))
+        if now_s - computed_at >= BASELINE_AGE_S:
+            ratios = sorted(
+                judgement.faded(now_s)
+                for judgement in self.judgements.values()
+                if judgement.service == service and judgement.count >= MIN_JUDGED_ANSWERS
+            )
+            baseline = min(0.0, ratios[(len(ratios) - 1) // 2]) if ratios else 0.0
+            self.baselines[service] = (baseline, now_s)
+        return baseline
+
     def usual(self, service: str) -> UsualTime | None:
         """Return the usual time of a service's answers, None if it is not known."""
         samples = self.samples.get(service)
--- a/marjoramspool/engine_state/reported_speed.py
+++ b/marjoramspool/engine_state/reported_speed.py
@@ -81,7 +81,20 @@
         if load.percent is None:
             return
         self.slots[engine.key] = load.slots
-        slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, load.percent / USUAL_PERCENT))
+        self.record_own(engine, load.percent / USUAL_PERCENT)
+
+    def record_overdue(self, engine: Engine, slowness: float) -> None:
+        """Record that a target without an answer so far must be slower than is believed.
+
+        Otherwise a target that became slow unheard gets one request after the other, none of which
+        waits for the answer that would tell.
+        """
+        if slowness > self.slowness(engine):
+            self.record_own(engine, slowness)
+
+    def record_own(self, engine: Engine, slowness: float) -> None:
+        """Use the slowness that this router has found, and tell it if others believe another."""
+        slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
         figure = Figure(slowness, self.clock())
         shared = self.believed(engine.service, self.shared.get(engine.key))
         self.adopt(engine, figure)
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -291,7 +291,6 @@
         )
         self.metrics.observe(f"first_answer_seconds.{request.service}", waited_s)
         self.selector.record_first_event(placement, waited_s)
-        self.outlook.record_answer(placement, now() - placement.placed_at)
         if answer.status >= MIN_SERVER_ERROR_STATUS:
             self.selector.revert_placement(placement)
             if self.is_retry_allowed(request, history):
@@ -299,6 +298,7 @@
             self.selector.outliers.record_failure(engine.id)
         else:
             self.selector.outliers.record_success(engine.id)
+            self.outlook.record_answer(placement, waited_s)
             if isinstance(answer, WholeAnswer):
                 self.confirm_answer(request, history, 0.0)
         return answer
--- a/marjoramspool/placement/engine_selector.py
+++ b/marjoramspool/placement/engine_selector.py
@@ -230,7 +230,8 @@
         is_new = not exclude and request.after_event is None
         if parts and is_new and (shed := self.shed_request(request, choice, prefill_tokens, rank)):
             return shed
-        self.sent_rates[request.service].record(prefill_tokens + REQUEST_COST_TOKENS)
+        sent = self.sent_rates.setdefault(request.service, WorkRate())
+        sent.record(prefill_tokens + REQUEST_COST_TOKENS)
         self.limits.record_sent(engine.key)
         self.request_rates.setdefault(request.service, WorkRate()).record(1.0)
         if not parts:
--- a/marjoramspool/platform/tests/test_uneven_targets.py
+++ b/marjoramspool/platform/tests/test_uneven_targets.py
@@ -8,6 +8,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from logbook import TestHandler as LogRecorder
 
 from bench.platform_fleet import route
 from bench.traffic import traffic
@@ -98,6 +99,106 @@
     results = await play(site, engines)
     answered = [result for result in results if result.status == 200]
     on_time = [result for result in answered if result.waited_s <= LATENCY_TARGET_S]
-    print(len(answered) / len(results), len(on_time) / len(results), len(results))
     assert len(answered) >= MIN_ANSWERED * len(results)
     assert len(on_time) >= MIN_ON_TIME * len(results)
+
+
+async def test_probes_are_rare_and_go_to_slow_targets_only(site):
+    """Guards against a price that grows with the routers, and against probes without a need."""
+    engines = await start_site(site, 3)
+    await play(site, engines, 4.0)
+    probed = [engine.probed_at for engine in engines]
+    assert any(probed)
+    for times in probed:
+        gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+        assert all(gap >= MIN_PROBE_GAP_S - ARRIVAL_TOLERANCE_S for gap in gaps)
+    # The traffic has ended.
+    await asyncio.sleep(0.3)
+    before = sum(map(len, probed))
+    await asyncio.sleep(0.6)
+    assert sum(map(len, probed)) == before
+
+
+async def test_without_the_fourth_figure_nothing_is_probed(site):
+    """Guards against priced probes for deployments whose targets do not tell their speed."""
+    engines = await start_site(site, 2, targets=4, figures=3)
+    await play(site, engines, 2.0)
+    assert not any(engine.probed_at for engine in engines)
+    assert not any(router.selector.speeds.is_used("desk") for router in site.routers)
+
+
+async def test_while_all_targets_are_slow_requests_are_answered(site):
+    """Guards against attempts that are all given up while every target is that slow."""
+    engines = await start_site(site, 3)
+
+    async def send(number):
+        return await site.send("/lookup/x", f"q{number}", number % 3)
+
+    async with traffic(send, PER_S) as results:
+        await asyncio.sleep(1.0)
+        for engine in engines:
+            engine.slowness = SLOWNESS
+        async with traffic(lambda number: send(number + 100_000), 1.0):
+            await asyncio.sleep(0.6)
+        for engine in engines:
+            engine.slowness = 1.0
+        await asyncio.sleep(2.0)
+    answered = [result for result in results if result.status == 200]
+    assert len(answered) >= MIN_ANSWERED * len(results)
+
+
+async def test_a_lost_answer_is_replaced_by_a_second_attempt(site):
+    """Guards against waiting until the deadline for a target that does not answer."""
+    engines = await start_site(site, 1, targets=3)
+    for number in range(40):
+        assert (await site.send("/lookup/x", f"q{number}"))[0] == 200
+    for engine in engines[:1]:
+        engine.faults["mute"] = 1
+    started = [asyncio.get_running_loop().time()]
+    for number in range(12):
+        assert (await site.send("/lookup/x", f"m{number}"))[0] == 200
+        started.append(asyncio.get_running_loop().time())
+    assert engines[0].faults["mute"] == 0
+    longest = max(later - earlier for earlier, later in zip(started, started[1:], strict=False))
+    assert WORK_S < longest < LOOKUP["timeout_ms"] / 1000.0 / 2.0
+
+
+@pytest.mark.parametrize(
+    "text", ["1, 2", "1,2,3,4,5", "-1,0,2,100", "a,b,c", "1,0,2,", "1,0,0", "1,0,2,0", "9" * 5000]
+)
+async def test_malformed_figures_are_ignored_and_logged_once(site, text):
+    """Guards against log lines for each answer, and against figures that end a process."""
+    (engine,) = await start_site(site, 1, targets=1)
+    engine.load_text = text
+    with LogRecorder().applicationbound() as handler:
+        for number in range(10):
+            assert (await site.send("/lookup/x", f"m{number}"))[0] == 200
+        lines = [r for r in handler.records if r.extra["event"] == "NOTICE_MALFORMED"]
+    assert len(lines) == 1
+    assert not site.routers[0].selector.speeds.is_used("desk")
+
+
+async def test_the_load_of_a_target_is_not_passed_on_to_callers(site):
+    await start_site(site, 1, targets=1)
+    _, headers, _ = await site.send("/lookup/x", "q")
+    assert "X-Server-Load" not in headers
+    assert site.routers[0].selector.speeds.is_used("desk")
+
+
+async def test_other_routers_hear_of_a_slow_target(site):
+    """Guards against routers that each learn of a slow target by a request of their own.
+
+    Requests that are given up do not wait for the answer that would tell.
+    """
+    engine, _ = await start_site(site, 2, targets=2)
+    for number in range(6):
+        await site.send("/lookup/x", f"q{number}", 0)
+    engine.slowness = SLOWNESS
+    speeds = site.routers[1].selector.speeds
+    listed = site.routers[1].engines.engines[engine.id]
+    for number in range(6, 20):
+        await site.send("/lookup/x", f"q{number}", 0)
+        await asyncio.sleep(0.1)
+        if any(arrival.id == f"q{number}" for arrival in engine.arrivals):
+            break
+    assert speeds.figures["desk"][listed.key].slowness > 2.0
