--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -21,6 +21,7 @@
     OriginReport,
     ReportBatch,
     RouterReport,
+    SpeedReport,
     decode_datagram,
     encode,
 )
@@ -197,13 +198,15 @@
             self.directory, self.own.state_versions().has_store
         )
         self.forward_heartbeats(report)
-        self.forward_sums(report.cache_updates if report else ())
+        self.forward_sums(report)
 
     def forward_heartbeats(self, report: RouterReport | None) -> None:
         """Forward heartbeats of this failure domain to the other relays, all to the domain."""
         reports = self.relay.take_heartbeats()
         if report:
-            reports.append(msgspec.structs.replace(report, loads=(), cache_updates=(), rates=()))
+            reports.append(
+                msgspec.structs.replace(report, loads=(), cache_updates=(), rates=(), speeds=())
+            )
         domain = self.directory.domain
         outward = [report for report in reports if report.domain == domain]
         self.send_batches(outward, relays.other_domain_relays(self.directory))
@@ -211,8 +214,13 @@
             reports, [peer.address for peer in relays.own_domain_peers(self.directory)]
         )
 
-    def forward_sums(self, own_updates: tuple[CacheUpdate, ...]) -> None:
-        """Send the sum over this domain to the other relays, that over the fleet to the domain."""
+    def forward_sums(self, report: RouterReport | None) -> None:
+        """Send the sum over this domain to the other relays, that over the fleet to the domain.
+
+        The updates and figures of the relay's own report go with them.
+        """
+        own_updates = report.cache_updates if report else ()
+        own_speeds = report.speeds if report else ()
         self.relay.sums.expire()
         self.sum_sequence_number += 1
         own = OwnReport(
@@ -223,11 +231,13 @@
             self.own.last_loads(),
         )
         member_updates = own_updates + take_updates(self.relay.member_updates)
-        for message in self.relay.domain_messages(own, member_updates):
+        member_speeds = own_speeds + self.relay.member_speeds.take()
+        for message in self.relay.domain_messages(own, member_updates, member_speeds):
             self.send(encode(message), relays.other_domain_relays(self.directory))
         updates = member_updates + take_updates(self.relay.fleet_updates)
         members = [peer.address for peer in relays.own_domain_peers(self.directory)]
-        for message in self.relay.fleet_messages(own, updates):
+        speeds = member_speeds + self.relay.fleet_speeds.take()
+        for message in self.relay.fleet_messages(own, updates, speeds):
             self.send(encode(message), members)
         self.use_sums((own.address, 0), 0, self.relay.other_loads())
 
@@ -250,8 +260,7 @@
         batch: list[RouterReport] = []
         size = 0
         for report in reports:
-            added = 1 + len(report.quarantined) + len(report.speeds) // 8
-            added += sum(len(end.attempts) for end in report.ended)
+            added = 1 + len(report.quarantined) + sum(len(end.attempts) for end in report.ended)
             if batch and size + added > MAX_REPORTS_PER_BATCH:
                 self.send(encode(ReportBatch(tuple(batch))), addresses)
                 batch, size = [], 0
@@ -322,6 +331,7 @@
         """Keep the loads of another domain, in case this router is a relay."""
         if message.domain == self.directory.domain or not self.relay.record_domain(message):
             return
+        self.apply_speeds(message.speeds)
         for update in message.cache_updates:
             self.apply_update(update)
 
@@ -331,6 +341,7 @@
             return
         for update in message.cache_updates:
             self.apply_update(update)
+        self.apply_speeds(message.speeds)
         loads = read_loads(message)
         subtract_loads(loads, self.own.included_loads(message.included))
         source = (message.address, message.boot_id, message.parts)
@@ -365,9 +376,7 @@
         for room in report.rooms:
             if engine := self.find_engine(room.incarnation_id):
                 apply_room_report(self.selector.room, engine, room)
-        for speed in report.speeds:
-            if engine := self.find_engine(speed.incarnation_id):
-                apply_speed_report(self.selector.speeds, engine, speed)
+        self.apply_speeds(report.speeds)
         if news := report.evacuations:
             evacuations = self.selector.engines.evacuations
             evacuations.replace(news.domains, news.version, report.address)
@@ -376,6 +385,12 @@
         if not relays.is_full_mesh(self.directory):
             self.relay.record_report(report, is_relayed)
 
+    def apply_speeds(self, speeds: tuple[SpeedReport, ...]) -> None:
+        """Apply the figures of targets that other routers have heard."""
+        for speed in speeds:
+            if engine := self.find_engine(speed.incarnation_id):
+                apply_speed_report(self.selector.speeds, engine, speed)
+
     def record_versions(self, peer: Peer, report: RouterReport) -> None:
         """Record the identity and the state versions of a peer from its report."""
         peer.boot_id = report.boot_id
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -212,6 +212,7 @@
     loads: tuple[EngineLoadReport, ...]
     cache_updates: tuple[CacheUpdate, ...] = ()
     rates: tuple[EngineRateReport, ...] = ()
+    speeds: tuple[SpeedReport, ...] = ()
 
 
 class IncludedReport(msgspec.Struct, array_like=True, frozen=True):
@@ -233,6 +234,7 @@
     included: tuple[IncludedReport, ...]
     cache_updates: tuple[CacheUpdate, ...] = ()
     rates: tuple[EngineRateReport, ...] = ()
+    speeds: tuple[SpeedReport, ...] = ()
 
 
 class StreamOriginEntry(msgspec.Struct, array_like=True, frozen=True):
--- a/marjoramspool/peers/report_relay.py
+++ b/marjoramspool/peers/report_relay.py
@@ -11,7 +11,9 @@
     DomainLoads,
     FleetLoads,
     RouterReport,
+    SpeedReport,
 )
+from marjoramspool.peers.speed_reports import SpeedQueue
 
 __all__ = ["ReportRelay", "take_updates"]
 
@@ -50,9 +52,11 @@
     __slots__ = (
         "clock",
         "domain",
+        "fleet_speeds",
         "fleet_updates",
         "forwarded",
         "heartbeats",
+        "member_speeds",
         "member_updates",
         "newest_engines",
         "newest_table",
@@ -68,6 +72,8 @@
         self.forwarded: dict[str, Forwarded] = {}
         self.member_updates: list[CacheUpdate] = []
         self.fleet_updates: list[CacheUpdate] = []
+        self.member_speeds = SpeedQueue(clock)
+        self.fleet_speeds = SpeedQueue(clock)
         self.newest_table = 0
         self.newest_engines = 0
         # Addresses of the routers that watch the store for the fleet.
@@ -78,15 +84,18 @@
         self.heartbeats.clear()
         self.member_updates.clear()
         self.fleet_updates.clear()
+        self.member_speeds.entries.clear()
+        self.fleet_speeds.entries.clear()
 
     def record_report(self, report: RouterReport, is_relayed: bool) -> None:
         """Keep the report of a router; a relay receives those of its domain directly."""
         if report.domain == self.domain and not is_relayed:
             self.sums.record_member(report)
             self.member_updates += report.cache_updates
+            self.member_speeds.add(report.speeds)
         if is_relayed or self.is_due(report):
             self.heartbeats[report.address] = msgspec.structs.replace(
-                report, loads=(), cache_updates=(), rates=()
+                report, loads=(), cache_updates=(), rates=(), speeds=()
             )
 
     def record_domain(self, message: DomainLoads) -> bool:
@@ -94,6 +103,7 @@
         if not self.sums.record_domain(message):
             return False
         self.fleet_updates += message.cache_updates
+        self.fleet_speeds.add(message.speeds)
         return True
 
     def is_due(self, report: RouterReport) -> bool:
@@ -136,7 +146,12 @@
         self.heartbeats.clear()
         return heartbeats
 
-    def domain_messages(self, own: OwnReport, updates: tuple[CacheUpdate, ...]):
+    def domain_messages(
+        self,
+        own: OwnReport,
+        updates: tuple[CacheUpdate, ...],
+        speeds: tuple[SpeedReport, ...] = (),
+    ):
         """Yield the messages for the other relays: the sum over this domain, and its updates."""
         loads = self.sums.member_loads()
         add_loads(loads, own.loads)
@@ -152,9 +167,15 @@
                 part_loads,
                 () if part else updates,
                 rates,
+                () if part else speeds,
             )
 
-    def fleet_messages(self, own: OwnReport, updates: tuple[CacheUpdate, ...]):
+    def fleet_messages(
+        self,
+        own: OwnReport,
+        updates: tuple[CacheUpdate, ...],
+        speeds: tuple[SpeedReport, ...] = (),
+    ):
         """Yield the messages for this domain: the sum over the fleet, and all updates."""
         loads = self.other_loads()
         add_loads(loads, own.loads)
@@ -170,6 +191,7 @@
                 self.sums.included(),
                 () if part else updates,
                 rates,
+                () if part else speeds,
             )
 
     def other_loads(self) -> Loads:
