--- a/marjoramspool/engine_state/answer_times.py
+++ b/marjoramspool/engine_state/answer_times.py
@@ -17,7 +17,7 @@
 __all__ = ["AnswerTimes", "UsualTime"]
 
 # Answers before the usual time of a service is known, and before a target is judged by its own.
-MIN_ANSWERS = 8
+MIN_ANSWERS = 4
 MIN_JUDGED_ANSWERS = 5
 SAMPLE_WEIGHT = 0.05
 JUDGED_WEIGHT = 0.15
@@ -154,7 +154,9 @@
             return None
         if self.clock() - samples.updated_at > MAX_AGE_S:
             return None
-        return UsualTime(samples.mean_s, DEVIATIONS * samples.deviation_s)
+        # The mean of few answers is uncertain by about as much as one of them counts.
+        uncertain_s = samples.mean_s * max(SAMPLE_WEIGHT, 1.0 / samples.count)
+        return UsualTime(samples.mean_s, DEVIATIONS * samples.deviation_s + uncertain_s)
 
     def remove_engine(self, engine: Engine) -> None:
         """Remove the judgement of a target that is gone or has restarted."""
