--- a/marjoramspool/engine_state/answer_times.py
+++ b/marjoramspool/engine_state/answer_times.py
@@ -26,7 +26,7 @@
 # Time constant with which the judgement of a target fades, so that it is tried again.
 JUDGEMENT_FADE_S = 10.0
 # What the answers of other targets take is compared again after this time.
-BASELINE_AGE_S = 0.1
+BASELINE_AGE_S = 0.5
 # Targets are judged if their answers take this many times what they say, in the geometric mean.
 # Single answers of honest targets take several times as long when the speed changes meanwhile.
 JUDGED_FACTOR = 2.0
--- a/marjoramspool/engine_state/reported_speed.py
+++ b/marjoramspool/engine_state/reported_speed.py
@@ -31,7 +31,7 @@
 # A target is slow if its last figure is this many times the lowest one of its service.
 SLOW_FACTOR = 1.5
 # The mean of a service is computed again after this time.
-MEAN_AGE_S = 0.02
+MEAN_AGE_S = 0.05
 # Slowness beyond this makes no difference to a placement.
 MAX_SLOWNESS = 100.0
 MIN_SLOWNESS = 0.01
--- a/marjoramspool/engine_state/slow_probes.py
+++ b/marjoramspool/engine_state/slow_probes.py
@@ -23,6 +23,8 @@
 # Timers and clocks of two routers that probe one after the other differ by less than this.
 PERIOD_MARGIN_S = 0.02
 CHECK_PERIOD_S = 0.04
+# With more engines than this, they are looked through less often.
+MAX_ENGINES_AT_CHECK_PERIOD = 256
 # Routers that hear fewer others than this share of the fleet do not probe.
 MIN_HEARD_SHARE = 0.5
 
@@ -83,7 +85,8 @@
         """Probe slow targets until cancelled."""
         try:
             while True:
-                await asyncio.sleep(CHECK_PERIOD_S)
+                share = len(self.engines.engines) / MAX_ENGINES_AT_CHECK_PERIOD
+                await asyncio.sleep(CHECK_PERIOD_S * max(1.0, share))
                 for engine, path in self.take_due():
                     task = asyncio.create_task(self.prober.probe_speed(engine, path))
                     self.probes.add(task)
--- a/marjoramspool/placement/expected_time.py
+++ b/marjoramspool/placement/expected_time.py
@@ -13,7 +13,6 @@
 # Part of the processing time that each further request in the free slots of a target adds, so that
 # of equally fast targets one with fewer requests is chosen.
 SHARING_COST = 0.3
-LEVEL_ROUNDS = 24
 
 
 def expected_factor(used: float, slowness: float) -> float:
@@ -33,27 +32,39 @@
     if not candidates:
         return None
     level = fill_level(candidates, unreported + 1.0)
-
-    def preference(candidate: Candidate) -> tuple[float, float]:
-        places = places_below(candidate, level)
-        return hashing.score(key, candidate.name, places), -ranked_time(candidate)
-
-    best = max(candidates, key=preference)
+    places = {candidate.name: places_below(candidate, level) for candidate in candidates}
+    below = [candidate for candidate in candidates if places[candidate.name] > 0.0]
+    if below:
+        best = max(below, key=lambda c: hashing.score(key, c.name, places[c.name]))
+    else:
+        best = min(candidates, key=ranked_time)
     return Choice(best, cost_tokens(best, tokens))
 
 
 def fill_level(candidates: list[Candidate], requests: float) -> float:
-    """Return the time up to which a number of requests fill the fastest candidates."""
-    low = min(map(ranked_time, candidates))
-    # All requests at the one that is fastest now.
-    high = min(c.slowness * max(1.0, (c.load.requests + requests) / c.slots) for c in candidates)
-    for _ in range(LEVEL_ROUNDS):
-        level = (low + high) / 2.0
-        if sum(places_below(candidate, level) for candidate in candidates) < requests:
-            low = level
+    """Return the time up to which a number of requests fill the fastest candidates.
+
+    Of each candidate, the requests that fit below a level of time grow with it at a rate that is
+    lower once its slots are used.
+    """
+    changes = []
+    for candidate in candidates:
+        start = ranked_time(candidate)
+        rate = candidate.slots / candidate.slowness
+        if start < candidate.slowness:
+            changes.append((start, rate / SHARING_COST))
+            changes.append((candidate.slowness, rate - rate / SHARING_COST))
         else:
-            high = level
-    return high
+            changes.append((start, rate))
+    changes.sort()
+    level, rate, filled = changes[0][0], 0.0, 0.0
+    for at, change in changes:
+        if filled + rate * (at - level) >= requests:
+            break
+        filled += rate * (at - level)
+        rate += change
+        level = at
+    return level + (requests - filled) / rate
 
 
 def ranked_time(candidate: Candidate) -> float:
--- a/marjoramspool/placement/tests/test_expected_time.py
+++ b/marjoramspool/placement/tests/test_expected_time.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from itertools import count
+from random import Random
 
 import pytest
 
@@ -13,7 +14,12 @@
 from marjoramspool.engine_state.reported_speed import LoadFigures
 from marjoramspool.placement.cost_placement import Candidate, choose_engine
 from marjoramspool.placement.engine_selector import EngineSelector
-from marjoramspool.placement.expected_time import choose_fastest, expected_factor
+from marjoramspool.placement.expected_time import (
+    choose_fastest,
+    expected_factor,
+    fill_level,
+    places_below,
+)
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import Route, RouteKind
 
@@ -76,6 +82,19 @@
     assert counts["fast"] == max(counts.values())
 
 
+@pytest.mark.parametrize("requests", [0.5, 1.0, 7.0, 200.0])
+def test_the_level_fits_as_many_requests_as_there_are(requests):
+    """Guards against a level at which unreported requests overrun the fastest targets."""
+    choices = Random(3)
+    for _ in range(50):
+        candidates = [
+            target(f"i-{n}", choices.choice((0.5, 1.0, 5.0)), choices.randrange(9), slots=n % 4 + 1)
+            for n in range(choices.randrange(1, 12))
+        ]
+        level = fill_level(candidates, requests)
+        assert sum(places_below(c, level) for c in candidates) == pytest.approx(requests)
+
+
 def test_a_router_alone_uses_the_target_that_became_fast():
     candidates = [target("fast")] + [target(f"slow-{n}", SLOWNESS) for n in range(9)]
     assert chosen(candidates).keys() == {"fast"}
