--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -376,7 +376,8 @@
             wait_s = self.outlook.further_wait_s(
                 placement, history.tried_engines, is_allowed, left_s
             )
-            self.metrics.count("attempts_given_up", int(wait_s <= 0.0 < left_s))
+            if wait_s <= 0.0 < left_s:
+                self.metrics.count("attempts_given_up")
             return wait_s
 
         return attempt_limit(remaining_s, further_wait_s)
--- a/marjoramspool/peers/speed_reports.py
+++ b/marjoramspool/peers/speed_reports.py
@@ -18,7 +18,7 @@
 MAX_PER_FLEET = 400
 # Routers that report to each other directly repeat a figure for this long, in about three reports.
 FULL_MESH_REPEAT_S = 0.1
-RELAYED_REPEAT_S = 0.4
+RELAYED_REPEAT_S = 0.25
 
 
 def report_speeds(speeds: ReportedSpeeds, directory: Directory) -> Iterator[SpeedReport]:
