--- a/marjoramspool/engine_state/slow_probes.py
+++ b/marjoramspool/engine_state/slow_probes.py
@@ -20,8 +20,8 @@
 
 # A target is probed at most once in this time by the whole fleet.
 PROBE_PERIOD_S = 0.2
-# Timers and clocks of two routers that probe one after the other differ by less than this.
-PERIOD_MARGIN_S = 0.02
+# Two probes may arrive closer together than they were sent, by less than this.
+PERIOD_MARGIN_S = 0.05
 CHECK_PERIOD_S = 0.04
 # With more engines than this, they are looked through less often.
 MAX_ENGINES_AT_CHECK_PERIOD = 256
@@ -98,9 +98,8 @@
     def take_due(self) -> list[tuple[Engine, str]]:
         """Return the targets to probe now, each with its health path, and count them as probed."""
         now_s = self.clock()
-        self.probed_at = {
-            key: at for key, at in self.probed_at.items() if now_s - at < PROBE_PERIOD_S
-        }
+        period_s = PROBE_PERIOD_S + PERIOD_MARGIN_S
+        self.probed_at = {key: at for key, at in self.probed_at.items() if now_s - at < period_s}
         services = [service for service in self.speeds.used_until if self.speeds.is_used(service)]
         if not services or self.heard_share() < MIN_HEARD_SHARE:
             return []
