--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -61,7 +61,13 @@
     EVACUATION_ENDED = (521, "info", "the engines of a failure domain get requests again")
     ENGINE_COLD = (522, "info", "an engine is cold and gets only the few requests that it sustains")
     ENGINE_WARM = (523, "info", "an engine is no longer cold and gets its full share of requests")
-    FIGURE_UNREADABLE = (524, "warning", "a figure that an engine names is malformed and ignored")
+    NOTICE_MALFORMED = (524, "warning", "a figure that a target names is malformed and ignored")
+    SPEEDS_REPORTED = (
+        531,
+        "info",
+        "targets of a service tell their speed, which placement uses",
+    )
+    SPEED_DOUBTED = (532, "warning", "a target's answers take far longer than it tells; they count")
     REGISTRATION_UNREADABLE = (509, "warning", "a registration could not be decoded and is ignored")
     ATTEMPT_FAILED = (601, "info", "an attempt failed")
     STREAM_RESUMED = (602, "info", "a stream was resumed over a new connection")
--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -22,6 +22,7 @@
     OriginReport,
     ReportBatch,
     RouterReport,
+    SpeedReport,
     decode_datagram,
     encode,
 )
@@ -35,6 +36,7 @@
 from marjoramspool.peers.poison_reports import apply_poison_reports
 from marjoramspool.peers.report_relay import OwnReport, ReportRelay, take_updates
 from marjoramspool.peers.room_reports import apply_room_report
+from marjoramspool.peers.speed_reports import apply_speed_report
 from marjoramspool.peers.state_transfer import apply_cache_update
 from marjoramspool.placement.engine_selector import EngineSelector
 from marjoramspool.prompts import Part
@@ -199,13 +201,15 @@
             self.directory, self.own.state_versions().has_store
         )
         self.forward_heartbeats(report)
-        self.forward_sums(report.cache_updates if report else ())
+        self.forward_sums(report)
 
     def forward_heartbeats(self, report: RouterReport | None) -> None:
         """Forward heartbeats of this failure domain to the other relays, all to the domain."""
         reports = self.relay.take_heartbeats()
         if report:
-            reports.append(msgspec.structs.replace(report, loads=(), cache_updates=(), rates=()))
+            reports.append(
+                msgspec.structs.replace(report, loads=(), cache_updates=(), rates=(), speeds=())
+            )
         domain = self.directory.domain
         outward = [report for report in reports if report.domain == domain]
         self.send_batches(outward, relays.other_domain_relays(self.directory))
@@ -213,8 +217,13 @@
             reports, [peer.address for peer in relays.own_domain_peers(self.directory)]
         )
 
-    def forward_sums(self, own_updates: tuple[CacheUpdate, ...]) -> None:
-        """Send the sum over this domain to the other relays, that over the fleet to the domain."""
+    def forward_sums(self, report: RouterReport | None) -> None:
+        """Send the sum over this domain to the other relays, that over the fleet to the domain.
+
+        The updates and figures of the relay's own report go with them.
+        """
+        own_updates = report.cache_updates if report else ()
+        own_speeds = report.speeds if report else ()
         self.relay.sums.expire()
         self.sum_sequence_number += 1
         own = OwnReport(
@@ -225,11 +234,13 @@
             self.own.last_loads(),
         )
         member_updates = own_updates + take_updates(self.relay.member_updates)
-        for message in self.relay.domain_messages(own, member_updates):
+        member_speeds = own_speeds + self.relay.member_speeds.take()
+        for message in self.relay.domain_messages(own, member_updates, member_speeds):
             self.send(encode(message), relays.other_domain_relays(self.directory))
         updates = member_updates + take_updates(self.relay.fleet_updates)
         members = [peer.address for peer in relays.own_domain_peers(self.directory)]
-        for message in self.relay.fleet_messages(own, updates):
+        speeds = member_speeds + self.relay.fleet_speeds.take()
+        for message in self.relay.fleet_messages(own, updates, speeds):
             self.send(encode(message), members)
         self.use_sums((own.address, 0), 0, self.relay.other_loads())
 
@@ -324,6 +335,7 @@
         """Keep the loads of another domain, in case this router is a relay."""
         if message.domain == self.directory.domain or not self.relay.record_domain(message):
             return
+        self.apply_speeds(message.speeds)
         for update in message.cache_updates:
             self.apply_update(update)
 
@@ -333,6 +345,7 @@
             return
         for update in message.cache_updates:
             self.apply_update(update)
+        self.apply_speeds(message.speeds)
         loads = read_loads(message)
         subtract_loads(loads, self.own.included_loads(message.included))
         source = (message.address, message.boot_id, message.parts)
@@ -370,6 +383,7 @@
         for cold in report.cold:
             if engine := self.find_engine(cold.incarnation_id):
                 apply_cold_report(self.selector.cold, engine, cold)
+        self.apply_speeds(report.speeds)
         if news := report.evacuations:
             evacuations = self.selector.engines.evacuations
             evacuations.replace(news.domains, news.version, report.address)
@@ -378,6 +392,12 @@
         if not relays.is_full_mesh(self.directory):
             self.relay.record_report(report, is_relayed)
 
+    def apply_speeds(self, speeds: tuple[SpeedReport, ...]) -> None:
+        """Apply the figures of targets that other routers have heard."""
+        for speed in speeds:
+            if engine := self.find_engine(speed.incarnation_id):
+                apply_speed_report(self.selector.speeds, engine, speed)
+
     def record_versions(self, peer: Peer, report: RouterReport) -> None:
         """Record the identity and the state versions of a peer from its report."""
         peer.boot_id = report.boot_id
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -29,6 +29,7 @@
     "ReportBatch",
     "RoomReport",
     "RouterReport",
+    "SpeedReport",
     "StreamOriginEntry",
     "TableState",
     "UnansweredReport",
@@ -100,6 +101,14 @@
     age_ms: int
 
 
+class SpeedReport(msgspec.Struct, array_like=True, frozen=True):
+    """Processing time that a target told, 100 if it is as usual, and the time since then."""
+
+    incarnation_id: int
+    percent: int
+    age_ms: int
+
+
 class CacheUpdateKind(enum.IntEnum):
     """Source of a cache update, or its retraction."""
 
@@ -192,6 +201,8 @@
     evacuations: EvacuationReport | None = None
     # Cold engines, and those that no longer are, that the reporting router heard itself.
     cold: tuple[ColdReport, ...] = ()
+    # Processing times that targets told the reporting router within the last second.
+    speeds: tuple[SpeedReport, ...] = ()
 
 
 class ReportBatch(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -212,6 +223,7 @@
     loads: tuple[EngineLoadReport, ...]
     cache_updates: tuple[CacheUpdate, ...] = ()
     rates: tuple[EngineRateReport, ...] = ()
+    speeds: tuple[SpeedReport, ...] = ()
 
 
 class IncludedReport(msgspec.Struct, array_like=True, frozen=True):
@@ -233,6 +245,7 @@
     included: tuple[IncludedReport, ...]
     cache_updates: tuple[CacheUpdate, ...] = ()
     rates: tuple[EngineRateReport, ...] = ()
+    speeds: tuple[SpeedReport, ...] = ()
 
 
 class StreamOriginEntry(msgspec.Struct, array_like=True, frozen=True):
--- a/marjoramspool/platform/desired.py
+++ b/marjoramspool/platform/desired.py
@@ -78,6 +78,8 @@
     # meanwhile; 0 where engines are never cold.
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
+    # Path at which its engines tell their state at once.
+    health_path: str | None = None
 
 
 class LimitFields(msgspec.Struct, frozen=True):
@@ -164,7 +166,7 @@
 def decode_service(fields: ServiceFields) -> routes.Service:
     """Return the service that was decoded."""
     capacity = decode_capacity(fields.engine) if fields.engine else None
-    return routes.Service(fields.name, capacity, decode_cold_start(fields))
+    return routes.Service(fields.name, capacity, decode_cold_start(fields), fields.health_path)
 
 
 def decode_cold_start(fields: ServiceFields) -> routes.ColdStart:
