--- a/marjoramspool/engine_state/reach_monitor.py
+++ b/marjoramspool/engine_state/reach_monitor.py
@@ -5,16 +5,25 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from marjoramspool.engine_state.engine_list import Engine, EngineList
+from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.engine_state.engine_reach import EngineReach, select_probed
 
-__all__ = ["EngineProber", "ReachMonitor"]
+__all__ = ["EngineProber", "EngineSource", "ReachMonitor"]
 
 PROBE_TIMEOUT_S = 0.25
 # A path that is back is found this soon.
 PROBE_PERIOD_S = 0.5
 
 
+class EngineSource(Protocol):
+    """Engines, or targets with the same `id`, `service` and `failure_domain`, by their ids."""
+
+    engines: dict[str, Engine]
+
+    def usable(self, service: str) -> Iterable[Engine]:
+        """Return the engines of a service that may get requests."""
+
+
 class EngineProber(Protocol):
     """Client that can open a connection to an engine."""
 
@@ -27,7 +36,7 @@
 
     __slots__ = ("engines", "prober", "reach", "rounds")
 
-    def __init__(self, engines: EngineList, prober: EngineProber):
+    def __init__(self, engines: EngineSource, prober: EngineProber):
         self.engines = engines
         self.prober = prober
         self.reach = EngineReach()
--- a/marjoramspool/engines/client.py
+++ b/marjoramspool/engines/client.py
@@ -119,7 +119,6 @@
         self, request: Request, target: Target, attempt: str, reuse: bool
     ) -> aiohttp.ClientResponse:
         """Send an attempt and return the response once its headers are received."""
-        session = self.sessions.select(reuse)
         headers = {
             "Content-Type": JSON,
             "X-Request-Id": attempt,
@@ -127,7 +126,9 @@
         }
         url = f"http://{target.address}{request.path}"
         try:
-            return await session.post(url, data=request.body, headers=headers)
+            return await self.sessions.request(
+                request.document.name, reuse, "POST", url, data=request.body, headers=headers
+            )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSentError(f"could not connect to engine {target.name}") from error
         except (aiohttp.ClientError, OSError) as error:
--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import functools
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from yarl import URL
 
 from marjoramspool.answer_bodies import AnswerMemory
 from marjoramspool.engine_state.request_limits import EngineKey, parse_limit
 from marjoramspool.events import Event, log
+from marjoramspool.failures import MayHaveRunError, NotSentError
 
 __all__ = [
     "SUCCESS_STATUSES",
@@ -30,6 +32,8 @@
 MAX_DISCARDED_BYTES = 256 << 10
 # Short, since a retry may wait for the result.
 REFUSAL_TIMEOUT_S = 0.1
+# A connection that takes longer may be a sign of a cut.
+LATE_CONNECTION_S = 0.1
 
 
 class BoundedResponseHandler(ResponseHandler):
@@ -141,6 +145,7 @@
     idle_timeout_s: float = 15.0,
     max_connections: int = 0,
     local_address: str | None = None,
+    trace_configs: Sequence[aiohttp.TraceConfig] = (),
 ) -> aiohttp.ClientSession:
     """Open a client session; without `keep_alive`, each connection serves one request only.
 
@@ -162,6 +167,7 @@
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
         auto_decompress=False,
         skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
+        trace_configs=list(trace_configs),
     )
     # aiohttp retries PUT, DELETE and other idempotent methods when a reused connection breaks,
     # which could execute a request twice. It has no public option to disable this.
@@ -169,20 +175,55 @@
     return session
 
 
+class ConnectionProgress:
+    """Whether a request has a connection, without which no byte of it was sent."""
+
+    __slots__ = ("is_connected",)
+
+    def __init__(self):
+        self.is_connected = False
+
+
+def connection_tracing() -> aiohttp.TraceConfig:
+    """Return the tracing that sets the `ConnectionProgress` of a request."""
+
+    async def record_connected(_, context, __) -> None:
+        progress = context.trace_request_ctx
+        if progress is not None:
+            progress.is_connected = True
+
+    tracing = aiohttp.TraceConfig()
+    tracing.on_connection_create_end.append(record_connected)
+    tracing.on_connection_reuseconn.append(record_connected)
+    return tracing
+
+
+async def never_lost(_: str) -> bool:
+    """Return that no service is out of reach, where nothing finds out."""
+    return False
+
+
 class Sessions:
-    """A session that pools connections and one that opens a new connection for each request."""
+    """A session that pools connections and one that opens a new connection for each request.
 
-    __slots__ = ("connect_timeout_s", "memory", "pooled", "unpooled")
+    `has_lost_path` finds out whether no target of a service accepts connections from here.
+    """
+
+    __slots__ = ("connect_timeout_s", "has_lost_path", "memory", "pooled", "unpooled")
 
     def __init__(self, connect_timeout_s: float):
         self.memory = AnswerMemory()
         self.connect_timeout_s = connect_timeout_s
+        self.has_lost_path: Callable[[str], Awaitable[bool]] = never_lost
         self.pooled: aiohttp.ClientSession | None = None
         self.unpooled: aiohttp.ClientSession | None = None
 
     async def __aenter__(self):
-        self.pooled = new_session(self.connect_timeout_s)
-        self.unpooled = new_session(self.connect_timeout_s, keep_alive=False)
+        tracing = [connection_tracing()]
+        self.pooled = new_session(self.connect_timeout_s, trace_configs=tracing)
+        self.unpooled = new_session(
+            self.connect_timeout_s, keep_alive=False, trace_configs=[connection_tracing()]
+        )
         return self
 
     async def __aexit__(self, *details):
@@ -192,3 +233,46 @@
     def select(self, reuse: bool) -> aiohttp.ClientSession:
         """Return the pooled session if the connection may be reused, else the unpooled one."""
         return self.pooled if reuse else self.unpooled
+
+    async def request(
+        self, service: str, reuse: bool, method: str, url: str | URL, **options
+    ) -> aiohttp.ClientResponse:
+        """Send a request to a target of a service; return the response once its head is received.
+
+        Raise NotSentError if no connection opens and no target of the service accepts one, without
+        waiting for the connect timeout, in addition to the errors of a session.
+        """
+        loop = asyncio.get_running_loop()
+        progress = ConnectionProgress()
+        scope = asyncio.timeout(None)
+        watches: list[asyncio.Task] = []
+        timer = loop.call_later(
+            LATE_CONNECTION_S,
+            lambda: watches.append(
+                asyncio.create_task(self.watch_connection(service, progress, scope))
+            ),
+        )
+        try:
+            async with scope:
+                session = self.select(reuse)
+                return await session.request(method, url, trace_request_ctx=progress, **options)
+        except TimeoutError as error:
+            if not scope.expired():
+                raise
+            if progress.is_connected:
+                raise MayHaveRunError(f"the path of service {service} was lost") from error
+            raise NotSentError(f"no target of service {service} accepts connections") from error
+        finally:
+            timer.cancel()
+            for watch in watches:
+                watch.cancel()
+
+    async def watch_connection(
+        self, service: str, progress: ConnectionProgress, scope: asyncio.Timeout
+    ) -> None:
+        """End a request that has no connection while no target accepts one."""
+        while not progress.is_connected:
+            if await self.has_lost_path(service) and not progress.is_connected:
+                scope.reschedule(asyncio.get_running_loop().time())
+                return
+            await asyncio.sleep(LATE_CONNECTION_S)
--- a/marjoramspool/peers/peer_paths.py
+++ b/marjoramspool/peers/peer_paths.py
@@ -38,6 +38,7 @@
     read_frames,
 )
 from marjoramspool.peers.messages import service_id
+from marjoramspool.peers.peer_selection import select_peer
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.streams.event_stream import StreamEvent
 
@@ -51,9 +52,6 @@
 AVOIDED_S = 1.0
 # Requests that this router has at another one at a time.
 MAX_OUTSTANDING = 64
-# A router of another failure domain is used if those of the own one have this much more to do.
-FAR_FACTOR = 2.0
-FAR_EXTRA_REQUESTS = 4
 
 
 class PeerPaths:
@@ -103,9 +101,8 @@
     def select(self, service: str, exclude: set[str]) -> Peer | None:
         """Return the router to send a request through, None if there is none.
 
-        It reaches the service by its own report, and its routes are no older than here. Of two
-        drawn from the own failure domain, or from others if that has too much to do, it is the less
-        loaded one.
+        It reaches the service by its own report, and its routes are no older than here. Routers of
+        the own failure domain are preferred, and among them the less loaded one.
         """
         now_s = now()
         service_key = service_id(service)
@@ -121,18 +118,7 @@
         ]
         near = [peer for peer in usable if peer.domain == self.directory.domain]
         far = [peer for peer in usable if peer.domain != self.directory.domain]
-        best_near, best_far = self.draw(near), self.draw(far)
-        if best_near is None or best_far is None:
-            return best_near or best_far
-        limit = FAR_FACTOR * self.load(best_far) + FAR_EXTRA_REQUESTS
-        return best_near if self.load(best_near) <= limit else best_far
-
-    def draw(self, peers: list[Peer]) -> Peer | None:
-        """Return the less loaded of two routers drawn at random."""
-        if not peers:
-            return None
-        drawn = self.random.sample(peers, min(2, len(peers)))
-        return min(drawn, key=self.load)
+        return select_peer(near, far, self.load, self.random)
 
     def avoid(self, address: str) -> None:
         """Pass a router over for a time."""
--- a/marjoramspool/services/client.py
+++ b/marjoramspool/services/client.py
@@ -71,14 +71,15 @@
         self, request: Request, target: Target, attempt: str, reuse: bool
     ) -> aiohttp.ClientResponse:
         """Send an attempt and return the response once its headers are received."""
-        session = self.sessions.select(reuse)
         timeout_s = max(0.0, request.deadline - time.monotonic())
         if reuse:
             timeout_s = min(timeout_s, request.document.idle_timeout_s)
         headers = filter_headers(request.headers) | {"X-Request-Id": attempt}
         try:
             async with asyncio.timeout(timeout_s):
-                return await session.request(
+                return await self.sessions.request(
+                    request.document.name,
+                    reuse,
                     request.method,
                     URL(f"http://{target.address}{request.path}", encoded=True),
                     data=request.body or None,
