--- a/marjoramspool/callers/server.py
+++ b/marjoramspool/callers/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import ssl
+from contextlib import contextmanager
 
 from aiohttp import web
 
@@ -118,18 +119,29 @@
         if self.in_flight >= self.limits.requests:
             problem = Problem(503, "too many requests are in flight", "send it again", 1.0)
             return self.build_problem_response(NotRun(problem), request_id)
+        with self.counted_in_flight():
+            try:
+                body = await self.read_body(http_request)
+                await self.wait_for_configuration()
+                request = parse_request(http_request, body, request_id, self.configuration)
+                async with self.routing.serve(request) as outcome:
+                    if isinstance(outcome, Answer):
+                        return await self.forward_answer(http_request, request, outcome)
+                    return self.build_problem_response(outcome, request_id)
+            except RejectedError as error:
+                return self.build_problem_response(NotRun(error.problem), request_id)
+
+    def has_room(self) -> bool:
+        """Return whether one more request may be served."""
+        return not self.is_draining and self.in_flight < self.limits.requests
+
+    @contextmanager
+    def counted_in_flight(self):
+        """Count one request as in flight during a block."""
         self.in_flight += 1
         self.idle.clear()
         try:
-            body = await self.read_body(http_request)
-            await self.wait_for_configuration()
-            request = parse_request(http_request, body, request_id, self.configuration)
-            async with self.routing.serve(request) as outcome:
-                if isinstance(outcome, Answer):
-                    return await self.forward_answer(http_request, request, outcome)
-                return self.build_problem_response(outcome, request_id)
-        except RejectedError as error:
-            return self.build_problem_response(NotRun(error.problem), request_id)
+            yield
         finally:
             self.in_flight -= 1
             if not self.in_flight:
--- a/marjoramspool/dispatch.py
+++ b/marjoramspool/dispatch.py
@@ -20,7 +20,8 @@
 class Request:
     """Validated request of a caller; `deadline` is on the monotonic clock.
 
-    `parts` are hashes of its contents, of which other requests may share all but the last.
+    `parts` are hashes of its contents, of which other requests may share all but the last. A
+    request that is forwarded came from another router, which has claimed its key.
     """
 
     id: str
@@ -39,6 +40,7 @@
     is_non_idempotent: bool = False
     is_stream: bool = False
     is_first_turn: bool = False
+    is_forwarded: bool = False
 
     @property
     def is_retryable(self) -> bool:
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -25,14 +25,19 @@
 from marjoramspool.membership import Member, Membership
 from marjoramspool.metrics import Metrics
 from marjoramspool.operators.server import OperatorsServer
+from marjoramspool.peer_routing import PeerRouting
 from marjoramspool.routers.credentials import client_credentials, server_credentials
 from marjoramspool.routers.gossip import DRAIN_REPORT_SOURCE, Gossip
 from marjoramspool.routers.links import Links
+from marjoramspool.routers.path_selection import PathSelection
+from marjoramspool.routers.path_server import PathServer
+from marjoramspool.routers.paths import RouterPaths
 from marjoramspool.routers.server import RoutersServer, start_server
 from marjoramspool.routing import Routing
 from marjoramspool.services.client import ServiceDispatcher
 from marjoramspool.settings import Settings
 from marjoramspool.storage import Platform
+from marjoramspool.target_reach import TargetReach
 from marjoramspool.targets import Decision, Targets
 
 __all__ = ["Router"]
@@ -58,9 +63,12 @@
         "metrics",
         "operators",
         "orders",
+        "path_server",
+        "paths",
         "platform",
         "poison",
         "quarantine_store",
+        "reach",
         "routing",
         "servicer",
         "services",
@@ -93,6 +101,7 @@
         self.sessions = Sessions(timings.connect_timeout_s)
         self.engines = EngineDispatcher(self.sessions)
         self.services = ServiceDispatcher(self.sessions)
+        self.reach = TargetReach(self.configuration, self.targets, self.sessions)
         for dispatcher in (self.engines, self.services):
             dispatcher.on_limit.append(self.targets.limits.record_answer)
         self.links = Links(
@@ -146,6 +155,9 @@
             self.audit,
         )
         self.traces = Traces(settings.name, settings.limits.traces)
+        self.paths = RouterPaths(
+            PathSelection(self.membership), client_credentials(settings.peers_tls)
+        )
         self.routing = Routing(
             self.admission_controller,
             self.claims,
@@ -154,10 +166,13 @@
             {"model": self.engines, "plain": self.services},
             self.traces,
             self.metrics,
+            self.reach,
+            PeerRouting(self.paths, self.configuration, self.metrics),
         )
         self.callers = CallersServer(
             self.routing, self.configuration, settings.limits, self.metrics
         )
+        self.path_server = PathServer(self.callers, self.configuration, self.reach)
         self.operators = OperatorsServer(self)
         self.servicer = RoutersServer(
             self.admission_controller, self.configuration, self.claims, self.gossip, self.explain
@@ -189,12 +204,14 @@
         await stack.enter_async_context(self.platform)
         await stack.enter_async_context(self.sessions)
         await stack.enter_async_context(self.links)
+        await stack.enter_async_context(self.paths)
         stack.push_async_callback(self.claims.close)
         stack.push_async_callback(self.gossip.close)
         server = await start_server(
             self.servicer,
             f"{settings.address}:{settings.peers_port}",
             server_credentials(settings.peers_tls),
+            [self.path_server.handler()],
         )
         stack.push_async_callback(server.stop, 0)
         stack.push_async_callback(self.callers.close)
@@ -212,6 +229,7 @@
             "documents": self.watcher.watch_documents,
             "routers": self.watcher.poll_routers,
             "reports": self.poll_load_reports,
+            "reach": self.reach.monitor.run,
             "quarantines": self.quarantine_store.run,
             "links": self.close_idle_links,
             "holdings": self.resend_grants_periodically,
@@ -234,22 +252,26 @@
         """Poll the load reports of the engines of owned cells."""
         period_s = self.settings.timings.poll_period_s
         while True:
-            addresses = list(self.owned_addresses())
-            await asyncio.gather(*[self.poll_load_report(address) for address in addresses])
+            owned = list(self.owned_addresses())
+            await asyncio.gather(*[self.poll_load_report(*target) for target in owned])
             await asyncio.sleep(period_s * random.uniform(0.9, 1.1))
 
     def owned_addresses(self):
-        """Yield the addresses of the engines of owned cells."""
+        """Yield the service and the address of each engine of owned cells."""
         for name in self.admission_controller.owned_cells():
             document = self.configuration.document(partition.service_of(name))
             for engine in partition.engines_of(document, name):
-                yield document.targets[engine].address
+                yield document.name, document.targets[engine].address
+
+    async def poll_load_report(self, service: str, address: str) -> None:
+        """Read one load report; no answer counts as a failure of the engine.
 
-    async def poll_load_report(self, address: str) -> None:
-        """Read one load report; no answer counts as a failure of the engine."""
+        The owner of a cell decides for other routers, so that its own cut must eject no engine.
+        """
         report = await self.engines.fetch_load_report(address)
         if report is None:
-            self.targets.record_failure(address)
+            if not await self.reach.has_lost_path(service):
+                self.targets.record_failure(address)
         else:
             self.targets.record_report(address, report)
 
@@ -258,6 +280,7 @@
         while True:
             await asyncio.sleep(IDLE_LINK_CHECK_PERIOD_S)
             self.links.close_idle_links()
+            await self.paths.close_idle_channels()
 
     async def resend_grants_periodically(self) -> None:
         """Report this router's grants to the owners periodically."""
--- a/marjoramspool/routers/server.py
+++ b/marjoramspool/routers/server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Protocol
 
 import grpc
@@ -212,9 +212,12 @@
 
 
 async def start_server(
-    servicer: RoutersServer, address: str, credentials: grpc.ServerCredentials | None
+    servicer: RoutersServer,
+    address: str,
+    credentials: grpc.ServerCredentials | None,
+    handlers: Sequence[grpc.GenericRpcHandler] = (),
 ) -> grpc.aio.Server:
-    """Start the server of one router on IP:PORT."""
+    """Start the server of one router on IP:PORT; `handlers` serve other methods than `servicer`."""
     server = grpc.aio.server(
         options=[
             ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
@@ -223,6 +226,8 @@
         ]
     )
     rpc.add_RoutersServicer_to_server(servicer, server)
+    if handlers:
+        server.add_generic_rpc_handlers(handlers)
     if credentials:
         server.add_secure_port(address, credentials)
     else:
--- a/marjoramspool/routing.py
+++ b/marjoramspool/routing.py
@@ -15,6 +15,7 @@
 from marjoramspool.clock import now
 from marjoramspool.dispatch import Answer, Dispatcher, Request, single_part
 from marjoramspool.document import Target
+from marjoramspool.engine_state.engine_reach import Path
 from marjoramspool.engine_state.poison_parts import PoisonDetector, Quarantine
 from marjoramspool.events import Event, log
 from marjoramspool.explain import Trace, Traces
@@ -22,14 +23,19 @@
     AttemptError,
     BrokenAnswerError,
     MayHaveRunError,
+    NoPathError,
     NotSentError,
+    PeerFailedError,
+    PeerRefusedError,
     SilentConnectionError,
     TargetRefusedError,
 )
 from marjoramspool.http import is_refusing_connections
 from marjoramspool.metrics import Metrics
 from marjoramspool.outcomes import NotRun, Problem, Unknown
+from marjoramspool.peer_routing import PeerRouting
 from marjoramspool.placement.bounded_placement import Holder
+from marjoramspool.target_reach import TargetReach
 from marjoramspool.targets import Targets
 
 __all__ = ["Routing"]
@@ -66,6 +72,8 @@
     ended_targets: int = 0
     sent_at: float = 0.0
     excluded_targets: list[str] = field(default_factory=list)
+    # Other routers that this request was sent to.
+    tried_peers: set[str] = field(default_factory=set)
     may_have_run: bool = False
     problem: Problem = NO_USABLE_TARGET
 
@@ -79,7 +87,9 @@
         "claims",
         "dispatchers",
         "metrics",
+        "peer_routing",
         "poison",
+        "reach",
         "retry_budgets",
         "targets",
         "traces",
@@ -94,6 +104,8 @@
         dispatchers: dict[str, Dispatcher],
         traces: Traces,
         metrics: Metrics,
+        reach: TargetReach,
+        peer_routing: PeerRouting,
     ):
         self.admission_controller = admission_controller
         self.claims = claims
@@ -102,6 +114,8 @@
         self.dispatchers = dispatchers
         self.traces = traces
         self.metrics = metrics
+        self.reach = reach
+        self.peer_routing = peer_routing
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.background_tasks: set[asyncio.Task] = set()
 
@@ -110,7 +124,7 @@
         """Serve a request; yield its answer, or a problem that states whether it may have run."""
         trace = self.traces.start(request.id, request.document.name, request.account.name)
         async with AsyncExitStack() as stack:
-            if request.key is None:
+            if request.key is None or request.is_forwarded:
                 outcome = await self.run_attempts(request, trace, stack)
             else:
                 outcome = await self.serve_claimed(request, trace, stack)
@@ -204,16 +218,13 @@
             if quarantine := self.poison.find_quarantine(request.parts):
                 history.problem = quarantine_problem(quarantine)
                 break
-            admission_request = self.admission_request(request, history)
-            if admission_request is None:
-                break
             async with AsyncExitStack() as attempt_stack:
-                result = await self.run_attempt(
-                    request, admission_request, history, trace, attempt_stack
-                )
+                result = await self.run_next_attempt(request, history, trace, attempt_stack)
                 if isinstance(result, Answer):
                     stack.push_async_exit(attempt_stack.pop_all())
                     return result
+            if result is None:
+                break
             if isinstance(result, Problem):
                 history.problem = result
                 break
@@ -222,6 +233,26 @@
             history.failed_attempts += 1
         return Unknown(history.problem) if history.may_have_run else NotRun(history.problem)
 
+    async def run_next_attempt(
+        self, request: Request, history: AttemptHistory, trace: Trace, stack: AsyncExitStack
+    ) -> Answer | Problem | AttemptError | None:
+        """Make one attempt, through another router while targets are out of reach here.
+
+        Return None if there is none to make.
+        """
+        path = self.reach.path(request.document.name)
+        if path is not Path.FULL and not request.is_forwarded:
+            result = await self.peer_routing.send(request, path, history.tried_peers, trace, stack)
+            if result is not None:
+                return result
+        if path is Path.NONE and history.excluded_targets:
+            # One attempt without another router shows whether the path is back.
+            return None
+        admission_request = self.admission_request(request, history)
+        if admission_request is None:
+            return None
+        return await self.run_attempt(request, admission_request, history, trace, stack)
+
     def handle_failed_attempt(
         self, request: Request, history: AttemptHistory, error: AttemptError
     ) -> bool:
@@ -231,6 +262,15 @@
             case NotSentError():
                 history.problem = Problem(503, str(error), "send it again", DEFAULT_RETRY_AFTER_S)
                 return True
+            case PeerRefusedError(problem=problem):
+                history.problem = problem
+                return False
+            case PeerFailedError(problem=problem):
+                history.may_have_run = True
+                history.problem = problem
+                return False
+            case NoPathError():
+                return True
             case TargetRefusedError():
                 history.problem = Problem(503, str(error), "send it again", DEFAULT_RETRY_AFTER_S)
                 return budget.try_consume()
@@ -271,6 +311,8 @@
         try:
             answer = await stack.enter_async_context(self.open(request, target, decision, history))
         except AttemptError as error:
+            if not isinstance(error, TargetRefusedError):
+                await self.reach.confirm(request.document.name)
             self.record_failure(request, target, history, trace, error)
             if isinstance(error, MayHaveRunError):
                 await self.record_if_ended(request, target, decision, history)
@@ -287,6 +329,8 @@
         """Record the end of a target that had a request and has not answered it, if it ended."""
         if not await is_refusing_connections(target.address):
             return
+        if await self.reach.is_behind_cut(request.document.name, target):
+            return
         history.ended_targets += 1
         log(Event.ENGINE_ENDED, request=request.id, engine=target.name)
         incarnation = hashing.digest(f"{target.address}/{grant.incarnation}")
@@ -324,9 +368,11 @@
     ) -> None:
         """Record a failed attempt, and the failure of its target if no byte was sent.
 
-        A target is not excluded for a silent connection, as it answers on new ones.
+        A target is not excluded for a silent connection, as it answers on new ones. While none is
+        in reach, the fault is likelier at this router, and no target is to be ejected for it.
         """
-        if isinstance(error, NotSentError):
+        path = self.reach.path(request.document.name)
+        if isinstance(error, NotSentError) and path is not Path.NONE:
             self.targets.record_failure(target.address)
         if isinstance(error, SilentConnectionError):
             history.excluded_targets.remove(target.name)
--- a/marjoramspool/target_reach.py
+++ b/marjoramspool/target_reach.py
@@ -88,6 +88,10 @@
         """Return how many targets of a service accept connections from here."""
         return self.monitor.reach.path(service)
 
+    async def confirm(self, service: str) -> None:
+        """Find out whether a failed attempt is a sign of a cut, unless that was done just now."""
+        await self.monitor.confirm(service)
+
     async def has_lost_path(self, service: str) -> bool:
         """Find out whether no target of a service accepts connections from here."""
         await self.monitor.confirm(service)
