--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -43,6 +43,11 @@
     TARGET_RETURNED = (502, "info", "a target stopped draining and receives requests again")
     TARGET_EJECTED = (503, "warning", "a target refused connections and is temporarily ejected")
     TARGET_RESTARTED = (504, "info", "a target restarted with a new incarnation; its cache is lost")
+    TARGET_OUT_OF_REACH = (
+        522,
+        "warning",
+        "a target that other routers reach refused connections from here",
+    )
     ENGINE_LISTED = (505, "info", "an engine registered, or started or stopped draining")
     ENGINE_UNLISTED = (506, "info", "an engine's registration is gone or its address reassigned")
     ENGINE_SUSPECTED = (507, "warning", "an engine failed requests and is temporarily ejected")
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -13,6 +13,7 @@
 from marjoramspool.callers.server import CallersServer
 from marjoramspool.claims import Claims, select_preferred_router
 from marjoramspool.configuration import Configuration
+from marjoramspool.document import Target
 from marjoramspool.document_watcher import Watcher
 from marjoramspool.engine_state.poison_parts import PoisonDetector
 from marjoramspool.engine_state.quarantine_store import QuarantineStore
@@ -37,6 +38,7 @@
 from marjoramspool.services.client import ServiceDispatcher
 from marjoramspool.settings import Settings
 from marjoramspool.storage import Platform
+from marjoramspool.target_failures import TargetFailures
 from marjoramspool.target_reach import TargetReach
 from marjoramspool.targets import Decision, Targets
 
@@ -57,6 +59,7 @@
         "claims",
         "configuration",
         "engines",
+        "failures",
         "gossip",
         "links",
         "membership",
@@ -158,6 +161,7 @@
         self.paths = RouterPaths(
             PathSelection(self.membership), client_credentials(settings.peers_tls)
         )
+        self.failures = TargetFailures(self.targets, self.reach, self.paths)
         self.routing = Routing(
             self.admission_controller,
             self.claims,
@@ -167,6 +171,7 @@
             self.traces,
             self.metrics,
             self.reach,
+            self.failures,
             PeerRouting(self.paths, self.configuration, self.metrics),
         )
         self.callers = CallersServer(
@@ -252,28 +257,25 @@
         """Poll the load reports of the engines of owned cells."""
         period_s = self.settings.timings.poll_period_s
         while True:
-            owned = list(self.owned_addresses())
+            owned = list(self.owned_engines())
             await asyncio.gather(*[self.poll_load_report(*target) for target in owned])
             await asyncio.sleep(period_s * random.uniform(0.9, 1.1))
 
-    def owned_addresses(self):
-        """Yield the service and the address of each engine of owned cells."""
+    def owned_engines(self):
+        """Yield each engine of owned cells, with its service."""
         for name in self.admission_controller.owned_cells():
             document = self.configuration.document(partition.service_of(name))
             for engine in partition.engines_of(document, name):
-                yield document.name, document.targets[engine].address
+                yield document.name, document.targets[engine]
 
-    async def poll_load_report(self, service: str, address: str) -> None:
-        """Read one load report; no answer counts as a failure of the engine.
-
-        The owner of a cell decides for other routers, so that its own cut must eject no engine.
-        """
-        report = await self.engines.fetch_load_report(address)
+    async def poll_load_report(self, service: str, target: Target) -> None:
+        """Read one load report; no answer counts as a failure of the engine or of the path."""
+        report = await self.engines.fetch_load_report(target.address)
         if report is None:
-            if not await self.reach.has_lost_path(service):
-                self.targets.record_failure(address)
+            await self.reach.confirm(service)
+            await self.failures.record(service, target)
         else:
-            self.targets.record_report(address, report)
+            self.targets.record_report(target.address, report)
 
     async def close_idle_links(self) -> None:
         """Close unused links periodically."""
--- a/marjoramspool/routers/path_messages.py
+++ b/marjoramspool/routers/path_messages.py
@@ -5,6 +5,9 @@
 from marjoramspool.peers.forwarded_messages import AnswerBody, AnswerEnd, Refusal, RefusalKind
 
 __all__ = [
+    "CONNECT_METHOD",
+    "CONNECTED",
+    "NOT_CONNECTED",
     "SERVE_METHOD",
     "SERVICE",
     "Accepted",
@@ -13,6 +16,7 @@
     "AnswerEnd",
     "AnswerStart",
     "BodyPart",
+    "ConnectRequest",
     "Declined",
     "PathRequest",
     "Refusal",
@@ -20,6 +24,7 @@
     "Reply",
     "body_parts",
     "decode_body_part",
+    "decode_connect_request",
     "decode_reply",
     "decode_request",
     "encode",
@@ -28,6 +33,10 @@
 
 SERVICE = "marjoramspool.routers.Paths"
 SERVE_METHOD = "Serve"
+CONNECT_METHOD = "Connect"
+# Reply to a request to connect.
+CONNECTED = b"\x01"
+NOT_CONNECTED = b"\x00"
 # gRPC bounds the size of a message.
 PART_BYTES = 256 << 10
 
@@ -66,6 +75,13 @@
     is_last: bool
 
 
+class ConnectRequest(msgspec.Struct, array_like=True, frozen=True):
+    """Request to try a connection to a target on behalf of the sender."""
+
+    service: str
+    target: str
+
+
 class Accepted(msgspec.Struct, array_like=True, frozen=True, tag=5):
     """The router has a path and room; `in_flight` counts the requests that it has."""
 
@@ -95,6 +111,7 @@
 encoder = msgspec.msgpack.Encoder()
 reply_decoder = msgspec.msgpack.Decoder(Reply)
 request_decoder = msgspec.msgpack.Decoder(PathRequest)
+connect_request_decoder = msgspec.msgpack.Decoder(ConnectRequest)
 body_part_decoder = msgspec.msgpack.Decoder(BodyPart)
 
 
@@ -113,6 +130,11 @@
     return body_part_decoder.decode(data)
 
 
+def decode_connect_request(data: bytes) -> ConnectRequest:
+    """Decode a request to connect; raise msgspec.MsgspecError if it is invalid."""
+    return connect_request_decoder.decode(data)
+
+
 def decode_reply(data: bytes) -> Reply:
     """Decode a reply; raise msgspec.MsgspecError if it is invalid."""
     return reply_decoder.decode(data)
--- a/marjoramspool/routers/path_server.py
+++ b/marjoramspool/routers/path_server.py
@@ -16,6 +16,9 @@
 from marjoramspool.outcomes import NotRun, Unknown
 from marjoramspool.placement.bounded_placement import Holder
 from marjoramspool.routers.path_messages import (
+    CONNECT_METHOD,
+    CONNECTED,
+    NOT_CONNECTED,
     SERVE_METHOD,
     SERVICE,
     Accepted,
@@ -28,6 +31,7 @@
     Refusal,
     RefusalKind,
     decode_body_part,
+    decode_connect_request,
     decode_request,
     encode,
     split,
@@ -90,9 +94,25 @@
 
     def handler(self) -> grpc.GenericRpcHandler:
         """Return the handler for the server of this router."""
-        methods = {SERVE_METHOD: grpc.stream_stream_rpc_method_handler(self.serve)}
+        methods = {
+            SERVE_METHOD: grpc.stream_stream_rpc_method_handler(self.serve),
+            CONNECT_METHOD: grpc.unary_unary_rpc_method_handler(self.connect),
+        }
         return grpc.method_handlers_generic_handler(SERVICE, methods)
 
+    async def connect(self, data: bytes, context: grpc.aio.ServicerContext) -> bytes:
+        """Try a connection to a target of a service for another router."""
+        try:
+            message = decode_connect_request(data)
+        except msgspec.MsgspecError as error:
+            log(Event.PEER_UNREADABLE, address=context.peer(), fault=str(error))
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "malformed request")
+        document = self.configuration.document(message.service)
+        target = document.targets.get(message.target) if document else None
+        if target is None or not await self.reach.can_connect(message.service, target):
+            return NOT_CONNECTED
+        return CONNECTED
+
     async def serve(self, _, context: grpc.aio.ServicerContext) -> None:
         """Serve one request; the call is cancelled when its caller leaves."""
         data = await context.read()
--- a/marjoramspool/routers/paths.py
+++ b/marjoramspool/routers/paths.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -27,6 +28,8 @@
 from marjoramspool.placement.bounded_placement import Holder
 from marjoramspool.routers.link import channel_options
 from marjoramspool.routers.path_messages import (
+    CONNECT_METHOD,
+    CONNECTED,
     SERVE_METHOD,
     SERVICE,
     Accepted,
@@ -34,6 +37,7 @@
     AnswerBody,
     AnswerEnd,
     AnswerStart,
+    ConnectRequest,
     Declined,
     PathRequest,
     Refusal,
@@ -50,6 +54,9 @@
 
 MS = 1000.0
 ACCEPT_TIMEOUT_S = 0.25
+# Routers that try a connection to a target before it is ejected, and their time for it.
+CONNECTING_ROUTERS = 2
+CONNECT_TIMEOUT_S = 0.4
 # A router that serves a request sends something more often than this.
 SILENCE_TIMEOUT_S = 2.0
 # The other router's own outcome at the deadline arrives within this time.
@@ -118,6 +125,24 @@
                 del self.last_used[address]
                 await self.channels.pop(address).close()
 
+    async def is_reached_by_others(self, service: str, target: str) -> bool:
+        """Return whether another router can connect to a target, by asking a few."""
+        peers = self.selection.membership.live_peers()
+        asked = random.sample(peers, min(CONNECTING_ROUTERS, len(peers)))
+        return any(
+            await asyncio.gather(*[self.can_connect(peer, service, target) for peer in asked])
+        )
+
+    async def can_connect(self, peer: Member, service: str, target: str) -> bool:
+        """Return whether a router can connect to a target; False if it does not answer."""
+        connect = self.channel(peer).unary_unary(f"/{SERVICE}/{CONNECT_METHOD}")
+        request = encode(ConnectRequest(service, target))
+        try:
+            reply = await translated(connect(request, timeout=CONNECT_TIMEOUT_S))
+        except BrokenPathError:
+            return False
+        return reply == CONNECTED
+
     @asynccontextmanager
     async def open(self, request: Request, peer: Member, version: int, reaches_some: bool):
         """Send a request through another router and yield its answer.
--- a/marjoramspool/routing.py
+++ b/marjoramspool/routing.py
@@ -35,6 +35,7 @@
 from marjoramspool.outcomes import NotRun, Problem, Unknown
 from marjoramspool.peer_routing import PeerRouting
 from marjoramspool.placement.bounded_placement import Holder
+from marjoramspool.target_failures import TargetFailures
 from marjoramspool.target_reach import TargetReach
 from marjoramspool.targets import Targets
 
@@ -86,6 +87,7 @@
         "background_tasks",
         "claims",
         "dispatchers",
+        "failures",
         "metrics",
         "peer_routing",
         "poison",
@@ -105,6 +107,7 @@
         traces: Traces,
         metrics: Metrics,
         reach: TargetReach,
+        failures: TargetFailures,
         peer_routing: PeerRouting,
     ):
         self.admission_controller = admission_controller
@@ -115,6 +118,7 @@
         self.traces = traces
         self.metrics = metrics
         self.reach = reach
+        self.failures = failures
         self.peer_routing = peer_routing
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.background_tasks: set[asyncio.Task] = set()
@@ -313,7 +317,7 @@
         except AttemptError as error:
             if not isinstance(error, TargetRefusedError):
                 await self.reach.confirm(request.document.name)
-            self.record_failure(request, target, history, trace, error)
+            await self.record_failure(request, target, history, trace, error)
             if isinstance(error, MayHaveRunError):
                 await self.record_if_ended(request, target, decision, history)
             return error
@@ -358,7 +362,7 @@
         dispatcher = self.dispatchers[request.document.kind]
         return dispatcher.open(request, target, attempt, reuse, grant.incarnation)
 
-    def record_failure(
+    async def record_failure(
         self,
         request: Request,
         target: Target,
@@ -368,12 +372,10 @@
     ) -> None:
         """Record a failed attempt, and the failure of its target if no byte was sent.
 
-        A target is not excluded for a silent connection, as it answers on new ones. While none is
-        in reach, the fault is likelier at this router, and no target is to be ejected for it.
+        A target is not excluded for a silent connection, as it answers on new ones.
         """
-        path = self.reach.path(request.document.name)
-        if isinstance(error, NotSentError) and path is not Path.NONE:
-            self.targets.record_failure(target.address)
+        if isinstance(error, NotSentError):
+            await self.failures.record(request.document.name, target)
         if isinstance(error, SilentConnectionError):
             history.excluded_targets.remove(target.name)
         trace.add_step("attempt failed", target=target.name, why=str(error))
@@ -391,9 +393,11 @@
             return None
         document = request.document
         chat = request.chat if request.chat is not None else hashing.digest(request.id)
+        # The owner of a cell cannot know what is out of reach here.
+        excluded = self.targets.out_of_reach(document) | set(history.excluded_targets)
 
         def usable(names: tuple[str, ...]) -> set[str]:
-            return self.targets.usable(document, names) - set(history.excluded_targets)
+            return self.targets.usable(document, names) - excluded
 
         cell = partition.cell_of(document, chat, request.holders, usable)
         if cell is None:
@@ -405,7 +409,7 @@
             account=request.account.name,
             weight=request.account.weight,
             urgency=request.urgency,
-            exclude=tuple(history.excluded_targets),
+            exclude=tuple(excluded),
             queue_wait_s=min(document.queue_wait_s, remaining_s),
             holder_wait_s=holder_wait_s(request),
             is_first_turn=request.is_first_turn or request.chat is None,
--- a/marjoramspool/target_reach.py
+++ b/marjoramspool/target_reach.py
@@ -97,6 +97,10 @@
         await self.monitor.confirm(service)
         return self.path(service) is Path.NONE
 
+    async def can_connect(self, service: str, target: Target) -> bool:
+        """Return whether a target accepts a new connection from here."""
+        return any(await self.monitor.connect([reach_target(service, target)], 1))
+
     async def is_behind_cut(self, service: str, target: Target) -> bool:
         """Return whether a target that refuses connections may be sound, behind a cut."""
         return await self.monitor.has_lost_path(reach_target(service, target))
--- a/marjoramspool/targets.py
+++ b/marjoramspool/targets.py
@@ -37,6 +37,8 @@
     drain_reported_at: dict[str, float] = field(default_factory=dict)
     failures: int = 0
     ejected_until: float = 0.0
+    # Out of reach of this router only.
+    unreachable_until: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -136,17 +138,29 @@
         state = self.state(address)
         state.failures = 0
         state.ejected_until = 0.0
+        state.unreachable_until = 0.0
 
-    def record_failure(self, address: str) -> None:
-        """Record a failed connection; consecutive failures eject the target for doubling times."""
+    def is_last_failure(self, address: str) -> bool:
+        """Return whether one more failed connection ejects a target."""
+        return self.state(address).failures + 1 >= EJECTION_FAILURE_THRESHOLD
+
+    def record_failure(self, address: str, is_reached_by_others: bool = False) -> None:
+        """Record a failed connection; consecutive failures eject the target for doubling times.
+
+        A target that other routers reach is passed over by this router's own requests only.
+        """
         state = self.state(address)
         state.failures += 1
         if state.failures < EJECTION_FAILURE_THRESHOLD:
             return
         doublings = min(state.failures - EJECTION_FAILURE_THRESHOLD, 8)
         ejection_s = min(MAX_EJECTION_S, BASE_EJECTION_S * 2**doublings)
-        state.ejected_until = self.clock() + ejection_s
         details = {"target": address, "failures": state.failures, "pause_s": ejection_s}
+        if is_reached_by_others:
+            state.unreachable_until = self.clock() + ejection_s
+            log(Event.TARGET_OUT_OF_REACH, **details)
+            return
+        state.ejected_until = self.clock() + ejection_s
         self.publish_decision(Event.TARGET_EJECTED, "target ejected", **details)
 
     def incarnation(self, address: str) -> int:
@@ -154,6 +168,16 @@
         state = self.states.get(address)
         return state.report.incarnation if state and state.report else 0
 
+    def out_of_reach(self, document: Document) -> set[str]:
+        """Return the targets of a service that only this router cannot connect to, unless all."""
+        now = self.clock()
+        names = {
+            name
+            for name, target in document.targets.items()
+            if target.address in self.states and self.states[target.address].unreachable_until > now
+        }
+        return names if len(names) < len(document.targets) else set()
+
     def usable(self, document: Document, names: Iterable[str]) -> set[str]:
         """Return the subset of a service's targets `names` that may get new requests."""
         accepting = {name for name in names if self.is_accepting(document.targets[name])}
