--- a/marjoramspool/routers/tests/test_foreign_peers.py
+++ b/marjoramspool/routers/tests/test_foreign_peers.py
@@ -6,6 +6,7 @@
 
 from marjoramspool.routers import peers_pb2 as pb
 from marjoramspool.routers import peers_pb2_grpc as rpc
+from marjoramspool.routers.path_messages import CONNECT_METHOD, SERVE_METHOD, SERVICE
 
 
 def write_tls(directory, authority, name):
@@ -47,6 +48,10 @@
     for channel in channels:
         with pytest.raises(grpc.RpcError):
             await rpc.RoutersStub(channel).Fetch(pb.FetchRequest(service="x"), timeout=2)
+        with pytest.raises(grpc.RpcError):
+            await channel.unary_unary(f"/{SERVICE}/{CONNECT_METHOD}")(b"", timeout=2)
+        with pytest.raises(grpc.RpcError):
+            await channel.stream_stream(f"/{SERVICE}/{SERVE_METHOD}")(timeout=2).read()
         await channel.close()
 
 
@@ -62,6 +67,24 @@
     assert (await fleet.chat("hello"))[0] == 200
 
 
+async def test_malformed_requests_of_a_router_without_a_path_are_refused(fleet):
+    await fleet.add_engines(1)
+    await fleet.add_routers(1)
+    await fleet.apply_model()
+    address = fleet.routers[0].membership.local_member.address
+    async with grpc.aio.insecure_channel(address) as channel:
+        connect = channel.unary_unary(f"/{SERVICE}/{CONNECT_METHOD}")
+        with pytest.raises(grpc.RpcError) as caught:
+            await connect(b"\xff", timeout=2)
+        assert caught.value.code() == grpc.StatusCode.INVALID_ARGUMENT
+        call = channel.stream_stream(f"/{SERVICE}/{SERVE_METHOD}")(timeout=2)
+        await call.write(b"\xff")
+        with pytest.raises(grpc.RpcError) as caught:
+            await call.read()
+        assert caught.value.code() == grpc.StatusCode.INVALID_ARGUMENT
+    assert (await fleet.chat("hello"))[0] == 200
+
+
 @pytest.mark.parametrize("method", ["Probe", "Claim", "Fetch", "Place", "Explain", "ProbeFor"])
 async def test_an_undecodable_message_fails_only_its_call(fleet, method):
     await fleet.add_engines(1)
--- a/marjoramspool/target_reach.py
+++ b/marjoramspool/target_reach.py
@@ -89,12 +89,16 @@
         return self.monitor.reach.path(service)
 
     async def confirm(self, service: str) -> None:
-        """Find out whether a failed attempt is a sign of a cut, unless that was done just now."""
-        await self.monitor.confirm(service)
+        """Find out whether a failed attempt is a sign of a cut, unless that was done just now.
+
+        What is known already is not confirmed again, since a request waits for it.
+        """
+        if self.path(service) is not Path.NONE:
+            await self.monitor.confirm(service)
 
     async def has_lost_path(self, service: str) -> bool:
         """Find out whether no target of a service accepts connections from here."""
-        await self.monitor.confirm(service)
+        await self.confirm(service)
         return self.path(service) is Path.NONE
 
     async def can_connect(self, service: str, target: Target) -> bool:
