--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -44,7 +44,7 @@
     TARGET_EJECTED = (503, "warning", "a target refused connections and is temporarily ejected")
     TARGET_RESTARTED = (504, "info", "a target restarted with a new incarnation; its cache is lost")
     TARGET_OUT_OF_REACH = (
-        522,
+        530,
         "warning",
         "a target that other routers reach refused connections from here",
     )
