--- a/marjoramspool/routers/paths.py
+++ b/marjoramspool/routers/paths.py
@@ -175,7 +175,8 @@
                 self.selection.record_unreachable(peer)
             raise NotSentError(f"router {peer.name} accepted no request: {error}") from error
         except TimeoutError as error:
-            self.selection.record_unreachable(peer)
+            if timeout_s == ACCEPT_TIMEOUT_S:
+                self.selection.record_unreachable(peer)
             raise NotSentError(
                 f"router {peer.name} accepted no request within {timeout_s:g} s"
             ) from error
--- a/marjoramspool/routing.py
+++ b/marjoramspool/routing.py
@@ -54,6 +54,7 @@
 NO_USABLE_TARGET = Problem(
     503, "no target of the service is usable", "send it again", DEFAULT_RETRY_AFTER_S
 )
+DEADLINE_PASSED = Problem(504, "the deadline passed", "send it again", DEFAULT_RETRY_AFTER_S)
 
 
 @dataclass(slots=True, frozen=True)
@@ -244,6 +245,9 @@
 
         Return None if there is none to make.
         """
+        if request.deadline <= time.monotonic():
+            history.problem = DEADLINE_PASSED
+            return None
         path = self.reach.path(request.document.name)
         if path is not Path.FULL and not request.is_forwarded:
             result = await self.peer_routing.send(request, path, history.tried_peers, trace, stack)
@@ -387,9 +391,7 @@
         """Return the request to the cell owner; None if no target is usable or time is up."""
         remaining_s = request.deadline - time.monotonic()
         if remaining_s <= 0:
-            history.problem = Problem(
-                504, "the deadline passed", "send it again", DEFAULT_RETRY_AFTER_S
-            )
+            history.problem = DEADLINE_PASSED
             return None
         document = request.document
         chat = request.chat if request.chat is not None else hashing.digest(request.id)
