--- /dev/null
+++ b/marjoramspool/admission/account_admission.py
@@ -0,0 +1,350 @@
+"""Admission of client accounts to a service whose demand exceeds its capacity.
+
+Load patterns: a hot account, a burst of one kind of requests, the loss of half of the engines at
+once, and these together. No router owns a queue and none decides for all: each divides the same
+capacity among the accounts by what all routers tell of their demand, and admits the part of its own
+requests of an account that this allows.
+"""
+
+import math
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+
+from marjoramspool import hashing
+from marjoramspool.admission.account_shares import Demand, Shares, divide
+from marjoramspool.admission.service_capacity import CapacityReports, ServiceCapacity, ServiceView
+from marjoramspool.clock import now
+from marjoramspool.engine_state.engine_loads import EngineLoads, Load
+from marjoramspool.engine_state.unreported_load import WorkRate
+from marjoramspool.events import Event, log
+
+__all__ = ["Account", "AccountAdmission", "Contended", "account_id"]
+
+MILLI = 1000
+# Names in place of an account, which no account has, for sums over all requests of a service.
+ANSWERS = "\0answers"
+REFUSALS = "\0refusals"
+# Time constant of the decaying sums of requests, which therefore are rates per second too.
+SMOOTHING_S = 1.0
+REFRESH_PERIOD_S = 0.03
+# Larger services are looked at less often: the view sums over all engines.
+REFRESH_PERIOD_PER_SLOT_S = 2e-5
+# A service is contended for this long after a sign of pressure.
+PRESSURE_HOLD_S = 2.0
+# Part of the slots, and of the capacity, in use from which a service is contended.
+PRESSURE_PART = 0.9
+# Accounts of one service that a router tells of, those with the highest demand.
+MAX_TOLD_ACCOUNTS = 32
+# Sums below this, in requests, are forgotten.
+MIN_SUM = 0.001
+# An account counts as beyond its share for this long after a part of its requests was refused.
+THROTTLED_HOLD_S = 1.0
+# Free slots of a service that only accounts within their share may use.
+RESERVED_SLOTS = 1
+# A request waits this long for a free slot, one of an account beyond its share for less.
+MAX_WAIT_S = 0.25
+THROTTLED_WAIT_S = 0.05
+MAX_WAIT_FRACTION = 0.25
+MIN_RETRY_DELAY_S = 0.5
+MAX_OVERLOAD = 8.0
+# By how much later the callers of each less urgent priority come back.
+PRIORITY_DELAY_PART = 0.25
+# Clients wait before a retry for at most this fraction of their remaining time.
+MAX_RETRY_DELAY_FRACTION = 1 / 3
+# A request is hopeless with less time left than this part of what it is expected to take.
+HOPELESS_PART = 0.5
+
+
+@dataclass(slots=True, frozen=True)
+class Account:
+    """Client account at a service and a priority; the name is empty for callers without one."""
+
+    service: str
+    name: str
+    priority: int
+
+    @property
+    def id(self) -> int:
+        """Return the 32-bit id in messages."""
+        return account_id(self.service, self.name, self.priority)
+
+
+@dataclass(slots=True, frozen=True)
+class Contended:
+    """A request refused under contention, with the delay before its retry, in seconds.
+
+    `admitted_part` is the part of its account's requests that is admitted. The request may wait
+    for up to `wait_s` before it is refused, since there was just no free slot.
+    """
+
+    retry_after_s: float
+    admitted_part: float
+    is_too_late: bool = False
+    wait_s: float = 0.0
+
+
+@dataclass(slots=True)
+class ServiceState:
+    """Demand for one service and what is known of its capacity."""
+
+    capacity: ServiceCapacity
+    view: ServiceView = ServiceView(0, 0.0)
+    viewed_at: float = -math.inf
+    pressed_at: float = -math.inf
+    is_contended: bool = False
+    shares: Shares = Shares({})
+    wanted: dict[Account, WorkRate] = field(default_factory=dict)
+    sent: dict[Account, WorkRate] = field(default_factory=dict)
+    # When a part of the requests of an account was last refused.
+    throttled_at: dict[Account, float] = field(default_factory=dict)
+
+
+def account_id(service: str, name: str, priority: int) -> int:
+    """Return the 32-bit id of an account at a service and a priority."""
+    return hashing.digest(f"{service}\0{name}\0{priority}") & 0xFFFFFFFF
+
+
+class AccountAdmission:
+    """Admission of requests by account, only while their service is contended.
+
+    `view` returns what is known of a service's engines, `accounts` the accounts that other routers
+    may tell of. `reported` has the sums of other routers, by account id.
+    """
+
+    __slots__ = ("accounts", "clock", "reported", "services", "view")
+
+    def __init__(
+        self,
+        view: Callable[[str], ServiceView],
+        accounts: Callable[[str], Iterable[Account]] = lambda _: (),
+        clock: Callable[[], float] = now,
+    ):
+        self.clock = clock
+        self.view = view
+        self.accounts = accounts
+        self.reported = EngineLoads()
+        self.services: dict[str, ServiceState] = {}
+
+    def state(self, service: str) -> ServiceState:
+        """Return the state of a service, created at first use."""
+        if service not in self.services:
+            self.services[service] = ServiceState(ServiceCapacity(self.clock))
+        return self.services[service]
+
+    def decide(self, account: Account, request: str, remaining_s: float) -> Contended | None:
+        """Return the refusal of a request, None if it is admitted; count it as wanted."""
+        state = self.state(account.service)
+        rate_of(state.wanted, account, self.clock).record(1.0)
+        self.refresh(account.service, state)
+        if state.is_contended and (refusal := self.refuse(state, account, request, remaining_s)):
+            return refusal
+        rate_of(state.sent, account, self.clock).record(1.0)
+        return None
+
+    def refuse(
+        self, state: ServiceState, account: Account, request: str, remaining_s: float
+    ) -> Contended | None:
+        """Return the refusal of a request for a contended service, None if it is admitted."""
+        draw = self.draw(request)
+        part = state.shares.admitted_part(self.demand(state, account))
+        is_too_late = remaining_s < HOPELESS_PART * state.capacity.expected_time_s(state.view)
+        if part < 1.0:
+            state.throttled_at[account] = self.clock()
+        if draw < part and not is_too_late:
+            return None
+        delay_s = retry_delay_s(account.priority, part, remaining_s, draw)
+        return Contended(delay_s, part, is_too_late)
+
+    def refuse_full(self, account: Account, request: str, remaining_s: float) -> Contended:
+        """Return the refusal of a request for which there is no free slot."""
+        state = self.state(account.service)
+        state.pressed_at = self.clock()
+        part = state.shares.admitted_part(self.demand(state, account))
+        delay_s = retry_delay_s(account.priority, part, remaining_s, self.draw(request))
+        wait_s = THROTTLED_WAIT_S if self.is_throttled(account) else MAX_WAIT_S
+        return Contended(delay_s, part, wait_s=min(wait_s, MAX_WAIT_FRACTION * remaining_s))
+
+    def draw(self, request: str) -> float:
+        """Return the draw of a request, from 0 to 1; it is another for a retry a second later."""
+        return hashing.fraction(f"{request}/{int(self.clock())}")
+
+    def is_throttled(self, account: Account) -> bool:
+        """Return whether a part of an account's requests is refused now, or was lately.
+
+        The rate that may be sent varies with the requests at the engines, from one moment to the
+        next above and below the demand.
+        """
+        state = self.services.get(account.service)
+        if state is None or not state.is_contended:
+            return False
+        now_s = self.clock()
+        if state.shares.admitted_part(self.demand(state, account)) < 1.0:
+            state.throttled_at[account] = now_s
+        return now_s - state.throttled_at.get(account, -math.inf) < THROTTLED_HOLD_S
+
+    def demand(self, state: ServiceState, account: Account) -> Demand:
+        """Return the demand of an account at all routers that are heard."""
+        own = decayed(state.wanted, account, self.clock())
+        others = self.reported.others(account.id).wanted_milli / MILLI
+        return Demand(account.priority, (own + others) / SMOOTHING_S)
+
+    def demands(self, service: str, state: ServiceState) -> list[Demand]:
+        """Return the demand of each account that this router or another one has requests of."""
+        told = self.reported.reported_totals
+        others = {account for account in self.accounts(service) if account.id in told}
+        return [self.demand(state, account) for account in state.wanted.keys() | others]
+
+    def refresh(self, service: str, state: ServiceState) -> None:
+        """Look at a service again if that is due: whether it is contended, and the shares."""
+        now_s = self.clock()
+        period_s = max(REFRESH_PERIOD_S, REFRESH_PERIOD_PER_SLOT_S * state.view.slots)
+        if now_s - state.viewed_at < period_s:
+            return
+        state.viewed_at = now_s
+        state.view = view = self.view(service)
+        state.capacity.update(self.capacity_reports(service), view)
+        prune(state.wanted, now_s)
+        prune(state.sent, now_s)
+        state.throttled_at = {
+            account: at
+            for account, at in state.throttled_at.items()
+            if now_s - at < THROTTLED_HOLD_S
+        }
+        demands = self.demands(service, state)
+        if self.is_pressed(state, demands):
+            state.pressed_at = now_s
+        allowed_per_s = state.capacity.allowed_per_s(view)
+        is_contended = now_s - state.pressed_at < PRESSURE_HOLD_S
+        if is_contended != state.is_contended:
+            state.is_contended = is_contended
+            self.log_change(service, state, demands)
+        if is_contended:
+            # Before any answer it is unknown what the engines can run.
+            is_known = allowed_per_s is not None
+            state.shares = divide(allowed_per_s, demands) if is_known else Shares({})
+
+    def is_pressed(self, state: ServiceState, demands: list[Demand]) -> bool:
+        """Return whether the engines of a service are full or its demand is near its capacity."""
+        view, capacity = state.view, state.capacity
+        slots = view.slots * min(1.0, capacity.fill) * view.heard_share
+        if not slots:
+            return False
+        capacity_per_s = capacity.mean_per_s(view)
+        wanted_per_s = sum(demand.per_s for demand in demands)
+        return view.requests >= PRESSURE_PART * slots or (
+            capacity_per_s is not None
+            and wanted_per_s >= PRESSURE_PART * capacity_per_s * view.heard_share
+        )
+
+    def log_change(self, service: str, state: ServiceState, demands: list[Demand]) -> None:
+        """Log that the contention for a service began or ended."""
+        log(
+            Event.CONTENTION_BEGUN if state.is_contended else Event.CONTENTION_ENDED,
+            service=service,
+            wanted_per_s=round(sum(demand.per_s for demand in demands), 1),
+            capacity_per_s=round(state.capacity.mean_per_s(state.view) or 0.0, 1),
+            slots=state.view.slots,
+            requests=state.view.requests,
+            accounts=len(demands),
+        )
+
+    def record_answer(self, service: str, time_s: float, requests: int, slots: int) -> None:
+        """Record the time of a request in an engine that had `requests`, itself included."""
+        state = self.state(service)
+        state.capacity.record_answer(time_s, requests, slots)
+
+    def record_refusal(self, service: str, requests: int, slots: int) -> None:
+        """Record that an engine of a service with `requests` turned another one away."""
+        state = self.state(service)
+        state.pressed_at = self.clock()
+        state.capacity.record_refusal(requests, slots, state.view)
+
+    def record_full(self, service: str) -> None:
+        """Record that no engine of a service had room for a request."""
+        self.state(service).pressed_at = self.clock()
+
+    def own_loads(self) -> Iterator[tuple[int, Load]]:
+        """Yield the sums of this router to tell of the accounts at contended services."""
+        now_s = self.clock()
+        for service, state in self.services.items():
+            self.refresh(service, state)
+            if not state.is_contended:
+                continue
+            sums = state.capacity.own_sums()
+            yield account_id(service, ANSWERS, 0), sums.answers
+            yield account_id(service, REFUSALS, 0), sums.refusals
+            wanted = [(rate.decayed_work(now_s), account) for account, rate in state.wanted.items()]
+            wanted.sort(key=lambda entry: entry[0], reverse=True)
+            for work, account in wanted[:MAX_TOLD_ACCOUNTS]:
+                sent = decayed(state.sent, account, now_s)
+                load = Load(sent_milli=round(sent * MILLI), wanted_milli=round(work * MILLI))
+                if not load.is_zero:
+                    yield account.id, load
+
+    def has_room(self, account: Account, request: str, free_slots: int) -> bool:
+        """Return whether a request may go to a contended service with some free slots.
+
+        The last ones are for accounts that want no more than their share. Where the others compete
+        for a slot before their reports arrive, as many of them pass as there are slots.
+        """
+        if not self.is_throttled(account):
+            return free_slots > 0
+        state = self.state(account.service)
+        rate_per_s = state.capacity.mean_per_s(state.view) or 0.0
+        others = 1.0 - 1.0 / state.view.routers
+        unreported = rate_per_s * others * state.view.report_age_s
+        draw = hashing.fraction(f"{request}/{self.clock()}")
+        return draw * (1.0 + unreported) < free_slots - RESERVED_SLOTS
+
+    def filled_part(self, service: str) -> float | None:
+        """Return the part of an engine's slots from which it gets no more while others have room.
+
+        It is None if the service is not contended, or if reports are too old to tell: an engine
+        that all routers take for full gets nothing until the next reports.
+        """
+        state = self.services.get(service)
+        if state is None or not state.is_contended:
+            return None
+        if not state.capacity.tells_free_slots(state.view):
+            return None
+        return max(1.0, state.capacity.fill)
+
+    def capacity_reports(self, service: str) -> CapacityReports:
+        """Return what other routers tell of the answers and refusals of a service's engines."""
+        return CapacityReports(
+            self.reported.others(account_id(service, ANSWERS, 0)),
+            self.reported.others(account_id(service, REFUSALS, 0)),
+        )
+
+    def contended(self) -> list[str]:
+        """Return the services that are contended."""
+        return [service for service, state in self.services.items() if state.is_contended]
+
+
+def retry_delay_s(priority: int, admitted_part: float, remaining_s: float, draw: float) -> float:
+    """Return when the caller of a refused request should come back, the less urgent later."""
+    overload = min(MAX_OVERLOAD, 1.0 / max(1e-9, admitted_part))
+    longest_s = max(0.0, remaining_s) * MAX_RETRY_DELAY_FRACTION
+    delay_s = MIN_RETRY_DELAY_S * overload * (1.0 + PRIORITY_DELAY_PART * priority)
+    # Half of the longest delay is left for the spread.
+    return min(delay_s, longest_s / 2) * (1.0 + draw)
+
+
+def rate_of(
+    rates: dict[Account, WorkRate], account: Account, clock: Callable[[], float]
+) -> WorkRate:
+    """Return the decaying sum of an account, created at first use."""
+    if account not in rates:
+        rates[account] = WorkRate(clock, SMOOTHING_S)
+    return rates[account]
+
+
+def decayed(rates: dict[Account, WorkRate], account: Account, now_s: float) -> float:
+    """Return the decaying sum of an account at a time, 0 if nothing was recorded."""
+    return rates[account].decayed_work(now_s) if account in rates else 0.0
+
+
+def prune(rates: dict[Account, WorkRate], now_s: float) -> None:
+    """Remove the accounts whose last requests were long ago."""
+    for account in [a for a, rate in rates.items() if rate.decayed_work(now_s) < MIN_SUM]:
+        del rates[account]
--- /dev/null
+++ b/marjoramspool/admission/service_capacity.py
@@ -0,0 +1,168 @@
+"""Capacity of a service, from the slots of its engines and the time of requests there.
+
+Load pattern: demand exceeds capacity. What is served then says little of the capacity: it falls
+when admission lowers what is sent. Slots and the time in an engine do not.
+"""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from marjoramspool.clock import now
+from marjoramspool.engine_state.engine_loads import NO_LOAD, Load
+from marjoramspool.engine_state.unreported_load import WorkRate
+
+__all__ = ["CapacityReports", "ServiceCapacity", "ServiceView"]
+
+MILLI = 1000
+# Time constant of the sums of answers, of their times and of refusals.
+SMOOTHING_S = 4.0
+# With fewer answers of all routers in the sums, the mean time is unknown.
+MIN_ANSWERS = 0.5
+# Part of the requests sent that engines may turn away before they count as having fewer places than
+# slots. With old reports, engines without a queue are often full while others have room.
+MAX_REFUSED_PART = 0.25
+MAX_REFUSED_PART_OLD_REPORTS = 0.45
+# Requests at an engine that a router with new reports may not know of.
+UNSEEN_REQUESTS = 1
+# Reports tell which engines have free slots if their age is at most this part of the mean time.
+MAX_REPORT_AGE_PART = 0.5
+FILL_CHANGE_PER_S = 0.4
+MAX_FILL_CHANGE = 0.2
+MIN_FILL = 0.05
+# Engines that queue are kept a little above their slots, so that none of these is idle.
+MAX_FILL = 1.15
+# The requests at the engines are brought to their aim within this many report ages.
+AIM_REPORT_AGES = 2.0
+MIN_AIM_S = 0.05
+# What differs from the aim changes the rate by at most these factors.
+MIN_RATE_FACTOR = 0.5
+MAX_RATE_FACTOR = 2.0
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceView:
+    """What a router knows of a service: slots and requests at its usable engines.
+
+    `heard_share` is the part of the fleet's `routers` that is heard, this one included.
+    """
+
+    slots: int
+    requests: float
+    routers: int = 1
+    heard_share: float = 1.0
+    report_age_s: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class CapacityReports:
+    """What other routers tell: answers and their times in milliseconds, and refusals.
+
+    Counts are in thousandths; refusals are those with fewer requests than slots.
+    """
+
+    answers: Load
+    refusals: Load
+
+
+class ServiceCapacity:
+    """Mean time of requests in the engines of a service, and the part of the slots to fill.
+
+    The fill falls while engines turn requests away with fewer requests than it allows, as they do
+    with fewer places than the slots that they registered, and rises while they answer.
+    """
+
+    __slots__ = ("answers", "changed_at", "clock", "fill", "refusals", "reports", "times")
+
+    def __init__(self, clock: Callable[[], float] = now):
+        self.clock = clock
+        self.fill = 1.0
+        self.changed_at = clock()
+        self.answers = WorkRate(clock, SMOOTHING_S)
+        self.times = WorkRate(clock, SMOOTHING_S)
+        self.refusals = WorkRate(clock, SMOOTHING_S)
+        self.reports = CapacityReports(NO_LOAD, NO_LOAD)
+
+    def record_answer(self, time_s: float, requests: int, slots: int) -> None:
+        """Record the time of a request in an engine that had `requests`, itself included.
+
+        What exceeds the slots has waited; that time does not count.
+        """
+        self.answers.record(1.0)
+        self.times.record(max(0.0, time_s) * min(1.0, slots / max(1, requests)))
+
+    def record_refusal(self, requests: int, slots: int, view: ServiceView) -> None:
+        """Record that an engine with `requests` turned another one away.
+
+        By new reports, only an engine with fewer requests than it should hold lacks places.
+        """
+        is_explained = requests + UNSEEN_REQUESTS >= self.fill * slots
+        if not (is_explained and self.tells_free_slots(view)):
+            self.refusals.record(1.0)
+
+    def own_sums(self) -> CapacityReports:
+        """Return what this router has to tell."""
+        now_s = self.clock()
+        answers = round(self.answers.decayed_work(now_s) * MILLI)
+        times_ms = round(self.times.decayed_work(now_s) * MILLI)
+        refusals = round(self.refusals.decayed_work(now_s) * MILLI)
+        return CapacityReports(
+            Load(sent_milli=answers, wanted_milli=times_ms), Load(sent_milli=refusals)
+        )
+
+    def update(self, reports: CapacityReports, view: ServiceView) -> None:
+        """Use what other routers tell, and change the fill by the time that has passed."""
+        self.reports = reports
+        now_s = self.clock()
+        passed_s, self.changed_at = now_s - self.changed_at, now_s
+        answers = self.answers.decayed_work(now_s) + reports.answers.sent_milli / MILLI
+        refusals = self.refusals.decayed_work(now_s) + reports.refusals.sent_milli / MILLI
+        is_new = self.tells_free_slots(view)
+        allowed = MAX_REFUSED_PART if is_new else MAX_REFUSED_PART_OLD_REPORTS
+        refused = refusals / max(1e-9, answers + refusals)
+        change = FILL_CHANGE_PER_S * passed_s * (1.0 - refused / allowed)
+        change = max(-MAX_FILL_CHANGE, min(MAX_FILL_CHANGE, change))
+        self.fill = max(MIN_FILL, min(MAX_FILL, self.fill * (1.0 + change)))
+
+    @property
+    def mean_time_s(self) -> float | None:
+        """Return the mean time of a request in an engine, None if there are no answers."""
+        now_s = self.clock()
+        answers = self.answers.decayed_work(now_s) + self.reports.answers.sent_milli / MILLI
+        if answers < MIN_ANSWERS:
+            return None
+        times_s = self.times.decayed_work(now_s) + self.reports.answers.wanted_milli / MILLI
+        return times_s / answers or None
+
+    def tells_free_slots(self, view: ServiceView) -> bool:
+        """Return whether reports are new enough to tell which engines have free slots."""
+        return view.report_age_s <= MAX_REPORT_AGE_PART * (self.mean_time_s or 0.0)
+
+    def mean_per_s(self, view: ServiceView) -> float | None:
+        """Return the requests per second that the engines can run, None if it is unknown."""
+        mean_time_s = self.mean_time_s
+        if mean_time_s is None:
+            return None
+        return view.slots * min(1.0, self.fill) / mean_time_s
+
+    def allowed_per_s(self, view: ServiceView) -> float | None:
+        """Return the requests per second that may be sent by the routers that are heard.
+
+        It is the capacity, more while the engines have fewer requests than they should and less
+        while they have more, slowly enough that reports tell of the change. What arrives varies by
+        the square root of its number: aimed at the slots alone, it would leave some idle.
+        """
+        capacity_per_s = self.mean_per_s(view)
+        if capacity_per_s is None:
+            return None
+        aim = view.slots * self.fill + math.sqrt(view.slots)
+        missing = aim - view.requests / view.heard_share
+        aim_s = max(MIN_AIM_S, AIM_REPORT_AGES * view.report_age_s)
+        factor = 1.0 + missing / aim_s / max(1e-9, capacity_per_s)
+        factor = max(MIN_RATE_FACTOR, min(MAX_RATE_FACTOR, factor))
+        return capacity_per_s * factor * view.heard_share
+
+    def expected_time_s(self, view: ServiceView) -> float:
+        """Return the expected time of one more request, 0 if it is unknown."""
+        waiting = max(1.0, view.requests / view.heard_share / max(1, view.slots))
+        return (self.mean_time_s or 0.0) * waiting
--- a/marjoramspool/attempt_history.py
+++ b/marjoramspool/attempt_history.py
@@ -1,7 +1,10 @@
 """What a router has tried for one request, and what its caller is told if no engine answers."""
 
+import asyncio
+import random
 from dataclasses import dataclass, field
 
+from marjoramspool.admission.account_admission import Contended
 from marjoramspool.engine_state.engine_pauses import AllPaused
 from marjoramspool.engine_state.engine_room import AllFull
 from marjoramspool.engine_state.evacuations import AllEvacuated
@@ -18,6 +21,8 @@
 RESUMPTION_RETRY_AFTER_S = 1.0
 # A path that is back is found within about this time.
 NO_PATH_RETRY_AFTER_S = 0.5
+# Mean time after which a request that waits looks for a free slot again.
+SLOT_WAIT_S = 0.01
 
 
 @dataclass(slots=True)
@@ -41,6 +46,8 @@
     has_brought_event: bool = False
     # When the answer of the last attempt began, None once the engine has outlived its beginning.
     answered_at: float | None = None
+    # Time for which the request has waited for a free slot.
+    waited_s: float = 0.0
     problem: Problem = Problem(
         503, "no usable engine for the request", "retry the request", DEFAULT_RETRY_AFTER_S
     )
@@ -90,6 +97,25 @@
         remedy = "retry after the given time"
         self.record_problem_not_run(Problem(503, why, remedy, refusal.retry_after_s))
 
+    def can_wait(self, refusal: Contended) -> bool:
+        """Return whether a request may wait for a free slot of a contended service."""
+        return not self.possible_runs and self.waited_s < refusal.wait_s
+
+    async def wait_for_slot(self) -> None:
+        """Wait for a slot to become free; engines that turned the request away count again."""
+        wait_s = SLOT_WAIT_S * random.uniform(0.5, 1.5)
+        self.waited_s += wait_s
+        self.tried_engines.clear()
+        await asyncio.sleep(wait_s)
+
+    def record_contended(self, refusal: Contended) -> None:
+        """Record that the service is contended; keep the problem of a possible run."""
+        why = "the demand for the service exceeds its capacity, and the account has its share"
+        if refusal.is_too_late:
+            why = "the service is contended and the request would miss its deadline"
+        remedy = "retry after the given time"
+        self.record_problem_not_run(Problem(503, why, remedy, refusal.retry_after_s))
+
     def record_quarantine(self, quarantine: Quarantine, retry_after_s: float) -> None:
         """Record that the content of a request ends engines; keep the problem of a possible run."""
         if not self.possible_runs:
--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -59,6 +59,8 @@
     ENGINE_FULL = (519, "info", "a brittle engine turned a request away; its bound is tightened")
     EVACUATION_BEGUN = (520, "warning", "the engines of a failure domain get no new requests")
     EVACUATION_ENDED = (521, "info", "the engines of a failure domain get requests again")
+    CONTENTION_BEGUN = (522, "warning", "a service is contended; its accounts get shares of it")
+    CONTENTION_ENDED = (523, "info", "a service is no longer contended")
     REGISTRATION_UNREADABLE = (509, "warning", "a registration could not be decoded and is ignored")
     ATTEMPT_FAILED = (601, "info", "an attempt failed")
     STREAM_RESUMED = (602, "info", "a stream was resumed over a new connection")
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -288,6 +288,8 @@
         evacuations = self.engines.evacuations
         for domain in sorted(evacuations.domains | evacuations.held_until.keys()):
             faults[f"failure domain {domain}"] = "it is evacuated"
+        for service in self.selector.accounts.contended():
+            faults[f"service {service}"] = "its demand exceeds its capacity"
         if not self.is_store_available:
             faults["store"] = "it does not answer"
         return faults
@@ -377,6 +379,7 @@
             "requests_in_flight": lambda: len(self.ingress.active_connections),
             "routers_heard": lambda: len(self.directory.live_peers()),
             "domains_evacuated": lambda: len(self.engines.evacuations.domains),
+            "services_contended": lambda: len(self.selector.accounts.contended()),
             "engines_listed": lambda: len(self.engines.engines),
             "table_revision": lambda: self.table_watcher.table_revision,
             "store_calls": lambda: self.store.calls,
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 
+from marjoramspool.admission.account_admission import Contended
 from marjoramspool.admission.load_shedding import Shed
 from marjoramspool.admission.queue_rank import RESUMED_RANK
 from marjoramspool.attempt_history import DEFAULT_RETRY_AFTER_S, AttemptHistory
@@ -176,6 +177,9 @@
             if not self.streams.can_go_on(request, history):
                 break
             placement = self.selector.place(request, history.tried_engines, history.version)
+            if isinstance(placement, Contended) and history.can_wait(placement):
+                await history.wait_for_slot()
+                continue
             if not isinstance(placement, Placement):
                 self.record_not_placed(request, history, placement)
                 break
@@ -194,7 +198,9 @@
         self,
         request: RoutedRequest,
         history: AttemptHistory,
-        reason: Shed | AllEvacuated | AllPaused | AllLimited | AllFull | Quarantine | None,
+        reason: (
+            Shed | AllEvacuated | AllPaused | AllLimited | AllFull | Contended | Quarantine | None
+        ),
     ) -> None:
         """Record why no engine gets a request, and what its caller is told."""
         match reason:
@@ -208,6 +214,10 @@
                 history.record_all_limited(reason)
             case AllFull():
                 history.record_all_full(reason)
+            case Contended():
+                kind = "deadline" if reason.is_too_late else "share"
+                self.metrics.count(f"contended_refusals.{kind}")
+                history.record_contended(reason)
             case Quarantine():
                 history.record_quarantine(reason, reason.retry_after_s(now()))
 
@@ -270,6 +280,8 @@
                 self.selector.revert_placement(placement)
                 if isinstance(error, TargetRefusedError):
                     self.selector.record_refusal(placement.engine)
+                    if not isinstance(error, DisplacedError):
+                        self.selector.record_full(placement.engine)
             else:
                 await self.record_if_ended(request, placement)
             return error
@@ -296,6 +308,7 @@
             self.selector.outliers.record_success(engine.id)
             if isinstance(answer, WholeAnswer):
                 self.confirm_answer(request, history, 0.0)
+                self.selector.record_whole_answer(placement, waited_s)
         return answer
 
     def confirm_answer(
@@ -393,7 +406,11 @@
                 if isinstance(error, DisplacedError):
                     self.selector.engines.record_reassigned(engine)
                 history.record_not_run(error)
-                return self.retry_budget(request.service).try_acquire()
+                budget = self.retry_budget(request.service)
+                # Under contention half of it is for accounts that want no more than their share.
+                if self.selector.is_throttled(request) and budget.is_half_spent():
+                    return False
+                return budget.try_acquire()
             case _:
                 if isinstance(error, ResetError):
                     self.selector.outliers.record_unreachable(
--- a/marjoramspool/peers/load_broadcast.py
+++ b/marjoramspool/peers/load_broadcast.py
@@ -142,6 +142,7 @@
     def discard_reports(self, peer: Peer) -> None:
         """Discard the reports of a dead router."""
         self.selector.loads.remove_router(peer.address)
+        self.selector.accounts.reported.remove_router(peer.address)
         self.relay.sums.remove_member(peer.address)
         self.selector.outliers.record_report(peer.address, frozenset())
 
@@ -233,15 +234,26 @@
     def use_sums(self, source: tuple, part: int, loads: Loads) -> None:
         """Replace what is known of the other routers' loads by one part of their sum."""
         if self.summed_by != source:
-            self.selector.loads.clear_reports()
+            self.clear_loads()
             self.summed_by = source
         self.summed_at = self.directory.clock()
-        self.selector.loads.replace_report(f"sum {part}", self.by_engine(loads))
+        self.replace_loads(f"sum {part}", loads)
+
+    def replace_loads(self, source: str, loads: Loads) -> None:
+        """Replace what one router or sum tells of the loads at engines and of accounts."""
+        self.selector.loads.replace_report(source, self.by_engine(loads))
+        accounts = {key: load for key, load in loads.items() if self.find_engine(key) is None}
+        self.selector.accounts.reported.replace_report(source, accounts)
+
+    def clear_loads(self) -> None:
+        """Drop the loads that were told."""
+        self.selector.loads.clear_reports()
+        self.selector.accounts.reported.clear_reports()
 
     def drop_old_sums(self) -> None:
         """Drop the sums of a relay that has fallen silent."""
         if self.summed_by and self.directory.clock() - self.summed_at > SUM_TIMEOUT_S:
-            self.selector.loads.clear_reports()
+            self.clear_loads()
             self.summed_by = None
 
     def send_batches(self, reports: list[RouterReport], addresses: list[str]) -> None:
@@ -351,7 +363,7 @@
         for update in report.cache_updates:
             self.apply_update(update)
         if self.summed_by is None:
-            self.selector.loads.replace_report(report.address, self.by_engine(read_loads(report)))
+            self.replace_loads(report.address, read_loads(report))
         unreachable = filter(None, map(self.find_engine, report.unreachable))
         self.selector.outliers.record_report(
             report.address, frozenset(engine.id for engine in unreachable)
--- a/marjoramspool/peers/own_reports.py
+++ b/marjoramspool/peers/own_reports.py
@@ -191,7 +191,10 @@
         )
 
     def own_loads(self) -> Loads:
-        """Return the loads of this router, and its requests to the engines with a rate limit."""
+        """Return the loads of this router, and its requests where they are bounded.
+
+        That is at engines with a rate limit, and of the accounts at contended services.
+        """
         listed = self.selector.engines.engines
         loads = {
             incarnation_id_of(engine): Load(load.requests, load.prefill_tokens)
@@ -200,6 +203,8 @@
         }
         for key, rates in self.selector.limits.own_loads():
             loads.setdefault(incarnation_id(*key), Load()).add(rates)
+        for account, rates in self.selector.accounts.own_loads():
+            loads.setdefault(account, Load()).add(rates)
         return loads
 
     def included_loads(self, included: tuple[IncludedReport, ...]) -> Loads:
--- a/marjoramspool/placement/engine_selector.py
+++ b/marjoramspool/placement/engine_selector.py
@@ -1,8 +1,10 @@
 """Selection of an engine for each request, from the loads and caches known to this router."""
 
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Iterator
 
 from marjoramspool import hashing
+from marjoramspool.admission.account_admission import Account, AccountAdmission, Contended
 from marjoramspool.admission.load_shedding import (
     MIN_OVERTAKEN_RANK,
     PrefillRate,
@@ -10,6 +12,7 @@
     shed_request,
 )
 from marjoramspool.admission.queue_rank import queue_rank
+from marjoramspool.admission.service_capacity import ServiceView
 from marjoramspool.clock import now
 from marjoramspool.engine_state.engine_list import Engine, EngineList
 from marjoramspool.engine_state.engine_loads import EngineLoads
@@ -102,6 +105,7 @@
     """Selector of engines that keeps track of their loads and cached prompt parts."""
 
     __slots__ = (
+        "accounts",
         "caches",
         "domain",
         "engines",
@@ -135,6 +139,7 @@
         self.pauses = EnginePauses()
         self.limits = RequestLimits(lambda key: self.loads.others(key[0]))
         self.room = EngineRoom()
+        self.accounts = AccountAdmission(self.service_view, self.known_accounts)
         # Requests that this router sends to each service.
         self.request_rates: dict[str, WorkRate] = {}
         self.poison = PoisonDetector()
@@ -191,12 +196,23 @@
 
     def place(
         self, request: RoutedRequest, exclude: set[str], version: str | None = None
-    ) -> Placement | Shed | AllEvacuated | AllPaused | AllLimited | AllFull | Quarantine | None:
+    ) -> (
+        Placement
+        | Shed
+        | AllEvacuated
+        | AllPaused
+        | AllLimited
+        | AllFull
+        | Contended
+        | Quarantine
+        | None
+    ):
         """Return a placement of a request at the best engine; None if no engine is usable.
 
         A stream that goes on is placed among the engines of the software `version` that began it.
         A request with quarantined content goes to no engine.
-        A request that has not been sent to any engine yet is shed if it would wait too long there.
+        A request that has not been sent to any engine yet is shed if it would wait too long there,
+        and refused under contention beyond the share of its account.
         """
         serving = self.engines.usable(request.service, version)
         if not serving and self.engines.is_all_evacuated(request.service):
@@ -206,19 +222,26 @@
         prompt = request.prompt
         if self.poison.is_watching and (quarantine := self.poison.find_quarantine(request.parts)):
             return quarantine
+        is_new = not exclude and request.after_event is None
+        if is_new and not request.is_admitted and (refusal := self.refuse_contended(request)):
+            return refusal
         parts = self.shared_parts.select_shareable(prompt, request.id) if prompt else ()
         tokens = prompt.input_tokens if prompt else 0
         choice = self.choose(request, serving, exclude, parts, version)
         if choice is None:
             left = [engine for engine in serving if engine.id not in exclude]
             draw = hashing.fraction(request.id)
-            return self.limits.all_limited(
+            if limited := self.limits.all_limited(
                 (engine.key for engine in left), request.remaining_s(), draw
-            ) or self.room.all_full(left, draw)
+            ):
+                return limited
+            if full := self.room.all_full(left, draw):
+                self.accounts.record_full(request.service)
+                return full
+            return self.refuse_full(request) if left else None
         engine = self.engines.engines[choice.engine.name]
         prefill_tokens = max(0, tokens - choice.engine.cached_tokens)
         rank = queue_rank(prefill_tokens, request.priority)
-        is_new = not exclude and request.after_event is None
         if parts and is_new and (shed := self.shed_request(request, choice, prefill_tokens, rank)):
             return shed
         self.sent_rates[request.service].record(prefill_tokens + REQUEST_COST_TOKENS)
@@ -298,6 +321,7 @@
 
     def with_room(self, engines: list[Engine], request: RoutedRequest) -> list[Engine]:
         """Return the engines that are not full, and whose rate limits have room for a request."""
+        engines = self.with_free_slots(engines, request)
         if self.room.is_brittle(request.service):
             unreported = self.unreported_requests(request.service, len(engines))
             engines = [
@@ -319,6 +343,16 @@
         )
         return [engine for engine in engines if engine.key in selected]
 
+    def with_free_slots(self, engines: list[Engine], request: RoutedRequest) -> list[Engine]:
+        """Return the engines with a free slot while a service is contended and reports are new."""
+        filled = self.accounts.filled_part(request.service)
+        if filled is None:
+            return engines
+        free = {e: math.floor(filled * e.slots) - self.loads.requests(e.id) for e in engines}
+        free = {engine: slots for engine, slots in free.items() if slots > 0}
+        has_room = self.accounts.has_room(account_of(request), request.id, sum(free.values()))
+        return list(free) if has_room else []
+
     def unreported_requests(self, service: str, engines: int) -> float:
         """Return the requests that others have sent to each engine and not reported yet."""
         rate = self.request_rates.get(service)
@@ -330,6 +364,74 @@
         """Record that an engine turned a request away, which is still counted in its load."""
         self.room.record_refusal(engine, max(0, self.loads.requests(engine.id) - 1))
 
+    def record_full(self, engine: Engine) -> None:
+        """Record that an engine turned a request away, unless it named a pause or a limit."""
+        is_full = not self.pauses.is_paused(engine) and self.limits.limit_per_s(engine.key) is None
+        if is_full and self.is_shared_by_account(engine.service):
+            requests = max(0, self.loads.requests(engine.id) - 1)
+            self.accounts.record_refusal(engine.service, requests, engine.slots)
+
+    def record_whole_answer(self, placement: Placement, time_s: float) -> None:
+        """Record the time that an engine took for a whole answer."""
+        engine = placement.engine
+        if self.is_shared_by_account(engine.service):
+            requests = placement.choice.engine.load.requests + 1
+            self.accounts.record_answer(engine.service, time_s, requests, engine.slots)
+
+    def refuse_contended(self, request: RoutedRequest) -> Contended | None:
+        """Return the refusal of a request for a contended service, None if it is admitted."""
+        if not self.is_shared_by_account(request.service):
+            return None
+        account = account_of(request)
+        refusal = self.accounts.decide(account, request.id, request.remaining_s())
+        request.is_admitted = refusal is None
+        return refusal
+
+    def refuse_full(self, request: RoutedRequest) -> Contended | None:
+        """Return the refusal of a request without a free slot, None if that is not the reason."""
+        if self.accounts.filled_part(request.service) is None:
+            return None
+        return self.accounts.refuse_full(account_of(request), request.id, request.remaining_s())
+
+    def is_throttled(self, request: RoutedRequest) -> bool:
+        """Return whether a part of the requests of a request's account is refused now."""
+        return self.accounts.is_throttled(account_of(request))
+
+    def is_shared_by_account(self, service: str) -> bool:
+        """Return whether the slots of a service's engines say what it can run.
+
+        Engines of a model service are bound by their memory and prefill instead.
+        """
+        table = self.table()
+        known = table.services.get(service) if table else None
+        return known is not None and known.engine_capacity is None
+
+    def service_view(self, service: str) -> ServiceView:
+        """Return the slots of the usable engines of a service, and the requests there."""
+        usable = [e for e in self.engines.usable(service) if not self.pauses.is_paused(e)]
+        serving = self.outliers.exclude_ejected(engine.id for engine in usable)
+        engines = [engine for engine in usable if engine.id in serving]
+        return ServiceView(
+            sum(engine.slots for engine in engines),
+            sum(self.loads.requests(engine.id) for engine in engines),
+            self.other_routers() + 1,
+            self.limits.heard_share(),
+            self.report_age_s(),
+        )
+
+    def known_accounts(self, service: str) -> Iterator[Account]:
+        """Yield the accounts whose requests for a service may reach any router."""
+        table = self.table()
+        if table is None:
+            return
+        priorities = table.priorities(service)
+        for priority in priorities:
+            yield Account(service, "", priority)
+        for account in table.accounts_by_name.values():
+            own = priorities if account.priority is None else {account.priority}
+            for priority in own:
+                yield Account(service, account.name, priority)
+
     def is_urgent(self, request: RoutedRequest) -> bool:
         """Return whether no route to the service of a request has a higher priority."""
         table = self.table()
@@ -454,3 +556,9 @@
             return
         capacity = int(service.engine_capacity.kv_cache_tokens * CACHE_MEMORY_FRACTION)
         self.caches.insert((engine.id, engine.started_ms), capacity, parts)
+
+
+def account_of(request: RoutedRequest) -> Account:
+    """Return the client account of a request at its service and priority."""
+    name = request.account.name if request.account else ""
+    return Account(request.service, name, request.priority)
--- a/marjoramspool/requests.py
+++ b/marjoramspool/requests.py
@@ -36,6 +36,8 @@
     earlier_runs: int = 0
     # Name under which the caller reached the fleet, by which the route was found.
     host: str = ""
+    # Whether it was admitted to a contended service, and is not to be counted as wanted again.
+    is_admitted: bool = False
     clock: Callable[[], float] = now
     known_content_id: int | None = None
 
--- a/marjoramspool/retries.py
+++ b/marjoramspool/retries.py
@@ -55,6 +55,10 @@
         allowed = self.ratio * len(self.requests) + self.reserve / max(1, self.router_count())
         return MAX_SPENT_FRACTION * allowed - len(self.retries)
 
+    def is_half_spent(self) -> bool:
+        """Return whether no more retries remain than were sent in the window."""
+        return self.remaining() <= len(self.retries)
+
     def try_acquire(self) -> bool:
         """Spend one retry if the budget allows it; return whether it did."""
         if self.remaining() < 1.0:
--- a/marjoramspool/routes.py
+++ b/marjoramspool/routes.py
@@ -130,14 +130,17 @@
         """Return a client account by its name, None if it has no key."""
         return self.accounts_by_name.get(name)
 
-    def highest_priority(self, service: str) -> float:
-        """Return the most urgent priority of the routes to a service; 0 is the highest."""
-        priorities = (
+    def priorities(self, service: str) -> set[int]:
+        """Return the priorities of the routes to a service."""
+        return {
             route.priority
             for route in self.routes
             if any(split.service == service for split in route.traffic_splits)
-        )
-        return min(priorities, default=math.inf)
+        }
+
+    def highest_priority(self, service: str) -> float:
+        """Return the most urgent priority of the routes to a service; 0 is the highest."""
+        return min(self.priorities(service), default=math.inf)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a host whose prefix is the longest match for a path."""
