--- a/bench/contention_model.py
+++ b/bench/contention_model.py
@@ -1,4 +1,4 @@
-"""Model of a contended service: routers with old reports, engines and accounts, without a network."""
+"""Model of a contended service without a network: accounts, routers with old reports, engines."""
 
 import heapq
 import random
@@ -11,7 +11,12 @@
 from marjoramspool.admission.account_admission import Account, AccountAdmission, Contended
 from marjoramspool.admission.service_capacity import ServiceView
 from marjoramspool.engine_state.engine_loads import Load
-from marjoramspool.placement.cost_placement import REQUEST_COST_TOKENS, Candidate, UnreportedLoad, choose_engine
+from marjoramspool.placement.cost_placement import (
+    REQUEST_COST_TOKENS,
+    Candidate,
+    UnreportedLoad,
+    choose_engine,
+)
 
 __all__ = ["ContentionModel", "Engine"]
 
@@ -86,9 +91,7 @@
 
     def later(self, delay_s: float, call: Callable, *arguments: object) -> None:
         """Call something after a time."""
-        heapq.heappush(
-            self.events, (self.now_s + delay_s, next(self.numbers), call, arguments)
-        )
+        heapq.heappush(self.events, (self.now_s + delay_s, next(self.numbers), call, arguments))
 
     def run(self, duration_s: float) -> None:
         """Run the model for a time."""
@@ -142,9 +145,11 @@
         """Send a request to an engine, let it wait or refuse it."""
         admission, account = router.admission, self.account(name)
         engines = [e for e in self.engines if not e.is_lost and e.id not in tried]
-        filled = admission.filled_part(SERVICE)
-        if filled is not None:
-            free = {e.id: int(filled * e.registered) - self.known(router, e.id) for e in engines}
+        if admission.tells_free_slots(SERVICE):
+            free = {
+                e.id: admission.places(SERVICE, e.registered) - self.known(router, e.id)
+                for e in engines
+            }
             free = {engine: slots for engine, slots in free.items() if slots > 0}
             has_room = admission.has_room(account, request, sum(free.values()))
             engines = [e for e in engines if e.id in free] if has_room else []
--- a/marjoramspool/admission/account_admission.py
+++ b/marjoramspool/admission/account_admission.py
@@ -37,10 +37,9 @@
 MAX_TOLD_ACCOUNTS = 32
 # Sums below this, in requests, are forgotten.
 MIN_SUM = 0.001
-# An account counts as beyond its share for this long after a part of its requests was refused.
-THROTTLED_HOLD_S = 1.0
 # Free slots of a service that only accounts within their share may use.
 RESERVED_SLOTS = 1
+SURGE_FACTOR = 1.0
 # A request waits this long for a free slot, one of an account beyond its share for less.
 MAX_WAIT_S = 0.25
 THROTTLED_WAIT_S = 0.05
@@ -92,11 +91,11 @@
     viewed_at: float = -math.inf
     pressed_at: float = -math.inf
     is_contended: bool = False
+    # Shares of what may be sent now, and of the capacity.
     shares: Shares = Shares({})
+    entitled: Shares = Shares({})
     wanted: dict[Account, WorkRate] = field(default_factory=dict)
     sent: dict[Account, WorkRate] = field(default_factory=dict)
-    # When a part of the requests of an account was last refused.
-    throttled_at: dict[Account, float] = field(default_factory=dict)
 
 
 def account_id(service: str, name: str, priority: int) -> int:
@@ -148,8 +147,6 @@
         draw = self.draw(request)
         part = state.shares.admitted_part(self.demand(state, account))
         is_too_late = remaining_s < HOPELESS_PART * state.capacity.expected_time_s(state.view)
-        if part < 1.0:
-            state.throttled_at[account] = self.clock()
         if draw < part and not is_too_late:
             return None
         delay_s = retry_delay_s(account.priority, part, remaining_s, draw)
@@ -169,18 +166,15 @@
         return hashing.fraction(f"{request}/{int(self.clock())}")
 
     def is_throttled(self, account: Account) -> bool:
-        """Return whether a part of an account's requests is refused now, or was lately.
+        """Return whether an account wants more than its share of the capacity.
 
-        The rate that may be sent varies with the requests at the engines, from one moment to the
-        next above and below the demand.
+        The rate that may be sent does not tell: from one moment to the next it is above and below
+        the demand.
         """
         state = self.services.get(account.service)
         if state is None or not state.is_contended:
             return False
-        now_s = self.clock()
-        if state.shares.admitted_part(self.demand(state, account)) < 1.0:
-            state.throttled_at[account] = now_s
-        return now_s - state.throttled_at.get(account, -math.inf) < THROTTLED_HOLD_S
+        return state.entitled.admitted_part(self.demand(state, account)) < 1.0
 
     def demand(self, state: ServiceState, account: Account) -> Demand:
         """Return the demand of an account at all routers that are heard."""
@@ -205,23 +199,19 @@
         state.capacity.update(self.capacity_reports(service), view)
         prune(state.wanted, now_s)
         prune(state.sent, now_s)
-        state.throttled_at = {
-            account: at
-            for account, at in state.throttled_at.items()
-            if now_s - at < THROTTLED_HOLD_S
-        }
         demands = self.demands(service, state)
         if self.is_pressed(state, demands):
             state.pressed_at = now_s
-        allowed_per_s = state.capacity.allowed_per_s(view)
+        # Before any answer it is unknown what the engines can run.
+        allowed_per_s = state.capacity.allowed_per_s(view) or math.inf
+        capacity_per_s = (state.capacity.mean_per_s(view) or math.inf) * view.heard_share
         is_contended = now_s - state.pressed_at < PRESSURE_HOLD_S
         if is_contended != state.is_contended:
             state.is_contended = is_contended
             self.log_change(service, state, demands)
         if is_contended:
-            # Before any answer it is unknown what the engines can run.
-            is_known = allowed_per_s is not None
-            state.shares = divide(allowed_per_s, demands) if is_known else Shares({})
+            state.shares = divide(allowed_per_s, demands)
+            state.entitled = divide(capacity_per_s, demands)
 
     def is_pressed(self, state: ServiceState, demands: list[Demand]) -> bool:
         """Return whether the engines of a service are full or its demand is near its capacity."""
@@ -294,20 +284,21 @@
         others = 1.0 - 1.0 / state.view.routers
         unreported = rate_per_s * others * state.view.report_age_s
         draw = hashing.fraction(f"{request}/{self.clock()}")
-        return draw * (1.0 + unreported) < free_slots - RESERVED_SLOTS
+        return draw * (1.0 + SURGE_FACTOR * unreported) < free_slots - RESERVED_SLOTS
 
-    def filled_part(self, service: str) -> float | None:
-        """Return the part of an engine's slots from which it gets no more while others have room.
+    def tells_free_slots(self, service: str) -> bool:
+        """Return whether a service is contended and reports tell which engines have free slots.
 
-        It is None if the service is not contended, or if reports are too old to tell: an engine
-        that all routers take for full gets nothing until the next reports.
+        With older reports, an engine that all routers take for full would get nothing for a while.
         """
         state = self.services.get(service)
-        if state is None or not state.is_contended:
-            return None
-        if not state.capacity.tells_free_slots(state.view):
-            return None
-        return max(1.0, state.capacity.fill)
+        return (
+            state is not None and state.is_contended and state.capacity.tells_free_slots(state.view)
+        )
+
+    def places(self, service: str, slots: int) -> int:
+        """Return how many requests an engine with some slots should have while contended."""
+        return self.state(service).capacity.places(slots)
 
     def capacity_reports(self, service: str) -> CapacityReports:
         """Return what other routers tell of the answers and refusals of a service's engines."""
--- a/marjoramspool/admission/service_capacity.py
+++ b/marjoramspool/admission/service_capacity.py
@@ -21,9 +21,9 @@
 MIN_ANSWERS = 0.5
 # Part of the requests sent that engines may turn away before they count as having fewer places than
 # slots. With old reports, engines without a queue are often full while others have room.
-MAX_REFUSED_PART = 0.25
+MAX_REFUSED_PART = 0.35
 MAX_REFUSED_PART_OLD_REPORTS = 0.45
-# Requests at an engine that a router with new reports may not know of.
+# Requests at an engine that a router may not know of, beside those that arrived since the reports.
 UNSEEN_REQUESTS = 1
 # Reports tell which engines have free slots if their age is at most this part of the mean time.
 MAX_REPORT_AGE_PART = 0.5
@@ -32,9 +32,15 @@
 MIN_FILL = 0.05
 # Engines that queue are kept a little above their slots, so that none of these is idle.
 MAX_FILL = 1.15
+# Engines that turn away more than this part do not queue.
+MAX_QUEUE_REFUSED_PART = 0.03
+# Part of a place that the fill may lack of a whole one.
+PLACE_TOLERANCE = 0.25
 # The requests at the engines are brought to their aim within this many report ages.
 AIM_REPORT_AGES = 2.0
 MIN_AIM_S = 0.05
+# Engines without a queue turn more away the more is sent: beyond this, little more is served.
+MAX_SURPLUS_FACTOR = 1.4
 # What differs from the aim changes the rate by at most these factors.
 MIN_RATE_FACTOR = 0.5
 MAX_RATE_FACTOR = 2.0
@@ -58,7 +64,7 @@
 class CapacityReports:
     """What other routers tell: answers and their times in milliseconds, and refusals.
 
-    Counts are in thousandths; refusals are those with fewer requests than slots.
+    Counts are in thousandths; refusals are told as those with fewer requests than slots, and all.
     """
 
     answers: Load
@@ -72,7 +78,16 @@
     with fewer places than the slots that they registered, and rises while they answer.
     """
 
-    __slots__ = ("answers", "changed_at", "clock", "fill", "refusals", "reports", "times")
+    __slots__ = (
+        "all_refusals",
+        "answers",
+        "changed_at",
+        "clock",
+        "fill",
+        "refusals",
+        "reports",
+        "times",
+    )
 
     def __init__(self, clock: Callable[[], float] = now):
         self.clock = clock
@@ -81,6 +96,7 @@
         self.answers = WorkRate(clock, SMOOTHING_S)
         self.times = WorkRate(clock, SMOOTHING_S)
         self.refusals = WorkRate(clock, SMOOTHING_S)
+        self.all_refusals = WorkRate(clock, SMOOTHING_S)
         self.reports = CapacityReports(NO_LOAD, NO_LOAD)
 
     def record_answer(self, time_s: float, requests: int, slots: int) -> None:
@@ -96,7 +112,10 @@
 
         By new reports, only an engine with fewer requests than it should hold lacks places.
         """
-        is_explained = requests + UNSEEN_REQUESTS >= self.fill * slots
+        slots_filled = self.fill * slots
+        arrived = slots_filled / (self.mean_time_s or math.inf) * view.report_age_s
+        is_explained = requests + UNSEEN_REQUESTS + arrived >= slots_filled
+        self.all_refusals.record(1.0)
         if not (is_explained and self.tells_free_slots(view)):
             self.refusals.record(1.0)
 
@@ -106,8 +125,10 @@
         answers = round(self.answers.decayed_work(now_s) * MILLI)
         times_ms = round(self.times.decayed_work(now_s) * MILLI)
         refusals = round(self.refusals.decayed_work(now_s) * MILLI)
+        all_refusals = round(self.all_refusals.decayed_work(now_s) * MILLI)
         return CapacityReports(
-            Load(sent_milli=answers, wanted_milli=times_ms), Load(sent_milli=refusals)
+            Load(sent_milli=answers, wanted_milli=times_ms),
+            Load(sent_milli=refusals, wanted_milli=all_refusals),
         )
 
     def update(self, reports: CapacityReports, view: ServiceView) -> None:
@@ -121,8 +142,15 @@
         allowed = MAX_REFUSED_PART if is_new else MAX_REFUSED_PART_OLD_REPORTS
         refused = refusals / max(1e-9, answers + refusals)
         change = FILL_CHANGE_PER_S * passed_s * (1.0 - refused / allowed)
+        all_refused = self.all_refusals.decayed_work(now_s) + reports.refusals.wanted_milli / MILLI
+        is_queueing = all_refused <= MAX_QUEUE_REFUSED_PART * answers
+        max_fill = MAX_FILL if is_queueing else max(1.0, self.fill - FILL_CHANGE_PER_S * passed_s)
         change = max(-MAX_FILL_CHANGE, min(MAX_FILL_CHANGE, change))
-        self.fill = max(MIN_FILL, min(MAX_FILL, self.fill * (1.0 + change)))
+        self.fill = max(MIN_FILL, min(max_fill, self.fill * (1.0 + change)))
+
+    def places(self, slots: int) -> int:
+        """Return how many requests an engine with some slots should have."""
+        return max(1, math.ceil(self.fill * slots - PLACE_TOLERANCE))
 
     @property
     def mean_time_s(self) -> float | None:
@@ -160,7 +188,20 @@
         aim_s = max(MIN_AIM_S, AIM_REPORT_AGES * view.report_age_s)
         factor = 1.0 + missing / aim_s / max(1e-9, capacity_per_s)
         factor = max(MIN_RATE_FACTOR, min(MAX_RATE_FACTOR, factor))
-        return capacity_per_s * factor * view.heard_share
+        return capacity_per_s * factor * self.surplus_factor(view) * view.heard_share
+
+    def surplus_factor(self, view: ServiceView) -> float:
+        """Return by how much more is sent than served, since engines turn a part away.
+
+        With new reports requests wait for free slots instead.
+        """
+        if self.tells_free_slots(view):
+            return 1.0
+        now_s = self.clock()
+        answers = self.answers.decayed_work(now_s) + self.reports.answers.sent_milli / MILLI
+        refusals = self.all_refusals.decayed_work(now_s)
+        refusals += self.reports.refusals.wanted_milli / MILLI
+        return min(MAX_SURPLUS_FACTOR, 1.0 + refusals / max(1.0, answers))
 
     def expected_time_s(self, view: ServiceView) -> float:
         """Return the expected time of one more request, 0 if it is unknown."""
--- a/marjoramspool/placement/engine_selector.py
+++ b/marjoramspool/placement/engine_selector.py
@@ -1,6 +1,5 @@
 """Selection of an engine for each request, from the loads and caches known to this router."""
 
-import math
 from collections.abc import Callable, Iterator
 
 from marjoramspool import hashing
@@ -345,12 +344,15 @@
 
     def with_free_slots(self, engines: list[Engine], request: RoutedRequest) -> list[Engine]:
         """Return the engines with a free slot while a service is contended and reports are new."""
-        filled = self.accounts.filled_part(request.service)
-        if filled is None:
+        accounts = self.accounts
+        if not accounts.tells_free_slots(request.service):
             return engines
-        free = {e: math.floor(filled * e.slots) - self.loads.requests(e.id) for e in engines}
+        free = {
+            engine: accounts.places(engine.service, engine.slots) - self.loads.requests(engine.id)
+            for engine in engines
+        }
         free = {engine: slots for engine, slots in free.items() if slots > 0}
-        has_room = self.accounts.has_room(account_of(request), request.id, sum(free.values()))
+        has_room = accounts.has_room(account_of(request), request.id, sum(free.values()))
         return list(free) if has_room else []
 
     def unreported_requests(self, service: str, engines: int) -> float:
@@ -389,7 +391,7 @@
 
     def refuse_full(self, request: RoutedRequest) -> Contended | None:
         """Return the refusal of a request without a free slot, None if that is not the reason."""
-        if self.accounts.filled_part(request.service) is None:
+        if not self.accounts.tells_free_slots(request.service):
             return None
         return self.accounts.refuse_full(account_of(request), request.id, request.remaining_s())
 
