--- a/bench/contention_model.py
+++ b/bench/contention_model.py
@@ -146,11 +146,12 @@
         admission, account = router.admission, self.account(name)
         engines = [e for e in self.engines if not e.is_lost and e.id not in tried]
         if admission.tells_free_slots(SERVICE):
+            known = {e.id: (self.known(router, e.id), e.registered) for e in engines}
             free = {
-                e.id: admission.places(SERVICE, e.registered) - self.known(router, e.id)
-                for e in engines
+                engine: slots
+                for engine, load in known.items()
+                if (slots := admission.free_slots(SERVICE, engine, *load))
             }
-            free = {engine: slots for engine, slots in free.items() if slots > 0}
             has_room = admission.has_room(account, request, sum(free.values()))
             engines = [e for e in engines if e.id in free] if has_room else []
         candidates = [Candidate(e.id, Load(self.known(router, e.id))) for e in engines]
@@ -164,7 +165,7 @@
         self.retries = min(MAX_RETRIES, self.retries + (0.0 if tried else RETRY_RATIO))
         if engine.running + len(engine.waiting) >= engine.slots + engine.queue:
             self.results[name]["turned away"] += 1
-            admission.record_refusal(SERVICE, requests, engine.registered)
+            admission.record_refusal(SERVICE, engine.id, requests, engine.registered)
             if self.may_try_again(admission.is_throttled(account)):
                 self.place(router, name, request, since, tried | {engine.id})
             else:
--- a/marjoramspool/admission/account_admission.py
+++ b/marjoramspool/admission/account_admission.py
@@ -9,10 +9,11 @@
 import math
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from functools import lru_cache
 
 from marjoramspool import hashing
 from marjoramspool.admission.account_shares import Demand, Shares, divide
-from marjoramspool.admission.service_capacity import CapacityReports, ServiceCapacity, ServiceView
+from marjoramspool.admission.service_capacity import CapacitySums, ServiceCapacity, ServiceView
 from marjoramspool.clock import now
 from marjoramspool.engine_state.engine_loads import EngineLoads, Load
 from marjoramspool.engine_state.unreported_load import WorkRate
@@ -33,18 +34,25 @@
 PRESSURE_HOLD_S = 2.0
 # Part of the slots, and of the capacity, in use from which a service is contended.
 PRESSURE_PART = 0.9
+# The accounts that other routers may tell of are listed again after this time.
+ACCOUNTS_AGE_S = 1.0
+# Measured times include some waiting, and sums of demand vary: accounts that want their share are
+# not to count as beyond it for that.
+ENTITLED_FACTOR = 1.15
 # Accounts of one service that a router tells of, those with the highest demand.
 MAX_TOLD_ACCOUNTS = 32
 # Sums below this, in requests, are forgotten.
 MIN_SUM = 0.001
+# An engine that turned a request away counts as full for this many report ages.
+FULL_REPORT_AGES = 1.0
 # A request waits this long for a free slot, one of an account beyond its share for less.
 MAX_WAIT_S = 0.25
 THROTTLED_WAIT_S = 0.1
 MAX_WAIT_FRACTION = 0.25
 MIN_RETRY_DELAY_S = 0.5
 MAX_OVERLOAD = 8.0
-# By how much later the callers of each less urgent priority come back.
-PRIORITY_DELAY_PART = 0.25
+# Part of the delay by which callers of the highest priority come back sooner.
+MOST_URGENT_ADVANCE = 0.4
 # Clients wait before a retry for at most this fraction of their remaining time.
 MAX_RETRY_DELAY_FRACTION = 1 / 3
 # A request is hopeless with less time left than this part of what it is expected to take.
@@ -88,6 +96,11 @@
     viewed_at: float = -math.inf
     pressed_at: float = -math.inf
     is_contended: bool = False
+    # Until when engines count as full since they turned a request away.
+    full_until: dict[str, float] = field(default_factory=dict)
+    # Accounts that other routers may tell of, by id, and when they were listed.
+    accounts: dict[int, Account] = field(default_factory=dict)
+    accounts_at: float = -math.inf
     # Shares of what may be sent now, and of the capacity.
     shares: Shares = Shares({})
     entitled: Shares = Shares({})
@@ -95,6 +108,7 @@
     sent: dict[Account, WorkRate] = field(default_factory=dict)
 
 
+@lru_cache(maxsize=65536)
 def account_id(service: str, name: str, priority: int) -> int:
     """Return the 32-bit id of an account at a service and a priority."""
     return hashing.digest(f"{service}\0{name}\0{priority}") & 0xFFFFFFFF
@@ -142,11 +156,14 @@
     ) -> Contended | None:
         """Return the refusal of a request for a contended service, None if it is admitted."""
         draw = self.draw(request)
-        part = state.shares.admitted_part(self.demand(state, account))
+        # What may be sent now falls below the capacity at times; that is for accounts beyond their
+        # share.
+        is_throttled = self.is_throttled(account)
+        part = state.shares.admitted_part(self.demand(state, account)) if is_throttled else 1.0
         is_too_late = remaining_s < HOPELESS_PART * state.capacity.expected_time_s(state.view)
         if draw < part and not is_too_late:
             return None
-        delay_s = retry_delay_s(account.priority, part, remaining_s, draw)
+        delay_s = retry_delay_s(account.priority, part, remaining_s, request)
         return Contended(delay_s, part, is_too_late)
 
     def refuse_full(self, account: Account, request: str, remaining_s: float) -> Contended:
@@ -154,7 +171,7 @@
         state = self.state(account.service)
         state.pressed_at = self.clock()
         part = state.shares.admitted_part(self.demand(state, account))
-        delay_s = retry_delay_s(account.priority, part, remaining_s, self.draw(request))
+        delay_s = retry_delay_s(account.priority, part, remaining_s, request)
         wait_s = THROTTLED_WAIT_S if self.is_throttled(account) else MAX_WAIT_S
         return Contended(delay_s, part, wait_s=min(wait_s, MAX_WAIT_FRACTION * remaining_s))
 
@@ -176,13 +193,18 @@
     def demand(self, state: ServiceState, account: Account) -> Demand:
         """Return the demand of an account at all routers that are heard."""
         own = decayed(state.wanted, account, self.clock())
-        others = self.reported.others(account.id).wanted_milli / MILLI
+        others = max(0, self.reported.others(account.id).wanted_milli) / MILLI
         return Demand(account.priority, (own + others) / SMOOTHING_S)
 
     def demands(self, service: str, state: ServiceState) -> list[Demand]:
         """Return the demand of each account that this router or another one has requests of."""
         told = self.reported.reported_totals
-        others = {account for account in self.accounts(service) if account.id in told}
+        now_s = self.clock()
+        if told and now_s - state.accounts_at >= ACCOUNTS_AGE_S:
+            state.accounts_at = now_s
+            state.accounts = {account.id: account for account in self.accounts(service)}
+        # The few that are told are looked up, not the many that there may be.
+        others = {state.accounts[key] for key in told if key in state.accounts}
         return [self.demand(state, account) for account in state.wanted.keys() | others]
 
     def refresh(self, service: str, state: ServiceState) -> None:
@@ -193,9 +215,10 @@
             return
         state.viewed_at = now_s
         state.view = view = self.view(service)
-        state.capacity.update(self.capacity_reports(service), view)
+        state.capacity.update(self.told_sums(service), view)
         prune(state.wanted, now_s)
         prune(state.sent, now_s)
+        state.full_until = {name: at for name, at in state.full_until.items() if at > now_s}
         demands = self.demands(service, state)
         if self.is_pressed(state, demands):
             state.pressed_at = now_s
@@ -208,7 +231,7 @@
             self.log_change(service, state, demands)
         if is_contended:
             state.shares = divide(allowed_per_s, demands)
-            state.entitled = divide(capacity_per_s, demands)
+            state.entitled = divide(ENTITLED_FACTOR * capacity_per_s, demands)
 
     def is_pressed(self, state: ServiceState, demands: list[Demand]) -> bool:
         """Return whether the engines of a service are full or its demand is near its capacity."""
@@ -240,10 +263,12 @@
         state = self.state(service)
         state.capacity.record_answer(time_s, requests, slots)
 
-    def record_refusal(self, service: str, requests: int, slots: int) -> None:
+    def record_refusal(self, service: str, engine: str, requests: int, slots: int) -> None:
         """Record that an engine of a service with `requests` turned another one away."""
         state = self.state(service)
-        state.pressed_at = self.clock()
+        now_s = self.clock()
+        state.pressed_at = now_s
+        state.full_until[engine] = now_s + FULL_REPORT_AGES * state.view.report_age_s
         state.capacity.record_refusal(requests, slots, state.view)
 
     def record_full(self, service: str) -> None:
@@ -258,15 +283,13 @@
             if not state.is_contended:
                 continue
             sums = state.capacity.own_sums()
-            yield account_id(service, ANSWERS, 0), sums.answers
-            yield account_id(service, REFUSALS, 0), sums.refusals
+            yield account_id(service, ANSWERS, 0), load_of(sums.answers, sums.times_s)
+            yield account_id(service, REFUSALS, 0), load_of(sums.refusals, sums.unexplained)
             wanted = [(rate.decayed_work(now_s), account) for account, rate in state.wanted.items()]
             wanted.sort(key=lambda entry: entry[0], reverse=True)
             for work, account in wanted[:MAX_TOLD_ACCOUNTS]:
                 sent = decayed(state.sent, account, now_s)
-                load = Load(sent_milli=round(sent * MILLI), wanted_milli=round(work * MILLI))
-                if not load.is_zero:
-                    yield account.id, load
+                yield account.id, load_of(sent, work)
 
     def has_room(self, account: Account, request: str, free_slots: int) -> bool:
         """Return whether a request may go to a contended service with some free slots.
@@ -293,15 +316,22 @@
             state is not None and state.is_contended and state.capacity.tells_free_slots(state.view)
         )
 
-    def places(self, service: str, slots: int) -> int:
-        """Return how many requests an engine with some slots should have while contended."""
-        return self.state(service).capacity.places(slots)
+    def free_slots(self, service: str, engine: str, requests: int, slots: int) -> int:
+        """Return how many more requests an engine of a contended service may get."""
+        state = self.state(service)
+        if state.full_until.get(engine, -math.inf) > self.clock():
+            return 0
+        return max(0, state.capacity.places(slots) - requests)
 
-    def capacity_reports(self, service: str) -> CapacityReports:
+    def told_sums(self, service: str) -> CapacitySums:
         """Return what other routers tell of the answers and refusals of a service's engines."""
-        return CapacityReports(
-            self.reported.others(account_id(service, ANSWERS, 0)),
-            self.reported.others(account_id(service, REFUSALS, 0)),
+        answers = self.reported.others(account_id(service, ANSWERS, 0))
+        refusals = self.reported.others(account_id(service, REFUSALS, 0))
+        return CapacitySums(
+            max(0, answers.sent_milli) / MILLI,
+            max(0, answers.wanted_milli) / MILLI,
+            max(0, refusals.sent_milli) / MILLI,
+            max(0, refusals.wanted_milli) / MILLI,
         )
 
     def contended(self) -> list[str]:
@@ -309,13 +339,19 @@
         return [service for service, state in self.services.items() if state.is_contended]
 
 
-def retry_delay_s(priority: int, admitted_part: float, remaining_s: float, draw: float) -> float:
+def load_of(first: float, second: float) -> Load:
+    """Return two sums as they are told, in thousandths."""
+    return Load(sent_milli=round(first * MILLI), wanted_milli=round(second * MILLI))
+
+
+def retry_delay_s(priority: int, admitted_part: float, remaining_s: float, request: str) -> float:
     """Return when the caller of a refused request should come back, the less urgent later."""
     overload = min(MAX_OVERLOAD, 1.0 / max(1e-9, admitted_part))
     longest_s = max(0.0, remaining_s) * MAX_RETRY_DELAY_FRACTION
-    delay_s = MIN_RETRY_DELAY_S * overload * (1.0 + PRIORITY_DELAY_PART * priority)
     # Half of the longest delay is left for the spread.
-    return min(delay_s, longest_s / 2) * (1.0 + draw)
+    delay_s = min(MIN_RETRY_DELAY_S * overload, longest_s / 2)
+    delay_s *= 1.0 - MOST_URGENT_ADVANCE / (1.0 + priority)
+    return delay_s * (1.0 + hashing.fraction(f"retry/{request}"))
 
 
 def rate_of(
--- a/marjoramspool/admission/load_shedding.py
+++ b/marjoramspool/admission/load_shedding.py
@@ -3,11 +3,17 @@
 Load pattern: the engines have seconds of prefill queued. A long prompt ranks behind all shorter
 ones, so its caller times out before the first token: the request is lost and the tokens prefilled
 for it are wasted. If it is shed on arrival, its client retries once the engines have caught up.
+Under pressure the less urgent are shed first.
 """
 
+import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
-__all__ = ["MIN_OVERTAKEN_RANK", "PrefillRate", "Shed", "shed_request"]
+from marjoramspool.admission.queue_rank import LEAST_URGENT
+from marjoramspool.clock import now
+
+__all__ = ["MIN_OVERTAKEN_RANK", "PrefillPressure", "PrefillRate", "Shed", "shed_request"]
 
 # Also the upper limit: without measurements no request is shed for a wait that may be short.
 INITIAL_TOKENS_PER_S = 70_000.0
@@ -18,6 +24,14 @@
 # Requests with a lower rank overtake the queue and are never shed.
 MIN_OVERTAKEN_RANK = 5
 MAX_WAIT_FRACTION = 0.3
+# The same under pressure, by priority; the last is that of the least urgent.
+PRESSED_WAIT_FRACTIONS = (0.6, 0.3, 0.2)
+# Engines are under pressure while a request would wait for this part of its caller's patience
+# before its own prefill, and for some time after.
+PRESSURE_FRACTION = 0.15
+PRESSURE_HOLD_S = 1.0
+# By how much later the callers of each less urgent priority come back.
+PRIORITY_DELAY_PART = 0.25
 MIN_RETRY_DELAY_S = 0.5
 # Clients wait before a retry for at most this fraction of their remaining time.
 MAX_RETRY_DELAY_FRACTION = 1 / 3
@@ -52,18 +66,46 @@
         return tokens / self.tokens_per_s
 
 
+class PrefillPressure:
+    """Whether the engines of one service have much to prefill before a new request."""
+
+    __slots__ = ("clock", "until")
+
+    def __init__(self, clock: Callable[[], float] = now):
+        self.clock = clock
+        self.until = -math.inf
+
+    def record(self, wait_s: float, patience_s: float) -> None:
+        """Record how long a request would wait at the best engine before its own prefill."""
+        if wait_s > PRESSURE_FRACTION * patience_s:
+            self.until = self.clock() + PRESSURE_HOLD_S
+
+    def is_pressed(self) -> bool:
+        """Return whether requests are ranked and shed by urgency first."""
+        return self.clock() < self.until
+
+
 def shed_request(
-    rank: int, wait_s: float, first_event_timeout_s: float, remaining_s: float, jitter: float
+    rank: int,
+    wait_s: float,
+    first_event_timeout_s: float,
+    remaining_s: float,
+    jitter: float,
+    pressed_priority: int | None = None,
 ) -> Shed | None:
     """Return a `Shed` if a request would wait too long, None if it may be sent.
 
     `wait_s` is the time to prefill what is queued at the best engine and `first_event_timeout_s`
     the time for which the caller waits for the first event. `jitter`, 0 to 1, spreads the retries.
+    `pressed_priority` is that of the request while the engines are under pressure: the least urgent
+    requests then wait for all others, however short they are.
     """
-    if rank < MIN_OVERTAKEN_RANK or wait_s <= MAX_WAIT_FRACTION * min(
-        first_event_timeout_s, remaining_s
-    ):
+    priority = 0 if pressed_priority is None else min(LEAST_URGENT, pressed_priority)
+    fraction = MAX_WAIT_FRACTION if pressed_priority is None else PRESSED_WAIT_FRACTIONS[priority]
+    is_overtaken = rank >= MIN_OVERTAKEN_RANK or priority == LEAST_URGENT
+    if not is_overtaken or wait_s <= fraction * min(first_event_timeout_s, remaining_s):
         return None
     max_delay_s = MAX_RETRY_DELAY_FRACTION * remaining_s
-    retry_after_s = min(max_delay_s, max(MIN_RETRY_DELAY_S, wait_s * (1.0 + jitter)))
+    delay_s = max(MIN_RETRY_DELAY_S, wait_s * (1.0 + jitter))
+    retry_after_s = min(max_delay_s, delay_s * (1.0 + PRIORITY_DELAY_PART * priority))
     return Shed(wait_s, retry_after_s)
--- a/marjoramspool/admission/service_capacity.py
+++ b/marjoramspool/admission/service_capacity.py
@@ -9,14 +9,12 @@
 from dataclasses import dataclass
 
 from marjoramspool.clock import now
-from marjoramspool.engine_state.engine_loads import NO_LOAD, Load
 from marjoramspool.engine_state.unreported_load import WorkRate
 
-__all__ = ["CapacityReports", "ServiceCapacity", "ServiceView"]
+__all__ = ["CapacitySums", "ServiceCapacity", "ServiceView"]
 
-MILLI = 1000
 # Time constant of the sums of answers, of their times and of refusals.
-SMOOTHING_S = 4.0
+SMOOTHING_S = 2.0
 # With fewer answers of all routers in the sums, the mean time is unknown.
 MIN_ANSWERS = 0.5
 # Part of the requests sent that engines may turn away before they count as having fewer places than
@@ -61,14 +59,25 @@
 
 
 @dataclass(slots=True, frozen=True)
-class CapacityReports:
-    """What other routers tell: answers and their times in milliseconds, and refusals.
+class CapacitySums:
+    """Decaying sums of answers, of their times in seconds, and of refusals.
 
-    Counts are in thousandths; refusals are told as those with fewer requests than slots, and all.
+    `unexplained` are the refusals of engines that should have had room.
     """
 
-    answers: Load
-    refusals: Load
+    answers: float = 0.0
+    times_s: float = 0.0
+    refusals: float = 0.0
+    unexplained: float = 0.0
+
+    def plus(self, other: "CapacitySums") -> "CapacitySums":
+        """Return the sum with those of other routers."""
+        return CapacitySums(
+            self.answers + other.answers,
+            self.times_s + other.times_s,
+            self.refusals + other.refusals,
+            self.unexplained + other.unexplained,
+        )
 
 
 class ServiceCapacity:
@@ -79,14 +88,14 @@
     """
 
     __slots__ = (
-        "all_refusals",
         "answers",
         "changed_at",
         "clock",
         "fill",
+        "others",
         "refusals",
-        "reports",
         "times",
+        "unexplained",
     )
 
     def __init__(self, clock: Callable[[], float] = now):
@@ -96,8 +105,8 @@
         self.answers = WorkRate(clock, SMOOTHING_S)
         self.times = WorkRate(clock, SMOOTHING_S)
         self.refusals = WorkRate(clock, SMOOTHING_S)
-        self.all_refusals = WorkRate(clock, SMOOTHING_S)
-        self.reports = CapacityReports(NO_LOAD, NO_LOAD)
+        self.unexplained = WorkRate(clock, SMOOTHING_S)
+        self.others = CapacitySums()
 
     def record_answer(self, time_s: float, requests: int, slots: int) -> None:
         """Record the time of a request in an engine that had `requests`, itself included.
@@ -115,35 +124,31 @@
         slots_filled = self.fill * slots
         arrived = slots_filled / (self.mean_time_s or math.inf) * view.report_age_s
         is_explained = requests + UNSEEN_REQUESTS + arrived >= slots_filled
-        self.all_refusals.record(1.0)
+        self.refusals.record(1.0)
         if not (is_explained and self.tells_free_slots(view)):
-            self.refusals.record(1.0)
+            self.unexplained.record(1.0)
 
-    def own_sums(self) -> CapacityReports:
+    def own_sums(self) -> CapacitySums:
         """Return what this router has to tell."""
         now_s = self.clock()
-        answers = round(self.answers.decayed_work(now_s) * MILLI)
-        times_ms = round(self.times.decayed_work(now_s) * MILLI)
-        refusals = round(self.refusals.decayed_work(now_s) * MILLI)
-        all_refusals = round(self.all_refusals.decayed_work(now_s) * MILLI)
-        return CapacityReports(
-            Load(sent_milli=answers, wanted_milli=times_ms),
-            Load(sent_milli=refusals, wanted_milli=all_refusals),
-        )
+        rates = (self.answers, self.times, self.refusals, self.unexplained)
+        return CapacitySums(*(rate.decayed_work(now_s) for rate in rates))
+
+    def sums(self) -> CapacitySums:
+        """Return the sums over all routers that are heard."""
+        return self.own_sums().plus(self.others)
 
-    def update(self, reports: CapacityReports, view: ServiceView) -> None:
+    def update(self, others: CapacitySums, view: ServiceView) -> None:
         """Use what other routers tell, and change the fill by the time that has passed."""
-        self.reports = reports
+        self.others = others
         now_s = self.clock()
         passed_s, self.changed_at = now_s - self.changed_at, now_s
-        answers = self.answers.decayed_work(now_s) + reports.answers.sent_milli / MILLI
-        refusals = self.refusals.decayed_work(now_s) + reports.refusals.sent_milli / MILLI
+        sums = self.sums()
         is_new = self.tells_free_slots(view)
         allowed = MAX_REFUSED_PART if is_new else MAX_REFUSED_PART_OLD_REPORTS
-        refused = refusals / max(1e-9, answers + refusals)
+        refused = sums.unexplained / max(1e-9, sums.answers + sums.unexplained)
         change = FILL_CHANGE_PER_S * passed_s * (1.0 - refused / allowed)
-        all_refused = self.all_refusals.decayed_work(now_s) + reports.refusals.wanted_milli / MILLI
-        is_queueing = all_refused <= MAX_QUEUE_REFUSED_PART * answers
+        is_queueing = sums.refusals <= MAX_QUEUE_REFUSED_PART * sums.answers
         max_fill = MAX_FILL if is_queueing else max(1.0, self.fill - FILL_CHANGE_PER_S * passed_s)
         change = max(-MAX_FILL_CHANGE, min(MAX_FILL_CHANGE, change))
         self.fill = max(MIN_FILL, min(max_fill, self.fill * (1.0 + change)))
@@ -155,12 +160,8 @@
     @property
     def mean_time_s(self) -> float | None:
         """Return the mean time of a request in an engine, None if there are no answers."""
-        now_s = self.clock()
-        answers = self.answers.decayed_work(now_s) + self.reports.answers.sent_milli / MILLI
-        if answers < MIN_ANSWERS:
-            return None
-        times_s = self.times.decayed_work(now_s) + self.reports.answers.wanted_milli / MILLI
-        return times_s / answers or None
+        sums = self.sums()
+        return sums.times_s / sums.answers or None if sums.answers >= MIN_ANSWERS else None
 
     def tells_free_slots(self, view: ServiceView) -> bool:
         """Return whether reports are new enough to tell which engines have free slots."""
@@ -197,11 +198,8 @@
         """
         if self.tells_free_slots(view):
             return 1.0
-        now_s = self.clock()
-        answers = self.answers.decayed_work(now_s) + self.reports.answers.sent_milli / MILLI
-        refusals = self.all_refusals.decayed_work(now_s)
-        refusals += self.reports.refusals.wanted_milli / MILLI
-        return min(MAX_SURPLUS_FACTOR, 1.0 + refusals / max(1.0, answers))
+        sums = self.sums()
+        return min(MAX_SURPLUS_FACTOR, 1.0 + sums.refusals / max(1.0, sums.answers))
 
     def expected_time_s(self, view: ServiceView) -> float:
         """Return the expected time of one more request, 0 if it is unknown."""
--- a/marjoramspool/admission/tests/test_load_shedding.py
+++ b/marjoramspool/admission/tests/test_load_shedding.py
@@ -1,6 +1,11 @@
 """Load shedding while the engines have seconds of prefill queued."""
 
-from marjoramspool.admission.load_shedding import INITIAL_TOKENS_PER_S, PrefillRate, shed_request
+from marjoramspool.admission.load_shedding import (
+    INITIAL_TOKENS_PER_S,
+    PrefillPressure,
+    PrefillRate,
+    shed_request,
+)
 from marjoramspool.admission.queue_rank import queue_rank
 
 FIRST_EVENT_TIMEOUT_S = 4.0
@@ -61,3 +66,26 @@
         else:
             busy_until_s = arrived_s + wait_s
     return count
+
+
+def test_under_pressure_the_least_urgent_are_shed_first():
+    def is_shed(rank, wait_s, priority):
+        return shed_request(rank, wait_s, FIRST_EVENT_TIMEOUT_S, 15.0, 0.5, priority) is not None
+
+    waits = {0: 2.5, 1: 1.3, 2: 0.9}
+    for priority, wait_s in waits.items():
+        assert is_shed(LONG_RANK, wait_s, priority)
+        assert not is_shed(LONG_RANK, wait_s - 0.2, priority)
+    assert is_shed(SHORT_RANK, 0.9, 2)
+    assert not is_shed(SHORT_RANK, 30.0, 1)
+
+
+def test_pressure_ends_some_time_after_the_last_long_wait():
+    times = [0.0]
+    pressure = PrefillPressure(lambda: times[0])
+    pressure.record(0.1, 2.0)
+    assert not pressure.is_pressed()
+    pressure.record(0.5, 2.0)
+    assert pressure.is_pressed()
+    times[0] = 1.5
+    assert not pressure.is_pressed()
--- a/marjoramspool/admission/tests/test_queue_rank.py
+++ b/marjoramspool/admission/tests/test_queue_rank.py
@@ -2,7 +2,13 @@
 
 import heapq
 
-from marjoramspool.admission.queue_rank import FIRST_RANK, LAST_RANK, RESUMED_RANK, queue_rank
+from marjoramspool.admission.queue_rank import (
+    FIRST_RANK,
+    LAST_RANK,
+    RESUMED_RANK,
+    queue_rank,
+    urgency_rank,
+)
 
 PREFILL_TOKENS_PER_S = 60_000
 TARGET_S = 0.5
@@ -53,3 +59,12 @@
     ranks = [queue_rank(tokens, priority) for tokens in (0, 1, 1 << 40) for priority in (0, 9)]
     assert min(ranks) >= FIRST_RANK
     assert max(ranks) <= LAST_RANK
+
+
+def test_under_pressure_long_urgent_requests_rank_before_short_ones_of_less_urgency():
+    for priority in (0, 1):
+        assert urgency_rank(100_000, priority) < urgency_rank(1, priority + 1)
+    assert urgency_rank(100, 1) < urgency_rank(12_000, 1)
+    ranks = [urgency_rank(tokens, priority) for tokens in (0, 1 << 40) for priority in (0, 9)]
+    assert min(ranks) > RESUMED_RANK
+    assert max(ranks) <= LAST_RANK
--- a/marjoramspool/placement/engine_selector.py
+++ b/marjoramspool/placement/engine_selector.py
@@ -6,11 +6,12 @@
 from marjoramspool.admission.account_admission import Account, AccountAdmission, Contended
 from marjoramspool.admission.load_shedding import (
     MIN_OVERTAKEN_RANK,
+    PrefillPressure,
     PrefillRate,
     Shed,
     shed_request,
 )
-from marjoramspool.admission.queue_rank import queue_rank
+from marjoramspool.admission.queue_rank import queue_rank, urgency_rank
 from marjoramspool.admission.service_capacity import ServiceView
 from marjoramspool.clock import now
 from marjoramspool.engine_state.engine_list import Engine, EngineList
@@ -57,6 +58,7 @@
         "cache_source",
         "choice",
         "engine",
+        "is_overtaken",
         "is_prefilled",
         "loads",
         "new_parts",
@@ -74,6 +76,7 @@
         queue_rank: int,
         cache_source: Engine | None = None,
         new_parts: tuple[Part, ...] = (),
+        is_overtaken: bool = False,
     ):
         self.engine = engine
         self.cache_source = cache_source
@@ -83,6 +86,8 @@
         self.prefill_tokens = prefill_tokens
         self.choice = choice
         self.queue_rank = queue_rank
+        # Whether shorter or more urgent requests overtake it in the engine's queue.
+        self.is_overtaken = is_overtaken
         self.is_prefilled = False
 
     def __enter__(self):
@@ -118,6 +123,7 @@
         "outliers",
         "pauses",
         "poison",
+        "prefill_pressures",
         "prefill_rates",
         "request_rates",
         "room",
@@ -145,6 +151,7 @@
         self.caches = PrefixCaches()
         self.shared_parts = SharedParts()
         self.prefill_rates: dict[str, PrefillRate] = {}
+        self.prefill_pressures: dict[str, PrefillPressure] = {}
         self.sent_rates: dict[str, WorkRate] = {}
         self.hot_parts = HotParts()
         # The ring of each large service and version, with the list of engines that it was made of.
@@ -248,13 +255,27 @@
         self.request_rates.setdefault(request.service, WorkRate()).record(1.0)
         if not parts:
             return Placement(engine, self.loads, prefill_tokens, choice, rank)
+        is_pressed = self.prefill_pressure(request.service).is_pressed()
+        # Urgent requests overtake the queue then, so that their wait says little of the prefill.
+        is_overtaken = rank >= MIN_OVERTAKEN_RANK and not (is_pressed and request.priority == 0)
+        if is_pressed:
+            rank = urgency_rank(prefill_tokens, request.priority)
         cache_source = self.find_cache_source(engine, parts, choice.engine.cached_tokens)
         new_parts = self.caches.missing((engine.id, engine.started_ms), parts)
         self.record_cached(engine, parts)
         self.record_requested_parts(parts)
         for call in self.on_placed:
             call(engine, parts)
-        return Placement(engine, self.loads, prefill_tokens, choice, rank, cache_source, new_parts)
+        return Placement(
+            engine,
+            self.loads,
+            prefill_tokens,
+            choice,
+            rank,
+            cache_source,
+            new_parts,
+            is_overtaken,
+        )
 
     def choose(
         self,
@@ -344,14 +365,14 @@
 
     def with_free_slots(self, engines: list[Engine], request: RoutedRequest) -> list[Engine]:
         """Return the engines with a free slot while a service is contended and reports are new."""
-        accounts = self.accounts
-        if not accounts.tells_free_slots(request.service):
+        accounts, service, requests = self.accounts, request.service, self.loads.requests
+        if not accounts.tells_free_slots(service):
             return engines
         free = {
-            engine: accounts.places(engine.service, engine.slots) - self.loads.requests(engine.id)
+            engine: slots
             for engine in engines
+            if (slots := accounts.free_slots(service, engine.id, requests(engine.id), engine.slots))
         }
-        free = {engine: slots for engine, slots in free.items() if slots > 0}
         has_room = accounts.has_room(account_of(request), request.id, sum(free.values()))
         return list(free) if has_room else []
 
@@ -371,7 +392,7 @@
         is_full = not self.pauses.is_paused(engine) and self.limits.limit_per_s(engine.key) is None
         if is_full and self.is_shared_by_account(engine.service):
             requests = max(0, self.loads.requests(engine.id) - 1)
-            self.accounts.record_refusal(engine.service, requests, engine.slots)
+            self.accounts.record_refusal(engine.service, engine.id, requests, engine.slots)
 
     def record_whole_answer(self, placement: Placement, time_s: float) -> None:
         """Record the time that an engine took for a whole answer."""
@@ -482,22 +503,32 @@
         """Return the prefill rate of a service's engines."""
         return self.prefill_rates.setdefault(service, PrefillRate())
 
+    def prefill_pressure(self, service: str) -> PrefillPressure:
+        """Return whether a service's engines are under pressure."""
+        return self.prefill_pressures.setdefault(service, PrefillPressure())
+
     def shed_request(
         self, request: RoutedRequest, choice: Choice, prefill_tokens: int, rank: int
     ) -> Shed | None:
         """Return a `Shed` if a request would wait too long at the best engine, else None."""
-        tokens = choice.engine.load.prefill_tokens + prefill_tokens
+        queued_tokens = choice.engine.load.prefill_tokens
+        rate = self.prefill_rate(request.service)
+        remaining_s = request.remaining_s()
+        patience_s = min(request.route.first_event_timeout_s, remaining_s)
+        pressure = self.prefill_pressure(request.service)
+        pressure.record(rate.prefill_time_s(queued_tokens), patience_s)
         return shed_request(
             rank,
-            self.prefill_rate(request.service).prefill_time_s(tokens),
+            rate.prefill_time_s(queued_tokens + prefill_tokens),
             request.route.first_event_timeout_s,
-            request.remaining_s(),
+            remaining_s,
             hashing.fraction(request.id),
+            request.priority if pressure.is_pressed() else None,
         )
 
     def record_first_event(self, placement: Placement, waited_s: float) -> None:
         """Update the prefill rate with the time until the first event of an answer."""
-        if placement.cache_source is None and placement.queue_rank >= MIN_OVERTAKEN_RANK:
+        if placement.cache_source is None and placement.is_overtaken:
             tokens = placement.choice.engine.load.prefill_tokens + placement.prefill_tokens
             self.prefill_rate(placement.engine.service).record(tokens, waited_s)
 
