--- a/bench/contention_model.py
+++ b/bench/contention_model.py
@@ -140,12 +140,18 @@
             self.place(router, name, request, self.now_s, frozenset())
 
     def place(
-        self, router: ModelRouter, name: str, request: str, since: float, tried: frozenset[str]
+        self,
+        router: ModelRouter,
+        name: str,
+        request: str,
+        since: float,
+        tried: frozenset[str],
+        may_queue: bool = False,
     ) -> None:
         """Send a request to an engine, let it wait or refuse it."""
         admission, account = router.admission, self.account(name)
         engines = [e for e in self.engines if not e.is_lost and e.id not in tried]
-        if admission.tells_free_slots(SERVICE):
+        if admission.tells_free_slots(SERVICE) and not may_queue:
             known = {e.id: (self.known(router, e.id), e.registered) for e in engines}
             free = {
                 engine: slots
@@ -158,7 +164,7 @@
         unreported = UnreportedLoad(self.unreported_tokens())
         choice = choose_engine(candidates, hashing.digest(request), 0, unreported)
         if choice is None:
-            self.wait(router, name, request, since)
+            self.wait(router, name, request, since, may_queue)
             return
         engine = next(e for e in engines if e.id == choice.engine.name)
         requests = self.known(router, engine.id)
@@ -167,7 +173,7 @@
             self.results[name]["turned away"] += 1
             admission.record_refusal(SERVICE, engine.id, requests, engine.registered)
             if self.may_try_again(admission.is_throttled(account)):
-                self.place(router, name, request, since, tried | {engine.id})
+                self.place(router, name, request, since, tried | {engine.id}, may_queue)
             else:
                 self.refuse(name, since)
             return
@@ -186,12 +192,16 @@
         sent_per_s = sum(min(e.slots / e.work_s, 1e6) for e in self.engines if not e.is_lost)
         return sent_per_s * (self.delay_s + self.period_s / 2) * REQUEST_COST_TOKENS
 
-    def wait(self, router: ModelRouter, name: str, request: str, since: float) -> None:
+    def wait(
+        self, router: ModelRouter, name: str, request: str, since: float, may_queue: bool
+    ) -> None:
         """Let a request wait for a free slot, or refuse it."""
         left_s = DEADLINE_S - (self.now_s - since)
         refusal: Contended = router.admission.refuse_full(self.account(name), request, left_s)
         if self.now_s - since < refusal.wait_s:
             self.later(POLL_S, self.place, router, name, request, since, frozenset())
+        elif refusal.may_queue and not may_queue:
+            self.place(router, name, request, since, frozenset(), True)
         else:
             self.refuse(name, since)
 
--- a/marjoramspool/admission/account_admission.py
+++ b/marjoramspool/admission/account_admission.py
@@ -28,8 +28,9 @@
 # Time constant of the decaying sums of requests, which therefore are rates per second too.
 SMOOTHING_S = 1.0
 REFRESH_PERIOD_S = 0.03
-# Larger services are looked at less often: the view sums over all engines.
+# Larger services are looked at less often: that goes through all engines and accounts.
 REFRESH_PERIOD_PER_SLOT_S = 2e-5
+REFRESH_PERIOD_PER_ACCOUNT_S = 1e-4
 # A service is contended for this long after a sign of pressure.
 PRESSURE_HOLD_S = 2.0
 # Part of the slots, and of the capacity, in use from which a service is contended.
@@ -78,13 +79,15 @@
     """A request refused under contention, with the delay before its retry, in seconds.
 
     `admitted_part` is the part of its account's requests that is admitted. The request may wait
-    for up to `wait_s` before it is refused, since there was just no free slot.
+    for up to `wait_s` before it is refused, since there was just no free slot. With `may_queue` its
+    account wants no more than its share, and it may queue in an engine after that time.
     """
 
     retry_after_s: float
     admitted_part: float
     is_too_late: bool = False
     wait_s: float = 0.0
+    may_queue: bool = False
 
 
 @dataclass(slots=True)
@@ -172,8 +175,10 @@
         state.pressed_at = self.clock()
         part = state.shares.admitted_part(self.demand(state, account))
         delay_s = retry_delay_s(account.priority, part, remaining_s, request)
-        wait_s = THROTTLED_WAIT_S if self.is_throttled(account) else MAX_WAIT_S
-        return Contended(delay_s, part, wait_s=min(wait_s, MAX_WAIT_FRACTION * remaining_s))
+        is_throttled = self.is_throttled(account)
+        wait_s = THROTTLED_WAIT_S if is_throttled else MAX_WAIT_S
+        wait_s = min(wait_s, MAX_WAIT_FRACTION * remaining_s)
+        return Contended(delay_s, part, wait_s=wait_s, may_queue=not is_throttled)
 
     def draw(self, request: str) -> float:
         """Return the draw of a request, from 0 to 1; it is another for a retry a second later."""
@@ -210,8 +215,9 @@
     def refresh(self, service: str, state: ServiceState) -> None:
         """Look at a service again if that is due: whether it is contended, and the shares."""
         now_s = self.clock()
-        period_s = max(REFRESH_PERIOD_S, REFRESH_PERIOD_PER_SLOT_S * state.view.slots)
-        if now_s - state.viewed_at < period_s:
+        extra_s = REFRESH_PERIOD_PER_SLOT_S * state.view.slots
+        extra_s += REFRESH_PERIOD_PER_ACCOUNT_S * len(state.wanted)
+        if now_s - state.viewed_at < REFRESH_PERIOD_S + extra_s:
             return
         state.viewed_at = now_s
         state.view = view = self.view(service)
@@ -261,7 +267,7 @@
     def record_answer(self, service: str, time_s: float, requests: int, slots: int) -> None:
         """Record the time of a request in an engine that had `requests`, itself included."""
         state = self.state(service)
-        state.capacity.record_answer(time_s, requests, slots)
+        state.capacity.record_answer(time_s, requests, slots, state.view)
 
     def record_refusal(self, service: str, engine: str, requests: int, slots: int) -> None:
         """Record that an engine of a service with `requests` turned another one away."""
--- a/marjoramspool/admission/service_capacity.py
+++ b/marjoramspool/admission/service_capacity.py
@@ -38,7 +38,9 @@
 AIM_REPORT_AGES = 2.0
 MIN_AIM_S = 0.05
 # Engines without a queue turn more away the more is sent: beyond this, little more is served.
-MAX_SURPLUS_FACTOR = 1.7
+MAX_SURPLUS = 0.7
+# With this part of the slots queued, engines have a queue for sure.
+MAX_QUEUED_PART = 0.5
 # What differs from the aim changes the rate by at most these factors.
 MIN_RATE_FACTOR = 0.5
 MAX_RATE_FACTOR = 2.0
@@ -108,11 +110,15 @@
         self.unexplained = WorkRate(clock, SMOOTHING_S)
         self.others = CapacitySums()
 
-    def record_answer(self, time_s: float, requests: int, slots: int) -> None:
+    def record_answer(self, time_s: float, requests: int, slots: int, view: ServiceView) -> None:
         """Record the time of a request in an engine that had `requests`, itself included.
 
-        What exceeds the slots has waited; that time does not count.
+        What exceeds the slots has waited; that time does not count. A full engine has got more
+        requests since the reports than it shows.
         """
+        if requests > slots:
+            unseen = slots / (self.mean_time_s or math.inf) * view.report_age_s
+            requests += min(slots, unseen * (1.0 - 1.0 / view.routers))
         self.answers.record(1.0)
         self.times.record(max(0.0, time_s) * min(1.0, slots / max(1, requests)))
 
@@ -194,12 +200,15 @@
     def surplus_factor(self, view: ServiceView) -> float:
         """Return by how much more is sent than served, since engines turn a part away.
 
-        With new reports requests wait for free slots instead.
+        With new reports requests wait for free slots instead. Engines that queue have more requests
+        than slots: to send more would only keep their queues full.
         """
         if self.tells_free_slots(view):
             return 1.0
+        queued_part = view.requests / view.heard_share / max(1, view.slots) - 1.0
+        used = max(0.0, min(1.0, 1.0 - queued_part / MAX_QUEUED_PART))
         sums = self.sums()
-        return min(MAX_SURPLUS_FACTOR, 1.0 + sums.refusals / max(1.0, sums.answers))
+        return 1.0 + used * min(MAX_SURPLUS, sums.refusals / max(1.0, sums.answers))
 
     def expected_time_s(self, view: ServiceView) -> float:
         """Return the expected time of one more request, 0 if it is unknown."""
--- a/marjoramspool/attempt_history.py
+++ b/marjoramspool/attempt_history.py
@@ -13,6 +13,7 @@
 from marjoramspool.failures import AttemptError
 from marjoramspool.outcomes import Problem
 from marjoramspool.placement.engine_selector import Placement
+from marjoramspool.requests import RoutedRequest
 
 __all__ = ["DEFAULT_RETRY_AFTER_S", "AttemptHistory"]
 
@@ -97,16 +98,21 @@
         remedy = "retry after the given time"
         self.record_problem_not_run(Problem(503, why, remedy, refusal.retry_after_s))
 
-    def can_wait(self, refusal: Contended) -> bool:
-        """Return whether a request may wait for a free slot of a contended service."""
-        return not self.possible_runs and self.waited_s < refusal.wait_s
+    async def wait_for_slot(self, request: RoutedRequest, refusal: Contended) -> bool:
+        """Wait for a free slot; return whether the request may be placed again.
 
-    async def wait_for_slot(self) -> None:
-        """Wait for a slot to become free; engines that turned the request away count again."""
+        A request that has waited long enough, or that may have run, goes to any engine then.
+        Engines that turned a request away count again, unless it may have run.
+        """
+        if self.possible_runs or self.waited_s >= refusal.wait_s:
+            may_go_on = (refusal.may_queue or self.possible_runs > 0) and not request.may_queue
+            request.may_queue = True
+            return may_go_on
         wait_s = SLOT_WAIT_S * random.uniform(0.5, 1.5)
         self.waited_s += wait_s
         self.tried_engines.clear()
         await asyncio.sleep(wait_s)
+        return True
 
     def record_contended(self, refusal: Contended) -> None:
         """Record that the service is contended; keep the problem of a possible run."""
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -177,8 +177,7 @@
             if not self.streams.can_go_on(request, history):
                 break
             placement = self.selector.place(request, history.tried_engines, history.version)
-            if isinstance(placement, Contended) and history.can_wait(placement):
-                await history.wait_for_slot()
+            if isinstance(placement, Contended) and await history.wait_for_slot(request, placement):
                 continue
             if not isinstance(placement, Placement):
                 self.record_not_placed(request, history, placement)
--- a/marjoramspool/placement/engine_selector.py
+++ b/marjoramspool/placement/engine_selector.py
@@ -366,7 +366,8 @@
     def with_free_slots(self, engines: list[Engine], request: RoutedRequest) -> list[Engine]:
         """Return the engines with a free slot while a service is contended and reports are new."""
         accounts, service, requests = self.accounts, request.service, self.loads.requests
-        if not accounts.tells_free_slots(service):
+        is_bound = request.is_admitted and not request.may_queue
+        if not is_bound or not accounts.tells_free_slots(service):
             return engines
         free = {
             engine: slots
--- a/marjoramspool/requests.py
+++ b/marjoramspool/requests.py
@@ -38,6 +38,8 @@
     host: str = ""
     # Whether it was admitted to a contended service, and is not to be counted as wanted again.
     is_admitted: bool = False
+    # Whether it may go to an engine without a free slot.
+    may_queue: bool = False
     clock: Callable[[], float] = now
     known_content_id: int | None = None
 
