--- a/marjoramspool/admission/service_capacity.py
+++ b/marjoramspool/admission/service_capacity.py
@@ -35,7 +35,7 @@
 # Part of a place that the fill may lack of a whole one.
 PLACE_TOLERANCE = 0.25
 # The requests at the engines are brought to their aim within this many report ages.
-AIM_REPORT_AGES = 2.0
+AIM_REPORT_AGES = 4.0
 MIN_AIM_S = 0.05
 # Engines without a queue turn more away the more is sent: beyond this, little more is served.
 MAX_SURPLUS = 0.7
