--- a/marjoramspool/admission/service_capacity.py
+++ b/marjoramspool/admission/service_capacity.py
@@ -35,7 +35,9 @@
 # Part of a place that the fill may lack of a whole one.
 PLACE_TOLERANCE = 0.25
 # The requests at the engines are brought to their aim within this many report ages.
-AIM_REPORT_AGES = 4.0
+# With old reports, twice the time: demand is told as late as the requests there.
+AIM_REPORT_AGES = 2.0
+AIM_REPORT_AGES_OLD_REPORTS = 4.0
 MIN_AIM_S = 0.05
 # Engines without a queue turn more away the more is sent: beyond this, little more is served.
 MAX_SURPLUS = 0.7
@@ -192,7 +194,9 @@
             return None
         aim = view.slots * self.fill + math.sqrt(view.slots)
         missing = aim - view.requests / view.heard_share
-        aim_s = max(MIN_AIM_S, AIM_REPORT_AGES * view.report_age_s)
+        is_new = self.tells_free_slots(view)
+        ages = AIM_REPORT_AGES if is_new else AIM_REPORT_AGES_OLD_REPORTS
+        aim_s = max(MIN_AIM_S, ages * view.report_age_s)
         factor = 1.0 + missing / aim_s / max(1e-9, capacity_per_s)
         factor = max(MIN_RATE_FACTOR, min(MAX_RATE_FACTOR, factor))
         return capacity_per_s * factor * self.surplus_factor(view) * view.heard_share
