--- a/marjoramspool/attempt_history.py
+++ b/marjoramspool/attempt_history.py
@@ -1,7 +1,10 @@
 """What a router has tried for one request, and what its caller is told if no engine answers."""
 
+import asyncio
+import random
 from dataclasses import dataclass, field
 
+from marjoramspool.admission.account_admission import Contended
 from marjoramspool.clock import now
 from marjoramspool.engine_state.cold_engines import AllCold
 from marjoramspool.engine_state.engine_list import Engine
@@ -13,6 +16,7 @@
 from marjoramspool.failures import AttemptError
 from marjoramspool.outcomes import Problem
 from marjoramspool.placement.engine_selector import Placement
+from marjoramspool.requests import RoutedRequest
 from marjoramspool.streams.moved_events import RunMove
 
 __all__ = ["DEFAULT_RETRY_AFTER_S", "AttemptHistory"]
@@ -22,6 +26,8 @@
 RESUMPTION_RETRY_AFTER_S = 1.0
 # A path that is back is found within about this time.
 NO_PATH_RETRY_AFTER_S = 0.5
+# Mean time after which a request that waits looks for a free slot again.
+SLOT_WAIT_S = 0.01
 
 
 @dataclass(slots=True)
@@ -55,6 +61,8 @@
     answered_at: float | None = None
     # Engine that receives the memory of the last attempt's run.
     backup: Engine | None = None
+    # Time for which the request has waited for a free slot.
+    waited_s: float = 0.0
     problem: Problem = Problem(
         503, "no usable engine for the request", "retry the request", DEFAULT_RETRY_AFTER_S
     )
@@ -117,6 +125,30 @@
         remedy = "retry after the given time"
         self.record_problem_not_run(Problem(503, why, remedy, refusal.retry_after_s))
 
+    async def wait_for_slot(self, request: RoutedRequest, refusal: Contended) -> bool:
+        """Wait for a free slot; return whether the request may be placed again.
+
+        A request that has waited long enough, or that may have run, goes to any engine then.
+        Engines that turned a request away count again, unless it may have run.
+        """
+        if self.possible_runs or self.waited_s >= refusal.wait_s:
+            may_go_on = (refusal.may_queue or self.possible_runs > 0) and not request.may_queue
+            request.may_queue = True
+            return may_go_on
+        wait_s = SLOT_WAIT_S * random.uniform(0.5, 1.5)
+        self.waited_s += wait_s
+        self.tried_engines.clear()
+        await asyncio.sleep(wait_s)
+        return True
+
+    def record_contended(self, refusal: Contended) -> None:
+        """Record that the service is contended; keep the problem of a possible run."""
+        why = "the demand for the service exceeds its capacity, and the account has its share"
+        if refusal.is_too_late:
+            why = "the service is contended and the request would miss its deadline"
+        remedy = "retry after the given time"
+        self.record_problem_not_run(Problem(503, why, remedy, refusal.retry_after_s))
+
     def record_quarantine(self, quarantine: Quarantine, retry_after_s: float) -> None:
         """Record that the content of a request ends engines; keep the problem of a possible run."""
         if not self.possible_runs:
--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -73,6 +73,8 @@
         "targets of a service tell their speed, which placement uses",
     )
     SPEED_DOUBTED = (532, "warning", "a target's answers take far longer than it tells; they count")
+    CONTENTION_BEGUN = (525, "warning", "a service is contended; its accounts get shares of it")
+    CONTENTION_ENDED = (526, "info", "a service is no longer contended")
     REGISTRATION_UNREADABLE = (509, "warning", "a registration could not be decoded and is ignored")
     ATTEMPT_FAILED = (601, "info", "an attempt failed")
     STREAM_RESUMED = (602, "info", "a stream was resumed over a new connection")
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -322,6 +322,8 @@
         evacuations = self.engines.evacuations
         for domain in sorted(evacuations.domains | evacuations.held_until.keys()):
             faults[f"failure domain {domain}"] = "it is evacuated"
+        for service in self.selector.accounts.contended():
+            faults[f"service {service}"] = "its demand exceeds its capacity"
         if not self.is_store_available:
             faults["store"] = "it does not answer"
         return faults
@@ -413,6 +415,7 @@
             "routers_heard": lambda: len(self.directory.live_peers()),
             "domains_evacuated": lambda: len(self.engines.evacuations.domains),
             "engines_cold": lambda: len(self.selector.cold.cold_engines()),
+            "services_contended": lambda: len(self.selector.accounts.contended()),
             "engines_listed": lambda: len(self.engines.engines),
             "speed_probes": lambda: self.slow_probes.sent,
             "targets_slow": self.slow_probes.slow_targets,
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager, AsyncExitStack, asynccontextmanager
 
+from marjoramspool.admission.account_admission import Contended
 from marjoramspool.admission.load_shedding import Shed
 from marjoramspool.admission.queue_rank import RESUMED_RANK
 from marjoramspool.attempt_history import DEFAULT_RETRY_AFTER_S, AttemptHistory
@@ -186,6 +187,8 @@
             if not self.streams.can_go_on(request, history):
                 break
             placement = self.selector.place(request, history.tried_engines, history.version)
+            if isinstance(placement, Contended) and await history.wait_for_slot(request, placement):
+                continue
             if not isinstance(placement, Placement):
                 self.record_not_placed(request, history, placement)
                 break
@@ -220,6 +223,10 @@
                 history.record_all_full(reason)
             case AllCold():
                 history.record_all_cold(reason)
+            case Contended():
+                kind = "deadline" if reason.is_too_late else "share"
+                self.metrics.count(f"contended_refusals.{kind}")
+                history.record_contended(reason)
             case Quarantine():
                 history.record_quarantine(reason, reason.retry_after_s(now()))
 
@@ -289,6 +296,8 @@
                 self.selector.revert_placement(placement)
                 if isinstance(error, TargetRefusedError):
                     self.selector.record_refusal(placement.engine)
+                    if not isinstance(error, DisplacedError):
+                        self.selector.record_full(placement.engine)
             else:
                 await self.record_if_ended(request, placement)
             return error
@@ -317,6 +326,7 @@
             self.outlook.record_answer(placement, waited_s)
             if isinstance(answer, WholeAnswer):
                 self.confirm_answer(request, history, 0.0)
+                self.selector.record_whole_answer(placement, waited_s)
         return answer
 
     def confirm_answer(
@@ -435,7 +445,11 @@
                 if isinstance(error, DisplacedError):
                     self.selector.engines.record_reassigned(engine)
                 history.record_not_run(error)
-                return self.retry_budget(request.service).try_acquire()
+                budget = self.retry_budget(request.service)
+                # Under contention half of it is for accounts that want no more than their share.
+                if self.selector.is_throttled(request) and budget.is_half_spent():
+                    return False
+                return budget.try_acquire()
             case _:
                 if isinstance(error, ResetError):
                     self.selector.outliers.record_unreachable(
--- a/marjoramspool/placement/engine_selector.py
+++ b/marjoramspool/placement/engine_selector.py
@@ -1,15 +1,18 @@
 """Selection of an engine for each request, from the loads and caches known to this router."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from marjoramspool import hashing
+from marjoramspool.admission.account_admission import Account, AccountAdmission, Contended
 from marjoramspool.admission.load_shedding import (
     MIN_OVERTAKEN_RANK,
+    PrefillPressure,
     PrefillRate,
     Shed,
     shed_request,
 )
-from marjoramspool.admission.queue_rank import RESUMED_RANK, queue_rank
+from marjoramspool.admission.queue_rank import RESUMED_RANK, queue_rank, urgency_rank
+from marjoramspool.admission.service_capacity import ServiceView
 from marjoramspool.clock import now
 from marjoramspool.engine_state.answer_times import AnswerTimes
 from marjoramspool.engine_state.cold_engines import AllCold, ColdEngines
@@ -43,7 +46,7 @@
 __all__ = ["EngineSelector", "Placement", "Refusal"]
 
 # Why no engine gets a request.
-Refusal = Shed | AllEvacuated | AllPaused | AllLimited | AllFull | AllCold | Quarantine
+Refusal = Shed | AllEvacuated | AllPaused | AllLimited | AllFull | AllCold | Contended | Quarantine
 
 # The rest of an engine's memory is used by its running requests.
 CACHE_MEMORY_FRACTION = 0.7
@@ -62,6 +65,7 @@
         "cache_source",
         "choice",
         "engine",
+        "is_overtaken",
         "is_prefilled",
         "loads",
         "new_parts",
@@ -79,6 +83,7 @@
         queue_rank: int,
         cache_source: Engine | None = None,
         new_parts: tuple[Part, ...] = (),
+        is_overtaken: bool = False,
     ):
         self.engine = engine
         self.cache_source = cache_source
@@ -88,6 +93,8 @@
         self.prefill_tokens = prefill_tokens
         self.choice = choice
         self.queue_rank = queue_rank
+        # Whether shorter or more urgent requests overtake it in the engine's queue.
+        self.is_overtaken = is_overtaken
         self.is_prefilled = False
 
     def __enter__(self):
@@ -110,6 +117,7 @@
 
     __slots__ = (
         "answer_times",
+        "accounts",
         "caches",
         "cold",
         "domain",
@@ -124,6 +132,7 @@
         "outliers",
         "pauses",
         "poison",
+        "prefill_pressures",
         "prefill_rates",
         "request_rates",
         "room",
@@ -148,12 +157,14 @@
         self.cold = ColdEngines(self.cold_start)
         self.speeds = ReportedSpeeds()
         self.answer_times = AnswerTimes()
+        self.accounts = AccountAdmission(self.service_view, self.known_accounts)
         # Requests that this router sends to each service.
         self.request_rates: dict[str, WorkRate] = {}
         self.poison = PoisonDetector()
         self.caches = PrefixCaches()
         self.shared_parts = SharedParts()
         self.prefill_rates: dict[str, PrefillRate] = {}
+        self.prefill_pressures: dict[str, PrefillPressure] = {}
         self.sent_rates: dict[str, WorkRate] = {}
         self.hot_parts = HotParts()
         # The ring of each large service and version, with the list of engines that it was made of.
@@ -226,7 +237,8 @@
 
         A stream that goes on is placed among the engines of the software `version` that began it.
         A request with quarantined content goes to no engine.
-        A request that has not been sent to any engine yet is shed if it would wait too long there.
+        A request that has not been sent to any engine yet is shed if it would wait too long there,
+        and refused under contention beyond the share of its account.
         """
         serving = self.engines.usable(request.service, version)
         if not serving and self.engines.is_all_evacuated(request.service):
@@ -236,23 +248,29 @@
         prompt = request.prompt
         if self.poison.is_watching and (quarantine := self.poison.find_quarantine(request.parts)):
             return quarantine
+        is_new = not exclude and request.after_event is None
+        if is_new and not request.is_admitted and (refusal := self.refuse_contended(request)):
+            return refusal
         parts = self.shared_parts.select_shareable(prompt, request.id) if prompt else ()
         tokens = prompt.input_tokens if prompt else 0
         choice = self.choose(request, serving, exclude, parts, version)
         if choice is None:
             left = [engine for engine in serving if engine.id not in exclude]
             draw = hashing.fraction(request.id)
-            return (
-                self.limits.all_limited(
-                    (engine.key for engine in left), request.remaining_s(), draw
-                )
-                or self.room.all_full(left, draw)
-                or self.cold.all_cold(left, request.remaining_s(), draw)
-            )
+            if limited := self.limits.all_limited(
+                (engine.key for engine in left), request.remaining_s(), draw
+            ):
+                return limited
+            if full := self.room.all_full(left, draw):
+                if self.is_shared_by_account(request.service):
+                    self.accounts.record_full(request.service)
+                return full
+            if cold := self.cold.all_cold(left, request.remaining_s(), draw):
+                return cold
+            return self.refuse_full(request) if left else None
         engine = self.engines.engines[choice.engine.name]
         prefill_tokens = max(0, tokens - choice.engine.cached_tokens)
         rank = queue_rank(prefill_tokens, request.priority)
-        is_new = not exclude and request.after_event is None
         if parts and is_new and (shed := self.shed_request(request, choice, prefill_tokens, rank)):
             return shed
         sent = self.sent_rates.setdefault(request.service, WorkRate())
@@ -262,13 +280,27 @@
         self.request_rates.setdefault(request.service, WorkRate()).record(1.0)
         if not parts:
             return Placement(engine, self.loads, prefill_tokens, choice, rank)
+        is_pressed = self.prefill_pressure(request.service).is_pressed()
+        # Urgent requests overtake the queue then, so that their wait says little of the prefill.
+        is_overtaken = rank >= MIN_OVERTAKEN_RANK and not (is_pressed and request.priority == 0)
+        if is_pressed:
+            rank = urgency_rank(prefill_tokens, request.priority)
         cache_source = self.find_cache_source(engine, parts, choice.engine.cached_tokens)
         new_parts = self.caches.missing((engine.id, engine.started_ms), parts)
         self.record_cached(engine, parts)
         self.record_requested_parts(parts)
         for call in self.on_placed:
             call(engine, parts)
-        return Placement(engine, self.loads, prefill_tokens, choice, rank, cache_source, new_parts)
+        return Placement(
+            engine,
+            self.loads,
+            prefill_tokens,
+            choice,
+            rank,
+            cache_source,
+            new_parts,
+            is_overtaken,
+        )
 
     def choose(
         self,
@@ -347,7 +379,7 @@
 
         Of the cold ones, these are only those that this router may send one more.
         """
-        engines = self.cold.select(engines)
+        engines = self.with_free_slots(self.cold.select(engines), request)
         if self.room.is_brittle(request.service):
             unreported = self.unreported_requests(request.service, len(engines))
             engines = [
@@ -388,6 +420,20 @@
             return 1.0
         return self.speeds.slowness(engine) * self.answer_times.excess(engine)
 
+    def with_free_slots(self, engines: list[Engine], request: RoutedRequest) -> list[Engine]:
+        """Return the engines with a free slot while a service is contended and reports are new."""
+        accounts, service, requests = self.accounts, request.service, self.loads.requests
+        is_bound = request.is_admitted and not request.may_queue
+        if not is_bound or not accounts.tells_free_slots(service):
+            return engines
+        free = {
+            engine: slots
+            for engine in engines
+            if (slots := accounts.free_slots(service, engine.id, requests(engine.id), engine.slots))
+        }
+        has_room = accounts.has_room(account_of(request), request.id, sum(free.values()))
+        return list(free) if has_room else []
+
     def unreported_requests(self, service: str, engines: int) -> float:
         """Return the requests that others have sent to each engine and not reported yet."""
         rate = self.request_rates.get(service)
@@ -399,6 +445,74 @@
         """Record that an engine turned a request away, which is still counted in its load."""
         self.room.record_refusal(engine, max(0, self.loads.requests(engine.id) - 1))
 
+    def record_full(self, engine: Engine) -> None:
+        """Record that an engine turned a request away, unless it named a pause or a limit."""
+        is_full = not self.pauses.is_paused(engine) and self.limits.limit_per_s(engine.key) is None
+        if is_full and self.is_shared_by_account(engine.service):
+            requests = max(0, self.loads.requests(engine.id) - 1)
+            self.accounts.record_refusal(engine.service, engine.id, requests, engine.slots)
+
+    def record_whole_answer(self, placement: Placement, time_s: float) -> None:
+        """Record the time that an engine took for a whole answer."""
+        engine = placement.engine
+        if self.is_shared_by_account(engine.service):
+            requests = placement.choice.engine.load.requests + 1
+            self.accounts.record_answer(engine.service, time_s, requests, engine.slots)
+
+    def refuse_contended(self, request: RoutedRequest) -> Contended | None:
+        """Return the refusal of a request for a contended service, None if it is admitted."""
+        if not self.is_shared_by_account(request.service):
+            return None
+        account = account_of(request)
+        refusal = self.accounts.decide(account, request.id, request.remaining_s())
+        request.is_admitted = refusal is None
+        return refusal
+
+    def refuse_full(self, request: RoutedRequest) -> Contended | None:
+        """Return the refusal of a request without a free slot, None if that is not the reason."""
+        if not self.accounts.tells_free_slots(request.service):
+            return None
+        return self.accounts.refuse_full(account_of(request), request.id, request.remaining_s())
+
+    def is_throttled(self, request: RoutedRequest) -> bool:
+        """Return whether a part of the requests of a request's account is refused now."""
+        return self.accounts.is_throttled(account_of(request))
+
+    def is_shared_by_account(self, service: str) -> bool:
+        """Return whether the slots of a service's engines say what it can run.
+
+        Engines of a model service are bound by their memory and prefill instead.
+        """
+        table = self.table()
+        known = table.services.get(service) if table else None
+        return known is not None and known.engine_capacity is None
+
+    def service_view(self, service: str) -> ServiceView:
+        """Return the slots of the usable engines of a service, and the requests there."""
+        usable = [e for e in self.engines.usable(service) if not self.pauses.is_paused(e)]
+        serving = self.outliers.exclude_ejected(engine.id for engine in usable)
+        engines = [engine for engine in usable if engine.id in serving]
+        return ServiceView(
+            sum(engine.slots for engine in engines),
+            sum(self.loads.requests(engine.id) for engine in engines),
+            self.other_routers() + 1,
+            self.limits.heard_share(),
+            self.report_age_s(),
+        )
+
+    def known_accounts(self, service: str) -> Iterator[Account]:
+        """Yield the accounts whose requests for a service may reach any router."""
+        table = self.table()
+        if table is None:
+            return
+        priorities = table.priorities(service)
+        for priority in priorities:
+            yield Account(service, "", priority)
+        for account in table.accounts_by_name.values():
+            own = priorities if account.priority is None else {account.priority}
+            for priority in own:
+                yield Account(service, account.name, priority)
+
     def is_urgent(self, request: RoutedRequest) -> bool:
         """Return whether no route to the service of a request has a higher priority."""
         table = self.table()
@@ -447,22 +561,32 @@
         """Return the prefill rate of a service's engines."""
         return self.prefill_rates.setdefault(service, PrefillRate())
 
+    def prefill_pressure(self, service: str) -> PrefillPressure:
+        """Return whether a service's engines are under pressure."""
+        return self.prefill_pressures.setdefault(service, PrefillPressure())
+
     def shed_request(
         self, request: RoutedRequest, choice: Choice, prefill_tokens: int, rank: int
     ) -> Shed | None:
         """Return a `Shed` if a request would wait too long at the best engine, else None."""
-        tokens = choice.engine.load.prefill_tokens + prefill_tokens
+        queued_tokens = choice.engine.load.prefill_tokens
+        rate = self.prefill_rate(request.service)
+        remaining_s = request.remaining_s()
+        patience_s = min(request.route.first_event_timeout_s, remaining_s)
+        pressure = self.prefill_pressure(request.service)
+        pressure.record(rate.prefill_time_s(queued_tokens), patience_s)
         return shed_request(
             rank,
-            self.prefill_rate(request.service).prefill_time_s(tokens),
+            rate.prefill_time_s(queued_tokens + prefill_tokens),
             request.route.first_event_timeout_s,
-            request.remaining_s(),
+            remaining_s,
             hashing.fraction(request.id),
+            request.priority if pressure.is_pressed() else None,
         )
 
     def record_first_event(self, placement: Placement, waited_s: float) -> None:
         """Update the prefill rate with the time until the first event of an answer."""
-        if placement.cache_source is None and placement.queue_rank >= MIN_OVERTAKEN_RANK:
+        if placement.cache_source is None and placement.is_overtaken:
             tokens = placement.choice.engine.load.prefill_tokens + placement.prefill_tokens
             self.prefill_rate(placement.engine.service).record(tokens, waited_s)
 
@@ -561,3 +685,9 @@
             return
         capacity = int(service.engine_capacity.kv_cache_tokens * CACHE_MEMORY_FRACTION)
         self.caches.insert((engine.id, engine.started_ms), capacity, parts)
+
+
+def account_of(request: RoutedRequest) -> Account:
+    """Return the client account of a request at its service and priority."""
+    name = request.account.name if request.account else ""
+    return Account(request.service, name, request.priority)
--- a/marjoramspool/routes.py
+++ b/marjoramspool/routes.py
@@ -172,14 +172,17 @@
         known = self.services.get(service)
         return known.cold_start if known else NEVER_COLD
 
-    def highest_priority(self, service: str) -> float:
-        """Return the most urgent priority of the routes to a service; 0 is the highest."""
-        priorities = (
+    def priorities(self, service: str) -> set[int]:
+        """Return the priorities of the routes to a service."""
+        return {
             route.priority
             for route in self.routes
             if any(split.service == service for split in route.traffic_splits)
-        )
-        return min(priorities, default=math.inf)
+        }
+
+    def highest_priority(self, service: str) -> float:
+        """Return the most urgent priority of the routes to a service; 0 is the highest."""
+        return min(self.priorities(service), default=math.inf)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a host whose prefix is the longest match for a path."""
