--- a/marjoramspool/admission/account_admission.py
+++ b/marjoramspool/admission/account_admission.py
@@ -35,6 +35,9 @@
 PRESSURE_HOLD_S = 2.0
 # Part of the slots, and of the capacity, in use from which a service is contended.
 PRESSURE_PART = 0.9
+# A router that hears less of the fleet, as after its start, cannot tell by the requests that it knows
+# of; engines that turn requests away show it then.
+MIN_HEARD_SHARE = 0.5
 # The accounts that other routers may tell of are listed again after this time.
 ACCOUNTS_AGE_S = 1.0
 # Measured times include some waiting, and sums of demand vary: accounts that want their share are
@@ -243,7 +246,7 @@
         """Return whether the engines of a service are full or its demand is near its capacity."""
         view, capacity = state.view, state.capacity
         slots = view.slots * min(1.0, capacity.fill) * view.heard_share
-        if not slots:
+        if not slots or view.heard_share < MIN_HEARD_SHARE:
             return False
         capacity_per_s = capacity.mean_per_s(view)
         wanted_per_s = sum(demand.per_s for demand in demands)
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -183,6 +183,9 @@
             lambda: self.discovery.is_settled,
         )
         self.selector.limits.share = lambda: self.load_broadcast.heard_share(self.fleet_size())
+        self.selector.heard_share = lambda: self.load_broadcast.heard_share(
+            1 + len(self.directory.peers)
+        )
         self.selector.poison.is_trial_router = self.directory.is_first
         self.slow_probes = SlowProbes(
             self.engines,
--- a/marjoramspool/placement/engine_selector.py
+++ b/marjoramspool/placement/engine_selector.py
@@ -122,6 +122,7 @@
         "cold",
         "domain",
         "engines",
+        "heard_share",
         "hot_parts",
         "limits",
         "loads",
@@ -173,6 +174,8 @@
         self.mean_loads: dict[tuple[str, str | None], tuple[float, float]] = {}
         # Mean age of the load reports of other routers, in seconds.
         self.report_age_s: Callable[[], float] = lambda: 0.0
+        # Part of the routers that this one knows of whose requests it knows, itself included.
+        self.heard_share: Callable[[], float] = lambda: 1.0
         # Number of other routers that send requests.
         self.other_routers: Callable[[], int] = lambda: len(self.loads.reported)
         self.on_placed: list[Callable[[Engine, tuple[Part, ...]], None]] = []
@@ -496,7 +499,7 @@
             sum(engine.slots for engine in engines),
             sum(self.loads.requests(engine.id) for engine in engines),
             self.other_routers() + 1,
-            self.limits.heard_share(),
+            self.heard_share(),
             self.report_age_s(),
         )
 
