--- a/marjoramspool/admission/account_admission.py
+++ b/marjoramspool/admission/account_admission.py
@@ -35,8 +35,8 @@
 PRESSURE_HOLD_S = 2.0
 # Part of the slots, and of the capacity, in use from which a service is contended.
 PRESSURE_PART = 0.9
-# A router that hears less of the fleet, as after its start, cannot tell by the requests that it knows
-# of; engines that turn requests away show it then.
+# A router that hears less of the fleet, as after its start, does not know enough of its requests;
+# engines that turn requests away show pressure then.
 MIN_HEARD_SHARE = 0.5
 # The accounts that other routers may tell of are listed again after this time.
 ACCOUNTS_AGE_S = 1.0
