--- a/marjoramspool/admission/account_admission.py
+++ b/marjoramspool/admission/account_admission.py
@@ -18,6 +18,7 @@
 from marjoramspool.engine_state.engine_loads import EngineLoads, Load
 from marjoramspool.engine_state.unreported_load import WorkRate
 from marjoramspool.events import Event, log
+from marjoramspool.retry_delay import longest_retry_delay_s
 
 __all__ = ["Account", "AccountAdmission", "Contended", "account_id"]
 
@@ -57,8 +58,6 @@
 MAX_OVERLOAD = 8.0
 # Part of the delay by which callers of the highest priority come back sooner.
 MOST_URGENT_ADVANCE = 0.4
-# Clients wait before a retry for at most this fraction of their remaining time.
-MAX_RETRY_DELAY_FRACTION = 1 / 3
 # A request is hopeless with less time left than this part of what it is expected to take.
 HOPELESS_PART = 0.5
 
@@ -356,7 +355,7 @@
 def retry_delay_s(priority: int, admitted_part: float, remaining_s: float, request: str) -> float:
     """Return when the caller of a refused request should come back, the less urgent later."""
     overload = min(MAX_OVERLOAD, 1.0 / max(1e-9, admitted_part))
-    longest_s = max(0.0, remaining_s) * MAX_RETRY_DELAY_FRACTION
+    longest_s = longest_retry_delay_s(remaining_s)
     # Half of the longest delay is left for the spread.
     delay_s = min(MIN_RETRY_DELAY_S * overload, longest_s / 2)
     delay_s *= 1.0 - MOST_URGENT_ADVANCE / (1.0 + priority)
--- a/marjoramspool/admission/load_shedding.py
+++ b/marjoramspool/admission/load_shedding.py
@@ -12,6 +12,7 @@
 
 from marjoramspool.admission.queue_rank import LEAST_URGENT
 from marjoramspool.clock import now
+from marjoramspool.retry_delay import longest_retry_delay_s
 
 __all__ = ["MIN_OVERTAKEN_RANK", "PrefillPressure", "PrefillRate", "Shed", "shed_request"]
 
@@ -33,8 +34,6 @@
 # By how much later the callers of each less urgent priority come back.
 PRIORITY_DELAY_PART = 0.25
 MIN_RETRY_DELAY_S = 0.5
-# Clients wait before a retry for at most this fraction of their remaining time.
-MAX_RETRY_DELAY_FRACTION = 1 / 3
 
 
 @dataclass(slots=True, frozen=True)
@@ -105,7 +104,7 @@
     is_overtaken = rank >= MIN_OVERTAKEN_RANK or priority == LEAST_URGENT
     if not is_overtaken or wait_s <= fraction * min(first_event_timeout_s, remaining_s):
         return None
-    max_delay_s = MAX_RETRY_DELAY_FRACTION * remaining_s
+    max_delay_s = longest_retry_delay_s(remaining_s)
     delay_s = max(MIN_RETRY_DELAY_S, wait_s * (1.0 + jitter))
     retry_after_s = min(max_delay_s, delay_s * (1.0 + PRIORITY_DELAY_PART * priority))
     return Shed(wait_s, retry_after_s)
--- a/marjoramspool/engine_state/cold_engines.py
+++ b/marjoramspool/engine_state/cold_engines.py
@@ -20,6 +20,7 @@
 from marjoramspool.engine_state.request_limits import EngineKey
 from marjoramspool.engine_state.unreported_load import WorkRate
 from marjoramspool.events import Event, log
+from marjoramspool.retry_delay import longest_retry_delay_s
 from marjoramspool.routes import NEVER_COLD, ColdStart
 
 __all__ = ["AllCold", "ColdEngines", "ColdNotice"]
@@ -35,8 +36,6 @@
 # How long it is told that an engine is no longer cold.
 END_RETENTION_S = 6.0
 MIN_RETRY_DELAY_S = 0.5
-# Clients wait before a retry for at most this fraction of their remaining time.
-MAX_RETRY_DELAY_FRACTION = 1 / 3
 
 
 @dataclass(slots=True, frozen=True)
@@ -268,7 +267,7 @@
         view = self.shares.view()
         wanted_per_s = self.wanted[service].rate_per_s() * len(view.live)
         served_per_s = max(1e-3, self.rate(service).per_s * len(cold) * view.rate_part)
-        longest_s = max(0.0, remaining_s) * MAX_RETRY_DELAY_FRACTION
+        longest_s = longest_retry_delay_s(remaining_s)
         # Half of the longest delay is left for the spread.
         shortest_s = min(MIN_RETRY_DELAY_S * max(1.0, wanted_per_s / served_per_s), longest_s / 2)
         return AllCold(shortest_s * (1.0 + draw))
--- a/marjoramspool/engine_state/evacuations.py
+++ b/marjoramspool/engine_state/evacuations.py
@@ -9,6 +9,7 @@
 
 from marjoramspool.clock import now
 from marjoramspool.events import Event, log
+from marjoramspool.retry_delay import longest_retry_delay_s
 from marjoramspool.store_versions import epoch_of
 
 __all__ = ["AllEvacuated", "Evacuations"]
@@ -16,8 +17,6 @@
 # Operators write again what a restored store lacks within this time.
 RESTORED_HOLD_S = 6.0
 RETRY_AFTER_S = 1.0
-# Clients wait before a retry for at most this fraction of their remaining time.
-MAX_RETRY_DELAY_FRACTION = 1 / 3
 
 
 class AllEvacuated:
@@ -26,7 +25,7 @@
     __slots__ = ("retry_after_s",)
 
     def __init__(self, remaining_s: float, draw: float):
-        longest_s = max(0.0, remaining_s) * MAX_RETRY_DELAY_FRACTION
+        longest_s = longest_retry_delay_s(remaining_s)
         self.retry_after_s = min(longest_s, RETRY_AFTER_S * (1.0 + draw))
 
 
--- a/marjoramspool/engine_state/request_limits.py
+++ b/marjoramspool/engine_state/request_limits.py
@@ -20,6 +20,7 @@
 from marjoramspool.engine_state.engine_loads import NO_LOAD, Load
 from marjoramspool.engine_state.unreported_load import WorkRate
 from marjoramspool.events import Event, log
+from marjoramspool.retry_delay import longest_retry_delay_s
 
 __all__ = [
     "MILLI",
@@ -50,8 +51,6 @@
 # Changes of a limit by less than this fraction are not logged.
 LOGGED_CHANGE_FRACTION = 0.1
 MIN_RETRY_DELAY_S = 0.5
-# Clients wait before a retry for at most this fraction of their remaining time.
-MAX_RETRY_DELAY_FRACTION = 1 / 3
 MAX_EXPONENT = 500.0
 MILLI = 1000
 
@@ -305,7 +304,7 @@
         )
         served_per_s = sum(limits.values()) * self.heard_share()
         overload = max(1.0, wanted / SMOOTHING_S / served_per_s)
-        longest_s = max(0.0, remaining_s) * MAX_RETRY_DELAY_FRACTION
+        longest_s = longest_retry_delay_s(remaining_s)
         # Half of the longest delay is left for the spread.
         shortest_s = min(MIN_RETRY_DELAY_S * overload, longest_s / 2)
         return AllLimited(shortest_s * (1.0 + draw))
