--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -297,7 +297,7 @@
                 if isinstance(error, TargetRefusedError):
                     self.selector.record_refusal(placement.engine)
                     if not isinstance(error, DisplacedError):
-                        self.selector.record_full(placement.engine)
+                        self.selector.contention.record_full(placement.engine)
             else:
                 await self.record_if_ended(request, placement)
             return error
@@ -326,7 +326,7 @@
             self.outlook.record_answer(placement, waited_s)
             if isinstance(answer, WholeAnswer):
                 self.confirm_answer(request, history, 0.0)
-                self.selector.record_whole_answer(placement, waited_s)
+                self.selector.contention.record_whole_answer(placement, waited_s)
         return answer
 
     def confirm_answer(
@@ -447,7 +447,7 @@
                 history.record_not_run(error)
                 budget = self.retry_budget(request.service)
                 # Under contention half of it is for accounts that want no more than their share.
-                if self.selector.is_throttled(request) and budget.is_half_spent():
+                if self.selector.contention.is_throttled(request) and budget.is_half_spent():
                     return False
                 return budget.try_acquire()
             case _:
--- a/marjoramspool/placement/engine_selector.py
+++ b/marjoramspool/placement/engine_selector.py
@@ -1,9 +1,9 @@
 """Selection of an engine for each request, from the loads and caches known to this router."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 
 from marjoramspool import hashing
-from marjoramspool.admission.account_admission import Account, AccountAdmission, Contended
+from marjoramspool.admission.account_admission import Contended
 from marjoramspool.admission.load_shedding import (
     MIN_OVERTAKEN_RANK,
     PrefillPressure,
@@ -12,7 +12,6 @@
     shed_request,
 )
 from marjoramspool.admission.queue_rank import RESUMED_RANK, queue_rank, urgency_rank
-from marjoramspool.admission.service_capacity import ServiceView
 from marjoramspool.clock import now
 from marjoramspool.engine_state.answer_times import AnswerTimes
 from marjoramspool.engine_state.cold_engines import AllCold, ColdEngines
@@ -30,6 +29,7 @@
 from marjoramspool.peers.messages import incarnation_id
 from marjoramspool.placement.cache_sources import Holder, select_cache_source
 from marjoramspool.placement.candidate_engines import MAX_COMPARED_ENGINES, EngineRing
+from marjoramspool.placement.contended_services import ContendedServices
 from marjoramspool.placement.cost_placement import (
     REQUEST_COST_TOKENS,
     Candidate,
@@ -120,6 +120,7 @@
         "accounts",
         "caches",
         "cold",
+        "contention",
         "domain",
         "engines",
         "heard_share",
@@ -158,7 +159,8 @@
         self.cold = ColdEngines(self.cold_start)
         self.speeds = ReportedSpeeds()
         self.answer_times = AnswerTimes()
-        self.accounts = AccountAdmission(self.service_view, self.known_accounts)
+        self.contention = ContendedServices(self)
+        self.accounts = self.contention.accounts
         # Requests that this router sends to each service.
         self.request_rates: dict[str, WorkRate] = {}
         self.poison = PoisonDetector()
@@ -252,7 +254,7 @@
         if self.poison.is_watching and (quarantine := self.poison.find_quarantine(request.parts)):
             return quarantine
         is_new = not exclude and request.after_event is None
-        if is_new and not request.is_admitted and (refusal := self.refuse_contended(request)):
+        if is_new and not request.is_admitted and (refusal := self.contention.refuse(request)):
             return refusal
         parts = self.shared_parts.select_shareable(prompt, request.id) if prompt else ()
         tokens = prompt.input_tokens if prompt else 0
@@ -265,12 +267,12 @@
             ):
                 return limited
             if full := self.room.all_full(left, draw):
-                if self.is_shared_by_account(request.service):
+                if self.contention.is_shared_by_account(request.service):
                     self.accounts.record_full(request.service)
                 return full
             if cold := self.cold.all_cold(left, request.remaining_s(), draw):
                 return cold
-            return self.refuse_full(request) if left else None
+            return self.contention.refuse_full(request) if left else None
         engine = self.engines.engines[choice.engine.name]
         prefill_tokens = max(0, tokens - choice.engine.cached_tokens)
         rank = queue_rank(prefill_tokens, request.priority)
@@ -382,7 +384,7 @@
 
         Of the cold ones, these are only those that this router may send one more.
         """
-        engines = self.with_free_slots(self.cold.select(engines), request)
+        engines = self.contention.with_free_slots(self.cold.select(engines), request)
         if self.room.is_brittle(request.service):
             unreported = self.unreported_requests(request.service, len(engines))
             engines = [
@@ -423,20 +425,6 @@
             return 1.0
         return self.speeds.slowness(engine) * self.answer_times.excess(engine)
 
-    def with_free_slots(self, engines: list[Engine], request: RoutedRequest) -> list[Engine]:
-        """Return the engines with a free slot while a service is contended and reports are new."""
-        accounts, service, requests = self.accounts, request.service, self.loads.requests
-        is_bound = request.is_admitted and not request.may_queue
-        if not is_bound or not accounts.tells_free_slots(service):
-            return engines
-        free = {
-            engine: slots
-            for engine in engines
-            if (slots := accounts.free_slots(service, engine.id, requests(engine.id), engine.slots))
-        }
-        has_room = accounts.has_room(account_of(request), request.id, sum(free.values()))
-        return list(free) if has_room else []
-
     def unreported_requests(self, service: str, engines: int) -> float:
         """Return the requests that others have sent to each engine and not reported yet."""
         rate = self.request_rates.get(service)
@@ -448,74 +436,6 @@
         """Record that an engine turned a request away, which is still counted in its load."""
         self.room.record_refusal(engine, max(0, self.loads.requests(engine.id) - 1))
 
-    def record_full(self, engine: Engine) -> None:
-        """Record that an engine turned a request away, unless it named a pause or a limit."""
-        is_full = not self.pauses.is_paused(engine) and self.limits.limit_per_s(engine.key) is None
-        if is_full and self.is_shared_by_account(engine.service):
-            requests = max(0, self.loads.requests(engine.id) - 1)
-            self.accounts.record_refusal(engine.service, engine.id, requests, engine.slots)
-
-    def record_whole_answer(self, placement: Placement, time_s: float) -> None:
-        """Record the time that an engine took for a whole answer."""
-        engine = placement.engine
-        if self.is_shared_by_account(engine.service):
-            requests = placement.choice.engine.load.requests + 1
-            self.accounts.record_answer(engine.service, time_s, requests, engine.slots)
-
-    def refuse_contended(self, request: RoutedRequest) -> Contended | None:
-        """Return the refusal of a request for a contended service, None if it is admitted."""
-        if not self.is_shared_by_account(request.service):
-            return None
-        account = account_of(request)
-        refusal = self.accounts.decide(account, request.id, request.remaining_s())
-        request.is_admitted = refusal is None
-        return refusal
-
-    def refuse_full(self, request: RoutedRequest) -> Contended | None:
-        """Return the refusal of a request without a free slot, None if that is not the reason."""
-        if not self.accounts.tells_free_slots(request.service):
-            return None
-        return self.accounts.refuse_full(account_of(request), request.id, request.remaining_s())
-
-    def is_throttled(self, request: RoutedRequest) -> bool:
-        """Return whether a part of the requests of a request's account is refused now."""
-        return self.accounts.is_throttled(account_of(request))
-
-    def is_shared_by_account(self, service: str) -> bool:
-        """Return whether the slots of a service's engines say what it can run.
-
-        Engines of a model service are bound by their memory and prefill instead.
-        """
-        table = self.table()
-        known = table.services.get(service) if table else None
-        return known is not None and known.engine_capacity is None
-
-    def service_view(self, service: str) -> ServiceView:
-        """Return the slots of the usable engines of a service, and the requests there."""
-        usable = [e for e in self.engines.usable(service) if not self.pauses.is_paused(e)]
-        serving = self.outliers.exclude_ejected(engine.id for engine in usable)
-        engines = [engine for engine in usable if engine.id in serving]
-        return ServiceView(
-            sum(engine.slots for engine in engines),
-            sum(self.loads.requests(engine.id) for engine in engines),
-            self.other_routers() + 1,
-            self.heard_share(),
-            self.report_age_s(),
-        )
-
-    def known_accounts(self, service: str) -> Iterator[Account]:
-        """Yield the accounts whose requests for a service may reach any router."""
-        table = self.table()
-        if table is None:
-            return
-        priorities = table.priorities(service)
-        for priority in priorities:
-            yield Account(service, "", priority)
-        for account in table.accounts_by_name.values():
-            own = priorities if account.priority is None else {account.priority}
-            for priority in own:
-                yield Account(service, account.name, priority)
-
     def is_urgent(self, request: RoutedRequest) -> bool:
         """Return whether no route to the service of a request has a higher priority."""
         table = self.table()
@@ -688,9 +608,3 @@
             return
         capacity = int(service.engine_capacity.kv_cache_tokens * CACHE_MEMORY_FRACTION)
         self.caches.insert((engine.id, engine.started_ms), capacity, parts)
-
-
-def account_of(request: RoutedRequest) -> Account:
-    """Return the client account of a request at its service and priority."""
-    name = request.account.name if request.account else ""
-    return Account(request.service, name, request.priority)
