--- a/marjoramspool/engine_state/slow_probes.py
+++ b/marjoramspool/engine_state/slow_probes.py
@@ -22,6 +22,8 @@
 PROBE_PERIOD_S = 0.2
 # Two probes may arrive closer together than they were sent, by less than this.
 PERIOD_MARGIN_S = 0.05
+# Each wake-up costs processor time, also where no target tells its processing time.
+UNUSED_CHECK_PERIOD_S = 1.0
 CHECK_PERIOD_S = 0.04
 # With more engines than this, they are looked through less often.
 MAX_ENGINES_AT_CHECK_PERIOD = 256
@@ -85,6 +87,9 @@
         """Probe slow targets until cancelled."""
         try:
             while True:
+                if not self.used_services():
+                    await asyncio.sleep(UNUSED_CHECK_PERIOD_S)
+                    continue
                 share = len(self.engines.engines) / MAX_ENGINES_AT_CHECK_PERIOD
                 await asyncio.sleep(CHECK_PERIOD_S * max(1.0, share))
                 for engine, path in self.take_due():
@@ -95,12 +100,16 @@
             for task in self.probes:
                 task.cancel()
 
+    def used_services(self) -> list[str]:
+        """Return the services whose targets tell their processing times."""
+        return [service for service in self.speeds.used_until if self.speeds.is_used(service)]
+
     def take_due(self) -> list[tuple[Engine, str]]:
         """Return the targets to probe now, each with its health path, and count them as probed."""
         now_s = self.clock()
         period_s = PROBE_PERIOD_S + PERIOD_MARGIN_S
         self.probed_at = {key: at for key, at in self.probed_at.items() if now_s - at < period_s}
-        services = [service for service in self.speeds.used_until if self.speeds.is_used(service)]
+        services = self.used_services()
         if not services or self.heard_share() < MIN_HEARD_SHARE:
             return []
         due = [
--- a/marjoramspool/streams/run_backups.py
+++ b/marjoramspool/streams/run_backups.py
@@ -38,8 +38,8 @@
 FIRST_LISTING_S = 3.0
 # Expected loss for each copied token at which a copy is made while nothing else is copied, and the
 # factor by which this rises until all that may be copied is used.
-MIN_WORTH = 0.02
-FULL_PRICE_FACTOR = 10.0
+MIN_WORTH = 0.1
+FULL_PRICE_FACTOR = 2.0
 # Engines whose fill differs by less than this are taken by a draw, so that routers spread.
 FILL_STEP = 0.25
 
--- a/marjoramspool/streams/run_mover.py
+++ b/marjoramspool/streams/run_mover.py
@@ -20,6 +20,8 @@
 
 __all__ = ["RunMover"]
 
+# Whether the engine of a run is leaving is looked up this often, not at each event.
+CHECK_PERIOD_S = 0.1
 # A destination for a run is looked for again after this time.
 SEARCH_PERIOD_S = 1.0
 # A run whose move failed is tried again after this time; each try takes from the retry budget.
@@ -50,10 +52,14 @@
         Raise RunMovedError once the engine has stopped the run, also if its stream seems to have
         ended.
         """
+        if not self.may_move(request):
+            async for event in events:
+                yield event
+            return
         move: RunMove | None = None
         try:
             while True:
-                if move is None:
+                if move is None and now() >= history.next_move_at:
                     move = self.begin_move(request, history)
                 failure = None
                 try:
@@ -76,16 +82,22 @@
             if move is not None:
                 move.answer.cancel()
 
+    def may_move(self, request: RoutedRequest) -> bool:
+        """Return whether a stream may run only once, at engines that move runs."""
+        if request.route.is_retryable or request.prompt is None:
+            return False
+        capacity = self.runs.capacity(request.service)
+        return capacity is not None and capacity.has_moves
+
     def begin_move(self, request: RoutedRequest, history: AttemptHistory) -> RunMove | None:
         """Begin to move a run if its engine will end first; return the move, None if none is begun.
 
         A move takes one from the retry budget before the run is stopped, since it cannot go on
         without.
         """
+        history.next_move_at = now() + CHECK_PERIOD_S
         if history.last_event_id is None or history.placement is None:
             return None
-        if request.route.is_retryable or request.prompt is None or now() < history.next_move_at:
-            return None
         source = history.placement.engine
         capacity = self.runs.capacity(request.service)
         if capacity is None or not capacity.has_moves:
