--- a/marjoramspool/admission/account_admission.py
+++ b/marjoramspool/admission/account_admission.py
@@ -287,8 +287,8 @@
         """Yield the sums of this router to tell of the accounts at contended services."""
         now_s = self.clock()
         for service, state in self.services.items():
-            # Requests refresh the others.
-            if not state.is_contended:
+            # Without demand there is nothing to tell.
+            if not state.is_contended and not state.wanted:
                 continue
             self.refresh(service, state)
             if not state.is_contended:
