--- a/marjoramspool/admission/account_admission.py
+++ b/marjoramspool/admission/account_admission.py
@@ -231,8 +231,10 @@
         if self.is_pressed(state, demands):
             state.pressed_at = now_s
         # Before any answer it is unknown what the engines can run.
-        allowed_per_s = state.capacity.allowed_per_s(view) or math.inf
-        capacity_per_s = (state.capacity.mean_per_s(view) or math.inf) * view.heard_share
+        allowed_per_s = state.capacity.allowed_per_s(view)
+        mean_per_s = state.capacity.mean_per_s(view)
+        allowed_per_s = math.inf if allowed_per_s is None else allowed_per_s
+        capacity_per_s = math.inf if mean_per_s is None else mean_per_s * view.heard_share
         is_contended = now_s - state.pressed_at < PRESSURE_HOLD_S
         if is_contended != state.is_contended:
             state.is_contended = is_contended
--- a/marjoramspool/admission/service_capacity.py
+++ b/marjoramspool/admission/service_capacity.py
@@ -169,7 +169,9 @@
     def mean_time_s(self) -> float | None:
         """Return the mean time of a request in an engine, None if there are no answers."""
         sums = self.sums()
-        return sums.times_s / sums.answers or None if sums.answers >= MIN_ANSWERS else None
+        if sums.answers < MIN_ANSWERS or sums.times_s <= 0.0:
+            return None
+        return sums.times_s / sums.answers
 
     def tells_free_slots(self, view: ServiceView) -> bool:
         """Return whether reports are new enough to tell which engines have free slots."""
--- a/marjoramspool/attempt_history.py
+++ b/marjoramspool/attempt_history.py
@@ -49,6 +49,8 @@
     # only there. Empty if it is not known.
     version: str | None = None
     has_brought_event: bool = False
+    # Whether the end of the stream is marked in the transfer.
+    is_delimited: bool = True
     # Events passed on to the caller, and when the first one was.
     events: int = 0
     first_event_at: float = 0.0
@@ -69,7 +71,8 @@
 
     def record_event(self, event_id: int | None) -> None:
         """Record an event that is passed on to the caller."""
-        self.last_event_id = event_id
+        if event_id is not None:
+            self.last_event_id = event_id
         if not self.events:
             self.first_event_at = now()
         self.events += 1
--- a/marjoramspool/attempts.py
+++ b/marjoramspool/attempts.py
@@ -43,6 +43,8 @@
     """Answer streamed as events; `events` raises AttemptError if the stream breaks."""
 
     events: AsyncIterator[StreamEvent] = field(default=None)
+    # Whether its end is marked, so that one that breaks off is not taken for whole.
+    is_delimited: bool = True
 
 
 @dataclass(slots=True, frozen=True)
--- a/marjoramspool/engine_state/answer_times.py
+++ b/marjoramspool/engine_state/answer_times.py
@@ -25,6 +25,8 @@
 MAX_AGE_S = 10.0
 # Time constant with which the judgement of a target fades, so that it is tried again.
 JUDGEMENT_FADE_S = 10.0
+# A judgement says nothing any more after this many fades.
+MAX_FADES = 5.0
 # What the answers of other targets take is compared again after this time.
 BASELINE_AGE_S = 0.5
 # Targets are judged if their answers take this many times what they say, in the geometric mean.
@@ -107,10 +109,17 @@
         if usual := self.usual(engine.service):
             self.judge(engine, max(1.0, waited_s / (usual.mean_s * expected)))
 
+    def prune(self, now_s: float) -> None:
+        """Forget the judgements that have faded; some are of targets that have gone."""
+        oldest = now_s - MAX_FADES * JUDGEMENT_FADE_S
+        self.judgements = {k: j for k, j in self.judgements.items() if j.updated_at > oldest}
+
     def judge(self, engine: Engine, ratio: float) -> None:
         """Add the ratio of the taken to the expected time of one attempt."""
-        judgement = self.judgements.setdefault(engine.key, Judgement(engine.service))
         now_s = self.clock()
+        if engine.key not in self.judgements:
+            self.prune(now_s)
+        judgement = self.judgements.setdefault(engine.key, Judgement(engine.service))
         log_ratio = math.log(min(MAX_RATIO, max(1.0 / MAX_RATIO, ratio)))
         before = judgement.faded(now_s)
         judgement.log_ratio = before + JUDGED_WEIGHT * (log_ratio - before)
--- a/marjoramspool/engine_state/cold_engines.py
+++ b/marjoramspool/engine_state/cold_engines.py
@@ -139,9 +139,10 @@
 
         An engine of which nothing is known is warm, and to hear so is no news.
         """
+        now_s = self.clock()
         known = self.notices.get(key)
         if known is None:
-            if notice.until <= self.clock():
+            if notice.until <= now_s:
                 return
         elif notice.until > known.until:
             if notice.said_before <= known.said_before:
@@ -149,11 +150,10 @@
         elif notice.said_after < known.said_before:
             return
         self.notices[key] = notice
-        self.update(key, notice)
+        self.update(key, notice, now_s)
 
-    def update(self, key: EngineKey, notice: ColdNotice) -> None:
+    def update(self, key: EngineKey, notice: ColdNotice, now_s: float) -> None:
         """Record and log whether an engine has become cold or warm."""
-        now_s = self.clock()
         is_cold = notice.until > now_s
         if is_cold == (key in self.cold_keys):
             return
@@ -175,7 +175,7 @@
         """Record which engines are no longer cold; forget those that have not been for long."""
         now_s = self.clock()
         for key in [key for key in self.cold_keys if self.notices[key].until <= now_s]:
-            self.update(key, self.notices[key])
+            self.update(key, self.notices[key], now_s)
         for key in self.notices.keys() - self.cold_keys:
             if now_s - self.changed_at[key] > END_RETENTION_S:
                 self.remove_engine(key)
--- a/marjoramspool/engine_state/evacuations.py
+++ b/marjoramspool/engine_state/evacuations.py
@@ -68,12 +68,16 @@
     def apply_changes(self, changes: Iterable[tuple[str, bool]], version: int) -> None:
         """Apply changes up to a version, each a domain and whether its order was removed."""
         domains = set(self.domains)
+        before = self.domains | self.held_until.keys()
         for domain, is_removed in changes:
             if is_removed:
                 domains.discard(domain)
+                self.held_until.pop(domain, None)
             else:
                 domains.add(domain)
-        if domains != self.domains:
+        if domains == self.domains:
+            self.announce_changes(before, "store")
+        else:
             self.replace(domains, version, "store")
 
     def expire(self) -> None:
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -290,6 +290,7 @@
                 opening = self.client.open(request, attempt)
                 answer = await stack.enter_async_context(opening)
                 if isinstance(answer, StreamAnswer):
+                    history.is_delimited = answer.is_delimited
                     answer.events = await wait_for_first_event(answer.events, stack)
         except AttemptError as error:
             if isinstance(error, NotSentError | TargetRefusedError):
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -177,7 +177,9 @@
             check_answer(engine, response)
             if response.status in SUCCESS_STATUSES and response.content_type == SSE:
                 events = read_events(response)
-                yield StreamAnswer(response.status, answer_headers(response), events)
+                is_delimited = response.headers.get("Transfer-Encoding", "").lower() == "chunked"
+                headers = answer_headers(response)
+                yield StreamAnswer(response.status, headers, events, is_delimited)
             else:
                 body = await read_body(response, self.memory)
                 yield WholeAnswer(response.status, answer_headers(response), body)
@@ -282,8 +284,13 @@
         """
         url = f"http://{engine.address}{REPORT_PATH}"
         try:
-            async with asyncio.timeout(RUN_REPORT_TIMEOUT_S), self.fresh.get(url) as response:
+            async with (
+                asyncio.timeout(RUN_REPORT_TIMEOUT_S),
+                self.fresh.get(url, allow_redirects=False) as response,
+            ):
                 body = await read_body(response, self.memory)
+            if response.status != HTTP_OK:
+                return RunState.UNKNOWN
             report = msgspec.json.decode(body, type=RunsFields)
         except aiohttp.ClientConnectorError as error:
             is_refused = isinstance(error.os_error, ConnectionRefusedError)
@@ -305,7 +312,9 @@
         try:
             async with (
                 asyncio.timeout(timeout_s),
-                self.fresh.post(url, data=body, headers=JSON_HEADERS) as response,
+                self.fresh.post(
+                    url, data=body, headers=JSON_HEADERS, allow_redirects=False
+                ) as response,
             ):
                 content = await read_body(response, self.memory)
             if response.status not in (HTTP_OK, HTTP_UNAVAILABLE):
--- a/marjoramspool/platform/tests/test_run_moves.py
+++ b/marjoramspool/platform/tests/test_run_moves.py
@@ -60,12 +60,18 @@
     assert site.routers[0].forwarding.mover.moves.active == 0
 
 
-@pytest.mark.parametrize("why", ["engines without moves", "ends in time", "no retry budget"])
+@pytest.mark.parametrize(
+    "why", ["engines without moves", "ends in time", "no retry budget", "no marked end"]
+)
 async def test_a_stream_that_is_not_to_be_moved_stays(site, why):
     await start_moving(site, moves=why != "engines without moves")
     forwarding = site.routers[0].forwarding
     if why == "ends in time":
         forwarding.mover.moves.drain_periods_s["model"] = 30.0
+    if why == "no marked end":
+        # A stopped stream that ends with its connection would pass for a whole one.
+        for engine in site.engines:
+            engine.faults["unframed"] = 1
     task, engine = await begin(site, "r1", copied=False)
     while why == "no retry budget" and forwarding.retry_budget("model").try_acquire():
         pass
--- a/marjoramspool/streams/run_mover.py
+++ b/marjoramspool/streams/run_mover.py
@@ -52,7 +52,7 @@
         Raise RunMovedError once the engine has stopped the run, also if its stream seems to have
         ended.
         """
-        if not self.may_move(request):
+        if not self.may_move(request, history):
             async for event in events:
                 yield event
             return
@@ -75,16 +75,19 @@
                 if event is None:
                     return
                 if move is not None and move.answer.done() and not move.answer.result().handle:
-                    self.log_not_moved(request, move, "the engine did not stop the run")
+                    self.log_not_moved(request, move, "the engine did not say that it stopped it")
                     move = None
                 yield event
         finally:
             if move is not None:
                 move.answer.cancel()
 
-    def may_move(self, request: RoutedRequest) -> bool:
-        """Return whether a stream may run only once, at engines that move runs."""
-        if request.route.is_retryable or request.prompt is None:
+    def may_move(self, request: RoutedRequest, history: AttemptHistory) -> bool:
+        """Return whether a stream may run only once, at engines that move runs.
+
+        One that ends with its connection looks whole when its run has been stopped.
+        """
+        if request.route.is_retryable or request.prompt is None or not history.is_delimited:
             return False
         capacity = self.runs.capacity(request.service)
         return capacity is not None and capacity.has_moves
--- a/marjoramspool/streams/run_moves.py
+++ b/marjoramspool/streams/run_moves.py
@@ -16,6 +16,8 @@
 MAX_MOVES = 4
 # Assumed until an engine of the service has been seen to drain and leave.
 DEFAULT_DRAIN_PERIOD_S = 8.0
+# Engines leave within this time.
+MAX_LEAVING_S = 120.0
 # A stream is moved if it is expected to take more than this part of the time left.
 DRAIN_MARGIN = 0.8
 # Part of the time that a caller waits for an event which a move may take.
@@ -51,13 +53,21 @@
     def drain_left_s(self, engine: Engine) -> float:
         """Return the time until an engine that is leaving is expected to end."""
         now_s = self.clock()
+        if engine.key not in self.leaving_since:
+            self.prune(now_s)
         since = self.leaving_since.setdefault(engine.key, now_s)
         period_s = self.drain_periods_s.get(engine.service, DEFAULT_DRAIN_PERIOD_S)
         return max(0.0, since + period_s - now_s)
 
+    def prune(self, now_s: float) -> None:
+        """Forget the engines that have surely left."""
+        oldest = now_s - MAX_LEAVING_S
+        self.leaving_since = {key: at for key, at in self.leaving_since.items() if at > oldest}
+
     def is_due(self, engine: Engine, left_s: float) -> bool:
         """Return whether to move a stream that is expected to take `left_s` seconds more."""
-        return self.active < MAX_MOVES and left_s > DRAIN_MARGIN * self.drain_left_s(engine)
+        is_due = left_s > DRAIN_MARGIN * self.drain_left_s(engine)
+        return is_due and self.active < MAX_MOVES
 
     def is_fast_enough(self, time_s: float, longest_gap_s: float) -> bool:
         """Return whether a caller that waits for an event at most so long can wait for a move."""
