--- a/marjoramspool/admission/account_admission.py
+++ b/marjoramspool/admission/account_admission.py
@@ -41,8 +41,8 @@
 MIN_HEARD_SHARE = 0.5
 # The accounts that other routers may tell of are listed again after this time.
 ACCOUNTS_AGE_S = 1.0
-# Measured times include some waiting, and sums of demand vary: accounts that want their share are
-# not to count as beyond it for that.
+# Tolerance for errors of the measured capacity and demand, so that an account at its fair share is
+# not throttled.
 ENTITLED_FACTOR = 1.15
 # Accounts of one service that a router tells of, those with the highest demand.
 MAX_TOLD_ACCOUNTS = 32
--- a/marjoramspool/attempt_outlook.py
+++ b/marjoramspool/attempt_outlook.py
@@ -19,7 +19,7 @@
 __all__ = ["AttemptOutlook", "attempt_limit"]
 
 # Other targets that are compared as places for a second attempt.
-MAX_COMPARED_ENGINES = 32
+MAX_RETRY_TARGETS = 32
 
 
 class AttemptOutlook:
@@ -64,7 +64,7 @@
             engine
             for engine in selector.engines.usable(service)
             if engine.id not in tried and not selector.pauses.is_paused(engine)
-        ][:MAX_COMPARED_ENGINES]
+        ][:MAX_RETRY_TARGETS]
         not_ejected = selector.outliers.exclude_ejected(engine.id for engine in others)
         usable = [engine for engine in others if engine.id in not_ejected]
         return min(map(self.current_factor, usable), default=math.inf)
--- a/marjoramspool/engine_state/cold_engines.py
+++ b/marjoramspool/engine_state/cold_engines.py
@@ -30,9 +30,9 @@
 # A cold time that another router tells and that differs by less is the same one.
 SAME_END_S = 0.5
 # What changed is told in each report for this long, everything else once in this time.
-NEWS_S = 0.5
+CHANGE_REPEAT_S = 0.5
 REFRESH_S = 1.0
-MAX_TOLD = 64
+MAX_NOTICES_PER_REPORT = 64
 # How long it is told that an engine is no longer cold.
 END_RETENTION_S = 6.0
 MIN_RETRY_DELAY_S = 0.5
@@ -73,7 +73,7 @@
         "cold_start",
         "notices",
         "shares",
-        "told_at",
+        "reported_at",
         "wanted",
     )
 
@@ -91,7 +91,7 @@
         self.cold_keys: set[EngineKey] = set()
         # When each engine became cold or warm, and when its state was last told to other routers.
         self.changed_at: dict[EngineKey, float] = {}
-        self.told_at: dict[EngineKey, float] = {}
+        self.reported_at: dict[EngineKey, float] = {}
         # Requests that a service's cold engines got or would have got with more permission.
         self.wanted: dict[str, WorkRate] = {}
 
@@ -106,7 +106,7 @@
     def record_listed(self, engine: Engine) -> None:
         """Take an engine for cold that is listed first and does not say whether it is."""
         if engine.cold_remaining_s is None:
-            self.record_doubt(engine)
+            self.assume_cold(engine)
 
     def record_answer(self, engine: Engine, remaining_s: float, sent_at: float) -> None:
         """Record the cold time that an answer names; the request was sent at `sent_at`."""
@@ -125,7 +125,7 @@
         if known is None or not known.is_own or abs(known.until - until) > SAME_END_S:
             self.record_notice(engine.key, notice)
 
-    def record_doubt(self, engine: Engine) -> None:
+    def assume_cold(self, engine: Engine) -> None:
         """Take an engine for cold that may have started again, until it says otherwise."""
         cold_start = self.cold_start(engine.service)
         if cold_start.per_s > 0.0:
@@ -183,7 +183,7 @@
     def remove_engine(self, key: EngineKey) -> None:
         """Remove the state of an engine that is gone, has restarted or is warm."""
         self.cold_keys.discard(key)
-        for state in (self.notices, self.changed_at, self.told_at):
+        for state in (self.notices, self.changed_at, self.reported_at):
             state.pop(key, None)
         self.shares.remove_engine(key)
 
@@ -272,33 +272,33 @@
         shortest_s = min(MIN_RETRY_DELAY_S * max(1.0, wanted_per_s / served_per_s), longest_s / 2)
         return AllCold(shortest_s * (1.0 + draw))
 
-    def is_told(self, key: EngineKey) -> bool:
+    def is_reported(self, key: EngineKey) -> bool:
         """Return whether this router tells the others of an engine: what it heard itself."""
         notice = self.notices[key]
         return notice.is_own and self.cold_start(notice.service).per_s > 0.0
 
-    def has_news(self) -> bool:
+    def has_unreported_change(self) -> bool:
         """Return whether an engine has become cold or warm since the others were told of it."""
         self.expire()
         return any(
-            changed_at > self.told_at.get(key, -math.inf) and self.is_told(key)
+            changed_at > self.reported_at.get(key, -math.inf) and self.is_reported(key)
             for key, changed_at in self.changed_at.items()
         )
 
-    def take_told(self) -> list[tuple[EngineKey, ColdNotice]]:
+    def take_due_notices(self) -> list[tuple[EngineKey, ColdNotice]]:
         """Return the notices to tell the other routers in the next report."""
         self.expire()
         now_s = self.clock()
         due = [
             key
             for key in self.notices
-            if self.is_told(key)
+            if self.is_reported(key)
             and (
-                now_s - self.changed_at[key] < NEWS_S
-                or now_s - self.told_at.get(key, -math.inf) >= REFRESH_S
+                now_s - self.changed_at[key] < CHANGE_REPEAT_S
+                or now_s - self.reported_at.get(key, -math.inf) >= REFRESH_S
             )
         ]
-        due.sort(key=lambda key: self.told_at.get(key, -math.inf))
-        told = due[:MAX_TOLD]
-        self.told_at |= dict.fromkeys(told, now_s)
+        due.sort(key=lambda key: self.reported_at.get(key, -math.inf))
+        told = due[:MAX_NOTICES_PER_REPORT]
+        self.reported_at |= dict.fromkeys(told, now_s)
         return [(key, self.notices[key]) for key in told]
--- a/marjoramspool/engine_state/cold_shares.py
+++ b/marjoramspool/engine_state/cold_shares.py
@@ -23,13 +23,14 @@
 
 __all__ = ["ColdRate", "ColdShares", "FleetView", "RouterRing", "Share"]
 
-# Parts of a partitioned fleet exceed what is divided by at most this factor.
+# The majority of a partitioned fleet has the whole rate, all other partitions at most half of it.
 PARTITION_FACTOR = 1.5
-# The routers that are heard are found again after this time.
+# Maximum age of the cached view of the fleet.
 VIEW_AGE_S = 0.1
 # A router that does not know the fleet yet counts itself as one of this many.
 UNKNOWN_FLEET_SIZE = 256
-# Smaller parts of a fleet take turns of a length.
+# A partition with a smaller part of the routers sends in random turns, at a part of its share:
+# many such partitions may have been idle and send at once.
 MIN_LARGE_PART = 0.25
 SMALL_PART_FACTOR = 0.5
 TURN_S = 1.0
--- a/marjoramspool/engine_state/tests/test_cold_shares.py
+++ b/marjoramspool/engine_state/tests/test_cold_shares.py
@@ -200,12 +200,12 @@
 def test_a_service_whose_engines_are_never_cold_is_served_as_without_figures():
     cold = make_cold(NEVER_COLD)
     cold.record_registered(registered(5.0))
-    cold.record_doubt(COLD)
+    cold.assume_cold(COLD)
     assert not cold.is_cold(COLD)
     assert cold.select([COLD, WARM]) == [COLD, WARM]
     assert cold.all_cold([COLD], 3.0, 0.5) is None
-    assert not cold.has_news()
-    assert not cold.take_told()
+    assert not cold.has_unreported_change()
+    assert not cold.take_due_notices()
 
 
 def test_an_engine_is_cold_for_as_long_as_it_says():
@@ -238,7 +238,7 @@
 def test_what_an_engine_said_before_a_doubt_does_not_end_it():
     # Fault: a registration from before the end of an evacuation arrives after it.
     cold = make_cold()
-    cold.record_doubt(COLD)
+    cold.assume_cold(COLD)
     cold.clock.now += 0.3
     cold.record_registered(registered(0.0))
     cold.record_answer(COLD, 0.0, cold.clock.now - 0.5)
@@ -266,7 +266,7 @@
     until = clock.now + 5.0
     for _ in range(100):
         for teller, hearer in ((first, second), (second, first)):
-            told = teller.take_told()
+            told = teller.take_due_notices()
             remaining_s = [n.until - clock.now for _, n in told]
             age_s = [clock.now - n.said_before for _, n in told]
             clock.now += 0.1
@@ -280,14 +280,14 @@
 def test_a_countdown_is_no_news():
     cold = make_cold()
     cold.record_registered(registered(5.0))
-    assert cold.has_news()
-    assert cold.take_told()
+    assert cold.has_unreported_change()
+    assert cold.take_due_notices()
     for _ in range(10):
         cold.clock.now += 0.4
         cold.record_registered(registered(max(0.0, 105.0 - cold.clock.now)))
-        assert not cold.has_news()
+        assert not cold.has_unreported_change()
     cold.clock.now += 1.5
-    assert cold.has_news()
+    assert cold.has_unreported_change()
 
 
 def test_engines_beyond_the_first_that_fit_a_report_are_told_in_the_next():
@@ -297,11 +297,11 @@
         cold.record_answer(engine, 5.0, cold.clock.now)
     told = set()
     for _ in range(3):
-        assert cold.has_news()
-        told |= {key for key, _ in cold.take_told()}
+        assert cold.has_unreported_change()
+        told |= {key for key, _ in cold.take_due_notices()}
         cold.clock.now += 0.03
     assert len(told) == 150
-    assert not cold.has_news()
+    assert not cold.has_unreported_change()
 
 
 def test_a_restarted_incarnation_has_its_own_state():
@@ -309,7 +309,7 @@
     cold.record_answer(COLD, 5.0, cold.clock.now)
     cold.remove_engine(COLD.key)
     assert not cold.is_cold(COLD)
-    assert not cold.has_news()
+    assert not cold.has_unreported_change()
 
 
 def test_refused_callers_return_the_later_the_more_they_are():
--- a/marjoramspool/peers/cold_reports.py
+++ b/marjoramspool/peers/cold_reports.py
@@ -15,7 +15,7 @@
 def report_cold(cold: ColdEngines) -> Iterator[ColdReport]:
     """Yield what to tell in the next report."""
     now_s = cold.clock()
-    for key, notice in cold.take_told():
+    for key, notice in cold.take_due_notices():
         remaining_ms = max(0, math.ceil((notice.until - now_s) * MS))
         age_ms = round((now_s - notice.said_before) * MS)
         yield ColdReport(incarnation_id(*key), remaining_ms, age_ms)
--- a/marjoramspool/peers/own_reports.py
+++ b/marjoramspool/peers/own_reports.py
@@ -157,7 +157,7 @@
             answered,
             quarantined,
         )
-        has_news = bool(self.queued_updates) or self.selector.cold.has_news()
+        has_news = bool(self.queued_updates) or self.selector.cold.has_unreported_change()
         is_unchanged = content == self.last_content and not has_news
         if is_unchanged and now_s - self.sent_at < HEARTBEAT_PERIOD_S:
             return None
--- a/marjoramspool/placement/attempt_patience.py
+++ b/marjoramspool/placement/attempt_patience.py
@@ -15,9 +15,9 @@
 LATE_SPREADS = 3.0
 # An attempt that is late is expected to need this part of its waiting time once more.
 REMAINING_RATIO = 0.5
-# Part of the time of a second attempt that must be left before the deadline when it starts.
+# A second attempt starts only if this many times its expected duration is left.
 DEADLINE_MARGIN = 1.5
-# What targets do is asked again after this time.
+# Period of the decision whether to go on waiting.
 RECHECK_S = 0.05
 
 
@@ -46,7 +46,7 @@
     if latest_s < waited_s:
         # A second attempt would not be answered in time either.
         return min(remaining_s, RECHECK_S)
-    # One that has to start now or never starts a little before the answer counts as late.
+    # If a second attempt would soon be too late, it may start before the answer counts as late.
     late_s = min(late_s, max(latest_s, outlook.expected_s + outlook.spread_s))
     if waited_s < late_s:
         return min(late_s - waited_s, RECHECK_S)
--- a/marjoramspool/placement/engine_selector.py
+++ b/marjoramspool/placement/engine_selector.py
@@ -211,7 +211,7 @@
         """Take the engines of a failure domain for cold that may have started again meanwhile."""
         for engine in self.engines.engines.values():
             if engine.failure_domain == domain:
-                self.cold.record_doubt(engine)
+                self.cold.assume_cold(engine)
 
     def forget_ejections(self, service: str) -> None:
         """Use the engines of a service again that were ejected while none was in reach."""
@@ -587,7 +587,7 @@
         incarnation = incarnation_id(engine.id, engine.started_ms)
         self.poison.record_end(incarnation, placement.placed_at, parts)
         # It may be back under its id before it is listed again.
-        self.cold.record_doubt(engine)
+        self.cold.assume_cold(engine)
 
     def revert_placement(self, placement: Placement) -> None:
         """Drop the parts of a placement whose engine refused or failed the request."""
--- a/marjoramspool/placement/engine_slowness.py
+++ b/marjoramspool/placement/engine_slowness.py
@@ -7,7 +7,7 @@
 __all__ = ["scaled_cost"]
 
 # An engine counts as slower than usual by at most this factor.
-MAX_SLOWNESS = 3.0
+MAX_COST_FACTOR = 3.0
 
 
 def scaled_cost(cost: int, request_cost: int, slowness: float) -> int:
@@ -18,4 +18,4 @@
     """
     if slowness == 1.0:
         return cost
-    return int((cost + request_cost) * min(MAX_SLOWNESS, slowness)) - request_cost
+    return int((cost + request_cost) * min(MAX_COST_FACTOR, slowness)) - request_cost
--- a/marjoramspool/streams/run_mover.py
+++ b/marjoramspool/streams/run_mover.py
@@ -15,7 +15,7 @@
 from marjoramspool.streams.moved_events import RunMove, next_event
 from marjoramspool.streams.run_backups import select_destination
 from marjoramspool.streams.run_continuation import RunContinuation
-from marjoramspool.streams.run_moves import RunMoves, transfer_time_s
+from marjoramspool.streams.run_moves import MoveSchedule, transfer_time_s
 from marjoramspool.streams.stream_pace import MIN_EVENTS
 
 __all__ = ["RunMover"]
@@ -41,7 +41,7 @@
     def __init__(self, forwarding, runs: RunContinuation):
         self.forwarding = forwarding
         self.runs = runs
-        self.moves = RunMoves()
+        self.moves = MoveSchedule()
         forwarding.selector.engines.on_removed.append(self.moves.record_removed)
 
     async def follow(
--- a/marjoramspool/streams/run_moves.py
+++ b/marjoramspool/streams/run_moves.py
@@ -11,7 +11,7 @@
 from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.routes import EngineCapacity
 
-__all__ = ["RunMoves", "transfer_time_s"]
+__all__ = ["MoveSchedule", "transfer_time_s"]
 
 MAX_MOVES = 4
 # Assumed until an engine of the service has been seen to drain and leave.
@@ -26,7 +26,7 @@
 OTHER_DOMAIN_FACTOR = 2.0
 
 
-class RunMoves:
+class MoveSchedule:
     """Moves at work at this router, and how long engines drain before they leave."""
 
     __slots__ = ("active", "clock", "drain_periods_s", "leaving_since")
--- a/marjoramspool/streams/tests/test_run_move_choice.py
+++ b/marjoramspool/streams/tests/test_run_move_choice.py
@@ -10,7 +10,7 @@
 from marjoramspool.streams.run_moves import (
     DEFAULT_DRAIN_PERIOD_S,
     MAX_MOVES,
-    RunMoves,
+    MoveSchedule,
     transfer_time_s,
 )
 
@@ -31,7 +31,7 @@
 def test_one_engine_drains_under_short_and_long_streams():
     """The longer it has drained, the shorter the streams that it will not finish."""
     clock = Clock()
-    moves = RunMoves(clock)
+    moves = MoveSchedule(clock)
     assert moves.is_due(engine(1), DEFAULT_DRAIN_PERIOD_S + 1.0)
     assert not moves.is_due(engine(1), 3.0)
     clock.now_s += 6.0
@@ -42,7 +42,7 @@
 def test_a_rolling_replacement_with_short_drain_periods():
     """The period that one engine took is expected of the next."""
     clock = Clock()
-    moves = RunMoves(clock)
+    moves = MoveSchedule(clock)
     moves.drain_left_s(engine(1))
     clock.now_s += 2.0
     moves.record_removed(engine(1))
@@ -51,7 +51,7 @@
 
 def test_an_evacuation_that_ends_says_nothing_of_drain_periods():
     clock = Clock()
-    moves = RunMoves(clock)
+    moves = MoveSchedule(clock)
     moves.drain_left_s(engine(1, is_draining=False))
     clock.now_s += 100.0
     moves.record_removed(engine(1, is_draining=False))
@@ -62,14 +62,14 @@
 
 
 def test_many_long_streams_at_once():
-    moves = RunMoves(Clock())
+    moves = MoveSchedule(Clock())
     moves.active = MAX_MOVES
     assert not moves.is_due(engine(1), 1000.0)
 
 
 def test_long_streams_and_little_bandwidth():
     """A caller does not wait longer than for any event; the other domain takes twice as long."""
-    moves = RunMoves(Clock())
+    moves = MoveSchedule(Clock())
     near = transfer_time_s(1000, CAPACITY, engine(1), engine(2))
     assert near == 1.0
     assert transfer_time_s(1000, CAPACITY, engine(1), engine(2, "b")) == 2 * near
