--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -280,7 +280,7 @@
     # Version of its software, empty in the entries of a router of an earlier release.
     version: str = ""
     # For how long it is still cold, None if it is not known to be.
-    cold_remaining_ms: int | None = None
+    cold_ms: int | None = None
 
 
 class TableState(msgspec.Struct, array_like=True, frozen=True):
--- a/marjoramspool/peers/state_transfer.py
+++ b/marjoramspool/peers/state_transfer.py
@@ -66,7 +66,7 @@
         entry.is_draining,
         entry.started_ms,
         entry.version or (known.version if is_same else ""),
-        None if is_same or entry.cold_remaining_ms is None else entry.cold_remaining_ms / MS,
+        None if is_same or entry.cold_ms is None else entry.cold_ms / MS,
     )
 
 
--- a/marjoramspool/peers/tests/test_load_broadcast.py
+++ b/marjoramspool/peers/tests/test_load_broadcast.py
@@ -398,6 +398,6 @@
     clock.now += 2.0
     router.selector.engines.register(replace(ENGINE, cold_remaining_s=0.0))
     entries = export_engines(router.selector.engines, router.selector.cold)
-    assert entries[0].cold_remaining_ms == 0
+    assert entries[0].cold_ms == 0
     import_engines(other.selector.engines, entries, 2)
     assert other.selector.cold.remaining_s(ENGINE.key) == pytest.approx(6.0)
