Review, case 1: a run goes on at two engines after a stale report

A stream that may not run twice breaks off some 100 ms after its first token, while its engine goes on with it. The engine's report is some hundred ms old and does not list the run yet; the router takes that for its end and sends the run to the engine that has the copy of its memory.

Ruled out: the engine was reachable all the while, no router was restarted, frozen or cut off, and the first engine works on the run for about five seconds more (the rule allows 400 ms).

--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and process control for the review's scripts."""
