Review, case 4: a stream begun at an unlisted version goes on at another

An engine that starts again under its id with other software is listed with its old version until its next report. A stream that begins there counts as one of the old version; when the engine goes down, the router sends it on to an engine of the old version, and the answer joins both.

Ruled out: routers and store are sound all the while; where a stream goes on, the start time of the engine is compared, so the second engine is of the version that its entry says.

The case of the listing in pages is number 5 now.

--- /dev/null
+++ b/review/5/run.py
@@ -0,0 +1,185 @@
+"""Case 5: a change between two pages of a listing is missed, and a drained engine gets requests."""
+
+import asyncio
+import random
+import signal
+import time
+from pathlib import Path
+
+import aiohttp
+
+from review.common.engine import Engine
+from review.common.fleet import HOST, KEY, Record, is_troubled, route, run_script, running_fleet
+from review.common.store import Store
+
+FOLDER = Path(__file__).resolve().parent
+ROUTERS = 3
+PAGE_ITEMS = 50
+MODEL_ENGINES = 53
+DESK_ENGINES = 7
+REQUESTS_PER_S = 40.0
+LEAD_S = 5.0
+AFTER_S = 9.0
+# The bounds of the rules.
+DRAIN_S = 2.0
+STABLE_S = 3.0
+# The engine goes on serving for some seconds after drain_ms, then exits.
+EXIT_S = 9.0
+
+MODEL, DESK = "huvo11a", "wuno96b"
+
+
+async def send(fleet, record: Record, number: int, index: int, results: list) -> None:
+    """Send one request; every third is of the idempotent route."""
+    name = f"{random.getrandbits(48):012x}{number:04x}"
+    router = fleet.routers[index]
+    path, method = (("/cufi504/fi50/2f", "GET"), ("/puxa403/2f", "POST"))[number % 3 > 0]
+    headers = {
+        "Host": HOST,
+        "X-Request-Id": name,
+        "X-Request-Deadline-Ms": "1500",
+        "Api-Key": KEY,
+    }
+    sent_at = time.monotonic()
+    try:
+        async with fleet.session.request(
+            method,
+            f"http://{router.front}{path}",
+            headers=headers,
+            data=b"order" if method == "POST" else None,
+            timeout=aiohttp.ClientTimeout(total=1.5),
+        ) as response:
+            await response.read()
+            status = str(response.status)
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        status = type(error).__name__
+    results.append((name, router.name, sent_at, status))
+    record.write(f"sent {name} to {router.name}: {method} {status}", sent_at)
+
+
+async def play() -> bool:
+    """Play the case; return whether the rule was broken."""
+    record = Record(FOLDER)
+    store = Store(PAGE_ITEMS)
+    engines: list[Engine] = []
+    async with running_fleet() as fleet:
+        host, _, port = fleet.store_address.rpartition(":")
+        await store.start(host, int(port))
+        for number in range(MODEL_ENGINES + DESK_ENGINES):
+            is_model = number >= DESK_ENGINES
+            engine = Engine(f"i-{number:08x}", MODEL if is_model else DESK, is_model=is_model)
+            engine.slots = 64 if is_model else 6
+            await engine.start(f"{fleet.net}.3")
+            engines.append(engine)
+            await store.put("servers", engine.id, engine.entry())
+        desk_routes = [
+            route("r-a", "/puxa403/", "non_idempotent", DESK, timeout_ms=1500),
+            route("r-b", "/cufi504/", "idempotent", DESK, timeout_ms=1500, max_attempts=2),
+        ]
+        for fields in desk_routes:
+            fields["target_latency_ms"] = 125
+        desired = {
+            "version": 7,
+            "routes": desk_routes,
+            "services": [
+                {"name": MODEL, "health_path": "/healthz"},
+                {"name": DESK, "health_path": "/healthz"},
+            ],
+            "tenants": [{"name": "hule930", "api_keys": [KEY]}],
+        }
+        await store.put("config", "main", desired)
+        await asyncio.gather(*[fleet.add_router() for _ in range(ROUTERS)])
+        record.write("all routers are ready")
+        await asyncio.sleep(LEAD_S)
+
+        drained = engines[0]
+        restarted = fleet.routers[0]
+        confirmed: list[float] = []
+        started_at = 0.0
+
+        async def drain() -> None:
+            if not confirmed:
+                await store.put("servers", drained.id, drained.entry("draining"))
+                confirmed.append(time.monotonic())
+                record.write(f"the store confirms that {drained.id} is draining")
+
+        async def drain_between_pages(kind: str, address: str, more: bool) -> None:
+            if kind == "servers" and more:
+                await drain()
+
+        results: list[tuple] = []
+        tasks: list[asyncio.Task] = []
+        is_over = False
+
+        async def send_all() -> None:
+            number = 0
+            begun = time.monotonic()
+            while not is_over:
+                ready = [n for n, r in enumerate(fleet.routers) if n or usable]
+                task = send(fleet, record, number, ready[number % len(ready)], results)
+                tasks.append(asyncio.create_task(task))
+                number += 1
+                await asyncio.sleep(max(0.0, begun + number / REQUESTS_PER_S - time.monotonic()))
+
+        usable = True
+        traffic = asyncio.create_task(send_all())
+        await asyncio.sleep(2.0)
+        # Planned work: one machine is stopped and started; it gets no new channels meanwhile.
+        usable = False
+        restarted.signal(signal.SIGTERM)
+        record.write(f"SIGTERM to {restarted.name}")
+        await asyncio.wait_for(restarted.process.wait(), 9.0)
+        record.write(f"{restarted.name} has exited")
+        if is_troubled():
+            store.on_page = drain_between_pages
+        started_at = time.monotonic()
+        await restarted.start()
+        await fleet.wait_ready(restarted)
+        usable = True
+        record.write(f"{restarted.name} is ready again")
+        if not is_troubled():
+            await drain()
+        await asyncio.sleep(confirmed[0] + EXIT_S - time.monotonic())
+        await store.delete("servers", drained.id)
+        await drained.stop()
+        record.write(f"{drained.id} has exited")
+        await asyncio.sleep(1.0)
+        is_over = True
+        await traffic
+        await asyncio.gather(*tasks)
+        broken = report(record, fleet, drained, confirmed[0], started_at, results)
+        for engine in engines[1:]:
+            await engine.stop()
+        await store.stop()
+        return broken
+
+
+def report(record, fleet, drained: Engine, confirmed: float, started: float, results) -> bool:
+    """Return whether requests reached the engine later than `drain_ms` after the confirmation."""
+    routers = {name: (router, at) for name, router, at, _ in results}
+    late = []
+    for run in drained.arrivals:
+        router, sent_at = routers.get(run.id, ("?", 0.0))
+        is_in_touch = router != fleet.routers[0].name or run.arrived_at >= started + STABLE_S
+        delay_s = run.arrived_at - confirmed
+        if delay_s > 0:
+            record.write(
+                f"{drained.id} got {run.id} from {router} {delay_s:.3f} s after the confirmation"
+                f"{'' if is_in_touch else ' (not in touch)'}",
+                run.arrived_at,
+            )
+        if delay_s > DRAIN_S and is_in_touch:
+            late.append(router)
+    good = sum(status == "200" for *_, status in results)
+    counts = {name: late.count(name) for name in sorted(set(late))}
+    record.verdict(
+        bool(late),
+        f"DRAIN: {len(late)} requests reached {drained.id} later than {DRAIN_S} s after the store "
+        f"had confirmed that it is draining, {counts}; {len(results)} requests, {good} with 200",
+    )
+    if good < 0.9 * len(results):
+        raise RuntimeError("the fleet served too little for the case to say anything")
+    return bool(late)
+
+
+run_script(play)
--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -83,6 +83,16 @@
         for task in list(self.tasks):
             task.cancel()
 
+    async def restart(self, down_s: float, version: str) -> None:
+        """End as a process that crashes, and start again under the same id and address."""
+        await self.stop()
+        await asyncio.sleep(down_s)
+        self.born, self.version = int(time.time() * 1000), version
+        self.copies.clear()
+        self.handles.clear()
+        host, _, port = self.address.rpartition(":")
+        await self.start(host, int(port))
+
     def entry(self, state: str = "ready") -> dict:
         """Return the entry in the store."""
         return {
@@ -248,7 +258,7 @@
                 if time.monotonic() - copied_at >= COPY_PERIOD_S:
                     copied_at = time.monotonic()
                     self.back_up(run)
-                event = f"id: {number}\ndata: {run.id} piece {number}\n\n".encode()
+                event = f"id: {number}\ndata: {run.id} {self.version} piece {number}\n\n".encode()
                 if not writer.transport.is_closing():
                     writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
                     if lost_after is not None and number - first + 1 >= lost_after:
