--- a/review/1/run.py
+++ b/review/1/run.py
@@ -18,6 +18,9 @@
 LEAD_S = 5.0
 TRAFFIC_S = 16.0
 REQUESTS_PER_S = 45.0
+# Shared parts of prompts, as many as on the site, so that added engines are used at once.
+SUBJECTS = 46
+SUBJECT_ID = 0x5C1E07A2
 EVENTS = 100
 EVENT_S = 0.05
 # The disruption: one of so many runs at the added engines loses its answer, twice for so long.
@@ -74,7 +77,7 @@
         "X-Request-Id": name,
         "X-Model": "m",
         "X-Token-Count": f"11812,{6 * EVENTS}",
-        "X-Prompt-Prefix": f"5c1e07a2:10512,{number + 1:x}:1300",
+        "X-Prompt-Prefix": f"{SUBJECT_ID + random.randrange(SUBJECTS):x}:10512,{number + 1:x}:1300",
         "X-Request-Deadline-Ms": "15000",
         "Api-Key": KEY,
     }
