Take a run for ended only on a report of a moment after it began

Cause: a report describes the moment some hundred ms before. One that was made before the run began does not list it; RunContinuation took that for the end. The same holds for a run that was preempted, which waits unlisted, and for a new incarnation, which may be the one that executes the run.

--- a/marjoramspool/attempt_history.py
+++ b/marjoramspool/attempt_history.py
@@ -61,6 +61,8 @@
     next_move_at: float = 0.0
     # When the answer of the last attempt began, None once the engine has outlived its beginning.
     answered_at: float | None = None
+    # When the first event of the last attempt arrived, None if none did.
+    run_began_at: float | None = None
     # Engine that receives the memory of the last attempt's run.
     backup: Engine | None = None
     # Time for which the request has waited for a free slot.
--- a/marjoramspool/attempts.py
+++ b/marjoramspool/attempts.py
@@ -66,10 +66,14 @@
 
 
 class RunState(enum.Enum):
-    """What is known of a run at an engine; `REFUSED` means that the engine takes no connection."""
+    """What is known of a run at an engine.
+
+    `UNLISTED` means that its report of some hundred ms ago neither lists the run nor names waiting
+    requests, `REFUSED` that it takes no connection.
+    """
 
     AT_WORK = "at work"
-    GONE = "gone"
+    UNLISTED = "unlisted"
     REFUSED = "refused"
     UNKNOWN = "unknown"
 
@@ -102,7 +106,7 @@
         """Return whether an engine refuses connections, as after the end of its process."""
 
     async def run_state(self, engine: Engine, request_id: str) -> RunState:
-        """Return whether an engine still executes a request, by its own report."""
+        """Return what the present report of an engine says of the run of a request."""
 
     async def move_run(
         self, source: Engine, destination: Engine, request_id: str, timeout_s: float
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -292,6 +292,7 @@
                 if isinstance(answer, StreamAnswer):
                     history.is_delimited = answer.is_delimited
                     answer.events = await wait_for_first_event(answer.events, stack)
+                    history.run_began_at = now()
         except AttemptError as error:
             if isinstance(error, NotSentError | TargetRefusedError):
                 self.selector.revert_placement(placement)
@@ -369,6 +370,7 @@
         history.attempts_started += 1
         history.tried_engines.add(placement.engine.id)
         history.placement = placement
+        history.run_began_at = None
         history.possible_runs += 1
         candidate = placement.choice.engine
         log(
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -85,7 +85,8 @@
 
     # Each entry begins with the id of the request; None where engines do not list them.
     runs: list[tuple[str, int, int, int]] | None = None
-    born: int = 0
+    # Requests that wait; a run that was preempted is one of them and is not listed.
+    queued: int = 0
 
 
 class MoveFields(msgspec.Struct, frozen=True):
@@ -277,7 +278,7 @@
         return await is_refusing_connections(engine.address)
 
     async def run_state(self, engine: Engine, request_id: str) -> RunState:
-        """Return whether an engine still executes a request, by its own report.
+        """Return what the present report of an engine says of the run of a request.
 
         Only a refused connection shows that the process has ended; other errors may be of this
         host.
@@ -297,11 +298,11 @@
             return RunState.REFUSED if is_refused else RunState.UNKNOWN
         except (aiohttp.ClientError, MayHaveRunError, OSError, TimeoutError, ValueError):
             return RunState.UNKNOWN
-        if report.runs is not None:
-            is_listed = any(run_id == request_id for run_id, *_ in report.runs)
-            return RunState.AT_WORK if is_listed else RunState.GONE
-        is_other = engine.started_ms and report.born and report.born != engine.started_ms
-        return RunState.GONE if is_other else RunState.UNKNOWN
+        if report.runs is None:
+            return RunState.UNKNOWN
+        if any(run_id == request_id for run_id, *_ in report.runs):
+            return RunState.AT_WORK
+        return RunState.UNKNOWN if report.queued else RunState.UNLISTED
 
     async def move_run(
         self, source: Engine, destination: Engine, request_id: str, timeout_s: float
--- a/marjoramspool/platform/tests/test_run_backups.py
+++ b/marjoramspool/platform/tests/test_run_backups.py
@@ -198,6 +198,31 @@
         assert not continued(site, "r1")
 
 
+async def test_a_run_younger_than_the_report_is_not_taken_for_ended(site):
+    """Its engine goes on with it, and a report of an earlier moment does not list it yet."""
+    await start(site)
+    for engine in site.engines:
+        engine.faults["detach"] = 1
+        engine.detached_s = 2.5
+    status, events, is_whole = await read_stream(site, "r1")
+    assert (status, is_whole) == (200, False)
+    assert events == EVENTS[: len(events)]
+    assert not continued(site, "r1")
+    assert runs(site, "r1") == 1
+
+
+async def test_a_preempted_run_is_not_taken_for_ended(site):
+    """Its engine reads it in again later, and does not list it until then."""
+    await start(site)
+    for engine in site.engines:
+        engine.faults["detach"] = 1
+        engine.detached_s = 2.5
+        engine.preempted.add("r1")
+    status, _, is_whole = await read_stream(site, "r1")
+    assert (status, is_whole) == (200, False)
+    assert not continued(site, "r1")
+
+
 async def test_a_stream_goes_on_when_its_engine_no_longer_lists_it(site):
     await start(site)
     site.engines[0].faults["cut"] = 1
--- a/marjoramspool/streams/run_continuation.py
+++ b/marjoramspool/streams/run_continuation.py
@@ -15,15 +15,11 @@
 from marjoramspool.routes import EngineCapacity
 from marjoramspool.streams.event_stream import StreamEvent
 from marjoramspool.streams.run_backups import Destination, RunBackups, RunEstimate
+from marjoramspool.streams.run_release import RunRelease
 from marjoramspool.streams.stream_pace import StreamPace
 
 __all__ = ["RunContinuation"]
 
-# An engine that has closed the connection of a run stops it within about this time; callers wait
-# longer than this between two events.
-RELEASE_TIMEOUT_S = 0.4
-RELEASE_CHECK_PERIOD_S = 0.03
-
 
 class RunContinuation:
     """Asks for copies of runs that may not run twice, and goes on with them where the copies are.
@@ -126,7 +122,7 @@
         copy = history.backup
         # An engine stops a run whose connection is closed.
         await stack.aclose()
-        why = await self.find_obstacle(request, first, copy)
+        why = await self.find_obstacle(request, history, first, copy)
         if why is None:
             memory = f"{copy.address}/{request.id}"
             events = await self.send(request, history, stack, after_event, copy, memory)
@@ -154,13 +150,13 @@
         raise BrokenAnswerError(f"{failure}; {why}")
 
     async def find_obstacle(
-        self, request: RoutedRequest, first: Engine, copy: Engine
+        self, request: RoutedRequest, history: AttemptHistory, first: Engine, copy: Engine
     ) -> str | None:
         """Return why a run cannot go on at the engine with its copy, None if it can."""
         selector = self.forwarding.selector
         poison = selector.poison
-        if not await self.has_released(first, request):
-            return f"engine {first.id} may still execute it"
+        if why := await self.find_execution(request, history, first):
+            return why
         if poison.is_watching and poison.find_quarantine(request.parts):
             return "engines end under content of the request"
         if not selector.may_go_on_at(copy):
@@ -169,24 +165,31 @@
             return "the retry budget is spent"
         return None
 
-    async def has_released(self, engine: Engine, request: RoutedRequest) -> bool:
-        """Return whether an engine is known to execute a request no more.
+    async def find_execution(
+        self, request: RoutedRequest, history: AttemptHistory, engine: Engine
+    ) -> str | None:
+        """Return why an engine may still execute a request, None if it surely does not.
 
         Fault: only the connection broke, and the engine goes on with the run.
         """
-        until = now() + min(RELEASE_TIMEOUT_S, request.remaining_s())
+        release = RunRelease(history.run_began_at, request.remaining_s())
         while True:
-            match await self.forwarding.client.run_state(engine, request.id):
-                case RunState.GONE:
-                    return True
-                case RunState.REFUSED:
-                    if await self.forwarding.reach.has_lost_path(engine):
-                        return False
-                    self.backups.record_end(engine)
-                    return True
-            if now() >= until:
-                return False
-            await asyncio.sleep(RELEASE_CHECK_PERIOD_S)
+            asked_at = now()
+            state = await self.forwarding.client.run_state(engine, request.id)
+            if release.is_proof(state, asked_at):
+                if state is not RunState.REFUSED or await self.has_ended(engine):
+                    return None
+                return f"engine {engine.id} may be behind a cut"
+            if release.is_over():
+                return f"engine {engine.id} may still execute it: {state.value}"
+            await asyncio.sleep(release.next_check_s())
+
+    async def has_ended(self, engine: Engine) -> bool:
+        """Return whether an engine that refuses connections has ended; record its end."""
+        if await self.forwarding.reach.has_lost_path(engine):
+            return False
+        self.backups.record_end(engine)
+        return True
 
     async def send(
         self,
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -17,6 +17,8 @@
 
 PIECE_INTERVAL_S = 0.005
 PIECES_PER_STREAM = 6
+# A report tells of the moment this long ago.
+REPORT_LAG_S = 0.2
 # Work is done in steps of this length, so that a change of the slowness reaches running requests.
 WORK_STEP_S = 0.01
 SIGNATURE = "sig.1"
@@ -51,9 +53,16 @@
     # Events generated, and whether the run was stopped to move it.
     events: int = 0
     is_stopped: bool = False
-    # When the engine stopped to execute it, None while it does or if it never did.
+    # When the engine began to execute it, with its first event, and when it stopped.
+    began_at: float | None = None
     ended_at: float | None = None
 
+    def was_executed_at(self, moment: float) -> bool:
+        """Return whether the engine executed it at a moment."""
+        if self.began_at is None or self.began_at > moment:
+            return False
+        return self.ended_at is None or self.ended_at > moment
+
     @property
     def content(self) -> tuple[str, str, bytes]:
         """Return what the memory of a run belongs to."""
@@ -84,7 +93,8 @@
     replaces them. The engine ends when it begins to answer a request with a prompt part in
     `poison`, or when it begins to run one with a body in `poison_bodies`.
 
-    With `memory_peers` it lists its runs, copies the memory of a run to the engine that the request
+    With `memory_peers` it lists its runs as they were `report_lag_s` ago, without those in
+    `preempted`, which wait for memory, copies the memory of a run to the engine that the request
     names while that one has room, and goes on from memory that it was sent. Faults of these: detach
     (the connection of a stream is reset midway and the run goes on for `detached_s`), move-busy (a
     move is refused with 409), move-mute (a move is not answered and the run goes on), move-full
@@ -136,6 +146,8 @@
     # Time for which a run goes on after its connection has been reset by the fault `detach`.
     detached_s: float = 0.0
     at_work: dict[str, Arrival] = field(default_factory=dict)
+    report_lag_s: float = REPORT_LAG_S
+    preempted: set[str] = field(default_factory=set)
     # Memory that was moved here or kept here, by the address of its source and its handle.
     handles: dict[tuple[str, str], RunMemory] = field(default_factory=dict)
     move_s: float = 0.02
@@ -240,9 +252,9 @@
             writer.write(self.head(200, arrival.id, len(body)) + body)
             return True
         if arrival.path == "/marjoramspool/report":
-            report = {"running": self.running, "born": self.started_ms}
+            report = {"running": self.running, "queued": self.queued(), "born": self.started_ms}
             if self.memory_peers is not None:
-                report["runs"] = [(name, 0, 0, 0) for name in self.at_work]
+                report["runs"] = [(name, 0, 0, 0) for name in self.reported_runs()]
             body = msgspec.json.encode(report)
             writer.write(self.head(200, arrival.id, len(body)) + body)
             return not self.consume("close-after-report")
@@ -296,6 +308,16 @@
             return await self.stream(arrival, reader, writer)
         return await self.plain(arrival, writer)
 
+    def reported_runs(self) -> list[str]:
+        """Return the ids of the runs that it executed when its report was made."""
+        moment = time.monotonic() - self.report_lag_s
+        executed = (a.id for a in self.arrivals if a.was_executed_at(moment))
+        return [name for name in executed if name not in self.preempted]
+
+    def queued(self) -> int:
+        """Return the number of requests that wait to be executed or read in again."""
+        return self.waiting + len(self.preempted)
+
     async def go_on(self, arrival: Arrival, reader, writer) -> bool:
         """Go on with a run from its memory, or refuse it if there is none."""
         address, _, name = arrival.headers["kv-from"].partition("/")
@@ -470,6 +492,7 @@
                 return False
             writer.write(event if is_unframed else chunk(event))
             arrival.has_sent_events = True
+            arrival.began_at = arrival.began_at or time.monotonic()
             arrival.events = number
             self.back_up(arrival, number)
             await writer.drain()
