Take only a refused connection for the end of a process

What callers could see: prompts quarantined and engines counted as ended although they serve, when this host is out of descriptors or ports or cannot reach them.

Change: only ConnectionRefusedError counts.

--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -124,16 +124,16 @@
 async def is_refusing_connections(address: str) -> bool:
     """Return whether nothing listens at `HOST:PORT`, as after the end of a process.
 
-    Of a host that does not answer at all nothing is known.
+    Other errors show nothing: the host may be out of reach, or this one out of descriptors.
     """
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(REFUSAL_TIMEOUT_S):
             _, writer = await asyncio.open_connection(host, int(port))
-    except TimeoutError:
-        return False
-    except OSError:
+    except ConnectionRefusedError:
         return True
+    except (OSError, TimeoutError):
+        return False
     writer.transport.abort()
     return False
 
