Forget the copy of an earlier attempt when a request goes through another router

What callers could see: a stream through another router that breaks off ends with an error of the program, or goes on at an engine that was to copy an earlier attempt of it.

Change: forget_run drops placement, copy and beginning together.

--- a/marjoramspool/attempt_history.py
+++ b/marjoramspool/attempt_history.py
@@ -71,6 +71,12 @@
         503, "no usable engine for the request", "retry the request", DEFAULT_RETRY_AFTER_S
     )
 
+    def forget_run(self) -> None:
+        """Forget the run of the last attempt at an engine; the next goes through another router."""
+        self.placement = None
+        self.backup = None
+        self.run_began_at = None
+
     def record_event(self, event_id: int | None) -> None:
         """Record an event that is passed on to the caller."""
         if event_id is not None:
--- a/marjoramspool/peer_attempts.py
+++ b/marjoramspool/peer_attempts.py
@@ -59,7 +59,7 @@
         if peer is None:
             return None
         history.tried_peers.add(peer.address)
-        history.placement = None
+        history.forget_run()
         earlier_runs = request.earlier_runs + history.possible_runs
         history.attempts_started += 1
         history.possible_runs += 1
