Let a listing of several pages hold at one revision

Cause: Store.list_objects gave the revision of the last page to the whole listing. A change between two pages is missing from it and never comes with a watch from there; other routers take the list, since its revision is theirs or newer. The same listing is made at each start and after each 410, for engines, desired state, evacuations, quarantine and documents.

Later changes arrive, which rules the watch out.

Change: ListingBuilder merges the pages and the changes since the first one, so that nothing is missing, goes back or returns. One call more only if the store changed between pages.

--- a/marjoramspool/engine_state/quarantine_store.py
+++ b/marjoramspool/engine_state/quarantine_store.py
@@ -13,7 +13,8 @@
 from marjoramspool.clock import now
 from marjoramspool.engine_state.poison_parts import PoisonDetector, Quarantine
 from marjoramspool.events import Event, log
-from marjoramspool.platform.store import Conflict, PlatformError, Store, StoredObject, Written
+from marjoramspool.platform.store import Conflict, PlatformError, Store, Written
+from marjoramspool.stored_objects import StoredObject
 
 __all__ = ["KIND", "QuarantineStore"]
 
--- a/marjoramspool/peers/discovery.py
+++ b/marjoramspool/peers/discovery.py
@@ -9,7 +9,8 @@
 from marjoramspool.clock import now
 from marjoramspool.engine_state.engine_list import MAX_COPY_AGE_S
 from marjoramspool.peers.directory import Directory
-from marjoramspool.platform.store import PlatformError, Store, StoredObject
+from marjoramspool.platform.store import PlatformError, Store
+from marjoramspool.stored_objects import StoredObject
 
 __all__ = ["KIND", "Discovery", "RouterSpec", "read_spec"]
 
--- a/marjoramspool/platform/store.py
+++ b/marjoramspool/platform/store.py
@@ -14,22 +14,23 @@
 from marjoramspool.http import new_session
 from marjoramspool.keepalive import keepalive_socket
 from marjoramspool.store_versions import combine, epoch_of, revision_of
+from marjoramspool.stored_objects import Listing, ListingBuilder, ObjectChange, StoredObject
 
 __all__ = [
+    "CATCH_UP_TIMEOUT_S",
     "Conflict",
     "HistoryGoneError",
-    "Listing",
-    "ObjectChange",
     "PlatformError",
     "PlatformUnavailableError",
     "Store",
-    "StoredObject",
     "WriteUncertainError",
     "Written",
 ]
 
 PATH = "/marjoramspool/objects"
 MS_PER_S = 1000.0
+# A watch of which only the changes so far are wanted.
+CATCH_UP_TIMEOUT_S = 0.001
 # A watch that returns this much later than asked has gone silent.
 WATCH_SLACK_S = 0.6
 HTTP_OK = 200
@@ -95,32 +96,6 @@
     at: int
 
 
-@dataclass(slots=True, frozen=True)
-class StoredObject:
-    """Object in the store; `revision` is that of its last change."""
-
-    name: str
-    revision: int
-    spec: msgspec.Raw
-    status: msgspec.Raw
-
-
-@dataclass(slots=True, frozen=True)
-class Listing:
-    """All objects of a kind at one revision of the store."""
-
-    objects: list[StoredObject]
-    revision: int
-
-
-@dataclass(slots=True, frozen=True)
-class ObjectChange:
-    """Creation, update or removal of an object."""
-
-    object: StoredObject
-    is_removed: bool
-
-
 @dataclass(slots=True, frozen=True)
 class Written:
     """Result of a conditional write that took effect."""
@@ -182,21 +157,34 @@
         await self.session.close()
 
     async def list_objects(self, kind: str, is_stale_allowed: bool = False) -> Listing:
-        """Return all objects of a kind; raise PlatformError.
+        """Return all objects of a kind at one revision; raise PlatformError.
 
-        A stale listing may be seconds old, but costs the store less.
+        A stale listing costs the store less, but may be seconds old and mix several revisions.
         """
-        objects: list[StoredObject] = []
+        builder = ListingBuilder()
+        await self.list_pages(kind, is_stale_allowed, builder)
+        while not (builder.is_complete or is_stale_allowed):
+            since = builder.revision
+            builder.apply_changes(*await self.watch(kind, since, CATCH_UP_TIMEOUT_S))
+            if builder.revision == since:
+                raise PlatformError(f"the store tells no changes of {kind} after {since}")
+        return builder.listing()
+
+    async def list_pages(self, kind: str, is_stale_allowed: bool, builder: ListingBuilder) -> None:
+        """Add all pages of a listing to a builder; raise PlatformError."""
         stale = "allow_stale=1" if is_stale_allowed else ""
         query = stale
+        epoch = None
         while True:
             reply = await self.call("GET", f"{PATH}/{kind}" + (f"?{query}" if query else ""))
-            if objects and reply.epoch != epoch_of(objects[0].revision):
+            if epoch is not None and reply.epoch != epoch:
                 raise PlatformError(f"the store was restored while {kind} was listed; list again")
+            epoch = reply.epoch
             page = decode(ListFields, reply.body)
-            objects.extend(read_objects(page.items, reply.epoch))
+            objects = list(read_objects(page.items, epoch))
+            builder.add_page(objects, combine(epoch, page.at))
             if not page.more or not objects:
-                return Listing(objects, combine(reply.epoch, page.at))
+                return
             query = f"since_revision={quote(objects[-1].name, safe='')}&{stale}".rstrip("&")
 
     async def watch(
--- /dev/null
+++ b/marjoramspool/platform/tests/test_store_listings.py
@@ -0,0 +1,174 @@
+"""Changes of the engines between two pages of a listing.
+
+Guards against a router that never learns that an engine drains, sends it requests until it exits,
+and passes its list on to other routers as the newest one.
+"""
+
+import asyncio
+
+import pytest
+
+from bench.local import wait_until
+from bench.platform_fleet import route
+from marjoramspool.platform.store import HistoryGoneError, PlatformError, Store
+from marjoramspool.store_versions import revision_of
+from marjoramspool.store_watchers import StoreWatcher, WatchRole
+
+ENGINES = 6
+PAGE_ITEMS = 2
+
+
+class Entries(StoreWatcher):
+    """Watcher that keeps the spec of each object, and all that it was told of each."""
+
+    def __init__(self, store):
+        super().__init__(store, "servers", lambda: WatchRole.INDEPENDENT)
+        self.specs = {}
+        self.told = []
+
+    def apply_listing(self, objects, revision):
+        self.specs = {stored.name: bytes(stored.spec) for stored in objects}
+        self.told += self.specs.items()
+
+    def apply_change(self, change):
+        name, spec = change.object.name, bytes(change.object.spec)
+        self.told.append((name, None if change.is_removed else spec))
+        if change.is_removed:
+            self.specs.pop(name, None)
+        else:
+            self.specs[name] = spec
+
+
+async def add_engines(site):
+    """Write the entries of engines, more than a page holds."""
+    for _ in range(ENGINES):
+        await site.add_engine("desk")
+    site.store.page_items = PAGE_ITEMS
+
+
+def change_between_pages(site, *steps):
+    """Make the steps one after the other, each after the answer with a page of the engines."""
+    waiting = list(steps)
+
+    async def make_change(kind):
+        if kind == "servers" and waiting:
+            await waiting.pop(0)()
+
+    site.store.on_page = make_change
+
+
+async def drain(site, number):
+    engine = site.engines[number]
+    await site.put("servers", engine.id, engine.registration(state="draining"))
+
+
+@pytest.mark.parametrize("drained", [0, 3, 5])
+async def test_an_engine_that_drains_between_two_pages_is_known_to_drain(site, drained):
+    await add_engines(site)
+    change_between_pages(site, lambda: drain(site, drained))
+    await site.configure(route("/x/", "idempotent", "desk"))
+    router = await site.add_router()
+    await wait_until(
+        lambda: router.engines.engines[f"i-{drained}"].is_draining, "the router knows it", 1.0
+    )
+
+
+async def test_an_engine_that_drains_between_the_pages_after_lost_history_is_known_to_drain(site):
+    await add_engines(site)
+    await site.configure(route("/x/", "idempotent", "desk"))
+    router = await site.add_router()
+    change_between_pages(site, lambda: drain(site, 0))
+    site.store.compact_history()
+    await site.put("servers", "i-9", site.engines[1].registration(address="127.0.0.1:1"))
+    site.store.compact_history()
+    await wait_until(lambda: router.engines.engines["i-0"].is_draining, "the router knows it", 4.0)
+
+
+async def test_no_router_takes_a_list_that_misses_a_change_from_one_that_starts(site):
+    """Two routers run all the while and know better; the third learns it between two pages."""
+    await add_engines(site)
+    await site.configure(route("/x/", "idempotent", "desk"))
+    for _ in range(2):
+        await site.add_router()
+    await site.wait_for_peers()
+    change_between_pages(site, lambda: drain(site, 0))
+    await site.add_router()
+    for number in range(10):
+        await site.put("other", "o", number)
+        await asyncio.sleep(0.1)
+    assert all(router.engines.engines["i-0"].is_draining for router in site.routers)
+
+
+async def test_engines_that_come_and_go_between_pages_are_as_the_store_has_them(site):
+    await add_engines(site)
+
+    async def first():
+        await site.remove_object("servers", "i-0")
+        await site.put("servers", "i-00", site.engines[0].registration(born=2000))
+        # It changes on a page that is read later, and goes before that.
+        await site.put("servers", "i-4", site.engines[4].registration(born=2000))
+        await site.remove_object("servers", "i-4")
+
+    async def second():
+        await site.remove_object("servers", "i-5")
+        await site.put("servers", "i-5", site.engines[5].registration(born=3000))
+
+    change_between_pages(site, first, second)
+    async with Store(f"127.0.0.1:{site.store_port}", 0.5) as store:
+        listing = await store.list_objects("servers")
+    found = {stored.name: revision_of(stored.revision) for stored in listing.objects}
+    assert found == {name: entry.revision for name, entry in site.store.objects["servers"].items()}
+    assert revision_of(listing.revision) == site.store.revision
+
+
+async def test_no_entry_goes_back_and_none_returns_after_a_listing(site):
+    """Changes that a later page shows already come again in the next answers."""
+    await add_engines(site)
+
+    async def change():
+        for cold_ms in (900, 600, 300):
+            entry = site.engines[5].registration(cold_remaining_ms=cold_ms)
+            await site.put("servers", "i-5", entry)
+        await site.remove_object("servers", "i-4")
+        await drain(site, 5)
+
+    change_between_pages(site, change)
+    async with Store(f"127.0.0.1:{site.store_port}", 0.5) as store:
+        watcher = Entries(store)
+        task = asyncio.create_task(watcher.run())
+        await wait_until(lambda: watcher.revision is not None, "the listing is read")
+        await site.put("servers", "i-1", site.engines[1].registration(state="draining"))
+        await wait_until(lambda: b"draining" in watcher.specs["i-1"], "the next change is known")
+        task.cancel()
+    assert [name for name, _ in watcher.told].count("i-5") == 1
+    assert b"draining" in watcher.specs["i-5"]
+    assert "i-4" not in dict(watcher.told)
+
+
+async def test_a_listing_is_repeated_if_the_changes_since_its_first_page_are_gone(site):
+    await add_engines(site)
+
+    async def change():
+        await drain(site, 0)
+        site.store.compact_history()
+
+    change_between_pages(site, change)
+    async with Store(f"127.0.0.1:{site.store_port}", 0.5) as store:
+        with pytest.raises(HistoryGoneError):
+            await store.list_objects("servers")
+        listing = await store.list_objects("servers")
+    (drained,) = [stored for stored in listing.objects if stored.name == "i-0"]
+    assert b"draining" in bytes(drained.spec)
+
+
+async def test_a_store_that_tells_no_changes_since_a_page_is_not_asked_for_ever(site, monkeypatch):
+    await add_engines(site)
+    change_between_pages(site, lambda: drain(site, 0))
+    async with Store(f"127.0.0.1:{site.store_port}", 0.5) as store:
+
+        async def watch(kind, revision, wait_s):
+            return [], revision
+
+        monkeypatch.setattr(Store, "watch", lambda self, *details: watch(*details))
+        with pytest.raises(PlatformError, match="tells no changes"):
+            await store.list_objects("servers")
--- a/marjoramspool/platform/watchers.py
+++ b/marjoramspool/platform/watchers.py
@@ -6,13 +6,14 @@
 from marjoramspool.engine_state.evacuations import Evacuations
 from marjoramspool.platform.desired import decode_table
 from marjoramspool.platform.registry import decode_engine
-from marjoramspool.platform.store import Store, StoredObject
+from marjoramspool.platform.store import Store
 from marjoramspool.store_watchers import (
     EngineWatcher,
     EvacuationWatcher,
     RouteTableWatcher,
     WatchRole,
 )
+from marjoramspool.stored_objects import StoredObject
 
 __all__ = ["new_engine_watcher", "new_evacuation_watcher", "new_table_watcher"]
 
--- a/marjoramspool/storage.py
+++ b/marjoramspool/storage.py
@@ -16,10 +16,10 @@
     PlatformError,
     PlatformUnavailableError,
     Store,
-    StoredObject,
     WriteUncertainError,
 )
 from marjoramspool.platform.store import Written as ObjectWritten
+from marjoramspool.stored_objects import StoredObject
 
 __all__ = [
     "Listing",
--- a/marjoramspool/store_watchers.py
+++ b/marjoramspool/store_watchers.py
@@ -12,14 +12,14 @@
 from marjoramspool.engine_state.evacuations import Evacuations
 from marjoramspool.events import Event, log
 from marjoramspool.platform.store import (
+    CATCH_UP_TIMEOUT_S,
     HistoryGoneError,
-    ObjectChange,
     PlatformError,
     Store,
-    StoredObject,
 )
 from marjoramspool.routes import ClientLimits, RouteTable
 from marjoramspool.store_versions import epoch_of
+from marjoramspool.stored_objects import ObjectChange, StoredObject
 
 __all__ = [
     "EngineWatcher",
@@ -39,7 +39,6 @@
 # Evacuations are rare and may take effect some seconds later, so that they cost fewer calls.
 EVACUATIONS_STANDBY_PERIOD_S = 2.5
 PASSIVE_CHECK_PERIOD_S = 0.15
-CATCH_UP_TIMEOUT_S = 0.001
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
 # Shorter, since a router without its initial state cannot serve requests.
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,6 +4,7 @@
 import copy
 import time
 from collections import deque
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -69,6 +70,9 @@
     """
 
     def __init__(self, writes_per_s: float = 1e9):
+        self.page_items = PAGE_ITEMS
+        # Called with the kind after each page of a listing but the last, before the next is read.
+        self.on_page: Callable[[str], Awaitable[None]] | None = None
         self.objects: dict[str, dict[str, Entry]] = {}
         self.revision = 1
         self.era = 1
@@ -169,10 +173,14 @@
         self.calls["read"] += 1
         kind, after = request.match_info["kind"], request.query.get("since_revision", "")
         names = sorted(name for name in self.objects.get(kind, {}) if name > after)
-        items = [self.objects[kind][name].as_body() for name in names[:PAGE_ITEMS]]
+        items = [self.objects[kind][name].as_body() for name in names[: self.page_items]]
         if self.faults.consume("stale-read", request.path):
             items = [self.previous.get((kind, i["metadata"]["name"])) or i for i in items]
-        return reply({"items": items, "more": len(names) > PAGE_ITEMS, "at": self.revision})
+        has_more = len(names) > self.page_items
+        answer = reply({"items": items, "more": has_more, "at": self.revision})
+        if has_more and self.on_page:
+            await self.on_page(kind)
+        return answer
 
     def changes(self, kind: str, after: int) -> list[Change]:
         """Return the changes of a kind after a revision."""
