Leave out answers of the store that are older than the list of another router

Cause: an answer to a watch, or a listing, that is held up while the router takes a newer list from another one was applied on top of it, and the revision stayed the newer one.

Change: StoreWatcher.sync_once leaves out what was asked for before the list changed, and asks again from the present revision; a listing counts if it is newer.

--- a/marjoramspool/platform/tests/test_store_listings.py
+++ b/marjoramspool/platform/tests/test_store_listings.py
@@ -1,4 +1,4 @@
-"""Changes of the engines between two pages of a listing.
+"""Changes of the engines between two pages of a listing, and answers of the store that come late.
 
 Guards against a router that never learns that an engine drains, sends it requests until it exits,
 and passes its list on to other routers as the newest one.
@@ -13,6 +13,7 @@
 from marjoramspool.platform.store import HistoryGoneError, PlatformError, Store
 from marjoramspool.store_versions import revision_of
 from marjoramspool.store_watchers import StoreWatcher, WatchRole
+from marjoramspool.stored_objects import Listing, ObjectChange, StoredObject
 
 ENGINES = 6
 PAGE_ITEMS = 2
@@ -161,6 +162,60 @@
     assert b"draining" in bytes(drained.spec)
 
 
+class HeldUpStore:
+    """Store whose answers are held up until they are released."""
+
+    def __init__(self):
+        self.released = asyncio.Event()
+
+    async def list_objects(self, kind):
+        await self.released.wait()
+        return Listing([entry("a", 10, b'"ready"')], 10)
+
+    async def watch(self, kind, revision, wait_s):
+        await self.released.wait()
+        return [ObjectChange(entry("a", 12, b'"cold"'), False)], 12
+
+
+def entry(name, revision, spec):
+    return StoredObject(name, revision, spec, b"null")
+
+
+async def answer_late(watcher, store, newer):
+    """Let an answer of the store come after a newer state of another router."""
+    call = asyncio.create_task(watcher.sync_once())
+    await asyncio.sleep(0)
+    watcher.specs = {"a": b'"draining"'}
+    watcher.revision = newer
+    store.released.set()
+    await call
+
+
+async def test_a_late_answer_to_a_watch_does_not_undo_a_newer_list():
+    """Guards against a list that keeps its revision and gets an older state of an engine."""
+    store = HeldUpStore()
+    watcher = Entries(store)
+    watcher.revision, watcher.is_listing_due = 10, False
+    await answer_late(watcher, store, 20)
+    assert (watcher.specs, watcher.revision) == ({"a": b'"draining"'}, 20)
+
+
+@pytest.mark.parametrize("known", [None, 5])
+async def test_a_late_listing_does_not_undo_a_newer_list(known):
+    store = HeldUpStore()
+    watcher = Entries(store)
+    watcher.revision = known
+    await answer_late(watcher, store, 20)
+    assert (watcher.specs, watcher.revision) == ({"a": b'"draining"'}, 20)
+
+
+async def test_a_listing_counts_that_is_newer_than_the_list_of_another_router():
+    store = HeldUpStore()
+    watcher = Entries(store)
+    await answer_late(watcher, store, 7)
+    assert (watcher.specs, watcher.revision) == ({"a": b'"ready"'}, 10)
+
+
 async def test_a_store_that_tells_no_changes_since_a_page_is_not_asked_for_ever(site, monkeypatch):
     await add_engines(site)
     change_between_pages(site, lambda: drain(site, 0))
--- a/marjoramspool/store_watchers.py
+++ b/marjoramspool/store_watchers.py
@@ -105,23 +105,32 @@
                 backoff_s = min(self.max_backoff_s(), backoff_s * 2)
 
     async def sync_once(self) -> None:
-        """Make one list or watch call and apply its result."""
-        if self.revision is None or self.is_listing_due:
+        """Make one list or watch call and apply its result.
+
+        Fault: an answer is held up while this router takes a newer state from another router. What
+        it brings is older, and is left out; the next call asks for what has come since.
+        """
+        since = self.revision
+        if since is None or self.is_listing_due:
             listing = await self.store.list_objects(self.kind)
             self.record_store_answer()
+            if self.revision != since and listing.revision < self.revision:
+                return
             self.apply_listing(listing.objects, listing.revision)
             self.revision = listing.revision
             self.is_listing_due = False
-        else:
-            # The first watch after an outage returns without waiting, to separate the changes
-            # made during the outage from later ones.
-            watch_timeout_s = CATCH_UP_TIMEOUT_S if self.has_failed else self.watch_timeout_s()
-            changes, revision = await self.store.watch(self.kind, self.revision, watch_timeout_s)
-            self.record_store_answer()
-            self.apply_changes(changes, revision)
-            self.revision = max(self.revision, revision)
-            if self.watch_role() is WatchRole.STANDBY:
-                await asyncio.sleep(self.standby_period_s)
+            return
+        # The first watch after an outage returns without waiting, to separate the changes
+        # made during the outage from later ones.
+        watch_timeout_s = CATCH_UP_TIMEOUT_S if self.has_failed else self.watch_timeout_s()
+        changes, revision = await self.store.watch(self.kind, since, watch_timeout_s)
+        self.record_store_answer()
+        if self.revision != since:
+            return
+        self.apply_changes(changes, revision)
+        self.revision = max(self.revision, revision)
+        if self.watch_role() is WatchRole.STANDBY:
+            await asyncio.sleep(self.standby_period_s)
 
     def max_backoff_s(self) -> float:
         """Return the longest backoff between calls during an outage."""
