Do not take a document that was written again for removed

What operators could see: a service document that was deleted and applied again within one watch is missing on the routers until its next change.

Change: of each object only its last change in an answer counts.

--- a/marjoramspool/storage.py
+++ b/marjoramspool/storage.py
@@ -132,18 +132,20 @@
     async def watch(self, kind: str, after_version: int, wait_s: float) -> Listing:
         """Wait at most `wait_s` for objects that change after a version; raise PlatformError.
 
-        Return a full listing if the store no longer keeps the changes since that version.
+        Return a full listing if the store no longer keeps the changes since that version. Only the
+        last change of an object counts: a removal does not say at which version it was.
         """
         await self.wait_for_budget()
         try:
             changes, version = await self.store.watch(kind, after_version, wait_s)
         except HistoryGoneError:
             return await self.list_objects(kind)
+        last_changes = {change.object.name: change for change in changes}
         objects = [
             StoredText(change.object.name, version, None)
             if change.is_removed
             else decode_text(change.object)
-            for change in changes
+            for change in last_changes.values()
         ]
         return Listing(version, objects, is_full=False)
 
