Read what stands beside an unreadable entry of the store

Cause: an answer of the store was decoded as a whole before its objects were looked at, and a value that is nested too deeply ends the decoder with an error that nobody expects (RecursionError), which ended the watcher's task again and again.

Change: if an answer cannot be decoded, it is split into its objects without decoding them, and each is read by itself: one with readable metadata keeps its name, so that an entry which is overwritten by an odd one does not stay as it was. Whatever decodes JSON of others (store, engines, callers) treats deep nesting as malformed.

--- a/marjoramspool/audit.py
+++ b/marjoramspool/audit.py
@@ -7,6 +7,7 @@
 
 from marjoramspool.engine_state.engine_list import MAX_COPY_AGE_S
 from marjoramspool.storage import Platform, PlatformError, Written
+from marjoramspool.untrusted_json import decode_json
 
 __all__ = ["KIND", "AuditLog", "Record", "Trail"]
 
@@ -68,7 +69,7 @@
         batch = list(self.pending)
         try:
             stored = await self.platform.read(KIND, self.router)
-            trail = msgspec.json.decode(stored.value, type=Trail) if stored.value else Trail([])
+            trail = decode_json(stored.value, Trail) if stored.value else Trail([])
             missing = [record for record in batch if record not in trail.records]
             trail.records = (trail.records + missing)[-MAX_RECORDS:]
             text = msgspec.json.encode(trail).decode()
--- a/marjoramspool/callers/requests.py
+++ b/marjoramspool/callers/requests.py
@@ -14,6 +14,7 @@
 from marjoramspool.dispatch import Request
 from marjoramspool.document import Account, Document, hash_key
 from marjoramspool.outcomes import Problem
+from marjoramspool.untrusted_json import decode_json
 
 __all__ = ["AFFINITY_HEADER", "parse_chat_request", "get_request_id", "parse_service_request"]
 
@@ -54,7 +55,7 @@
 ) -> Request:
     """Return a validated chat completion request; raise RejectedError if it is invalid."""
     try:
-        chat = msgspec.json.decode(body, type=ChatBody)
+        chat = decode_json(body, ChatBody)
     except msgspec.MsgspecError as error:
         remedy = f"send a chat completion request as JSON: {error}"
         raise RejectedError(Problem(400, "the body is malformed", remedy)) from error
--- a/marjoramspool/claims.py
+++ b/marjoramspool/claims.py
@@ -29,6 +29,7 @@
     WriteUncertainError,
     Written,
 )
+from marjoramspool.untrusted_json import decode_json
 
 __all__ = ["Claims", "ShardWriter"]
 
@@ -213,7 +214,7 @@
         stored = await self.platform.read(HEAD_KIND, self.name)
         if stored.value is None:
             return stored.version, Shard()
-        return stored.version, msgspec.json.decode(stored.value, type=Shard)
+        return stored.version, decode_json(stored.value, Shard)
 
     async def read_segments(self, shard: Shard) -> dict[str, Entry]:
         """Return the entries of all segments; segments are immutable, so each is read once."""
@@ -232,7 +233,7 @@
         if stored.value is None:
             # A head lists only segments that were written before it, so this read is stale.
             raise PlatformError(f"stale read: claim segment {name} not found")
-        return msgspec.json.decode(stored.value, type=dict[str, Entry])
+        return decode_json(stored.value, dict[str, Entry])
 
     async def roll_segment(self, shard: Shard, now: float, batch_size: int) -> None:
         """Move the oldest removable entries of a long head to a segment; drop expired segments."""
--- a/marjoramspool/configuration.py
+++ b/marjoramspool/configuration.py
@@ -10,6 +10,7 @@
 from marjoramspool.document import Document, InvalidFileError, read_document
 from marjoramspool.events import Event, log
 from marjoramspool.store_versions import epoch_of
+from marjoramspool.untrusted_json import decode_json
 
 __all__ = ["ActiveDocument", "Change", "Configuration", "DocumentBody", "encode_body"]
 
@@ -112,17 +113,17 @@
         if body is None:
             return True
         try:
-            changes = msgspec.json.decode(body, type=DocumentBody).changes
+            changes = decode_json(body, DocumentBody).changes
         except msgspec.MsgspecError:
             # Whoever wrote this did so after the restoration; `validate` reports it.
             return False
-        known = msgspec.json.decode(active.body, type=DocumentBody).changes
+        known = decode_json(active.body, DocumentBody).changes
         return len(changes) < len(known) and known[: len(changes)] == changes
 
     def validate(self, name: str, version: int, body: bytes) -> Document | None:
         """Return the document if it is valid, else record and log the error and return None."""
         try:
-            text = msgspec.json.decode(body, type=DocumentBody).text
+            text = decode_json(body, DocumentBody).text
             document = read_document(f"{name}@{version}", text)
             if document.name != name:
                 raise ValueError(
--- a/marjoramspool/engine_state/quarantine_store.py
+++ b/marjoramspool/engine_state/quarantine_store.py
@@ -15,6 +15,7 @@
 from marjoramspool.events import Event, log
 from marjoramspool.platform.store import Conflict, PlatformError, Store, Written
 from marjoramspool.stored_objects import StoredObject
+from marjoramspool.untrusted_json import decode_json
 
 __all__ = ["KIND", "QuarantineStore"]
 
@@ -138,7 +139,7 @@
     """Yield the part of each readable record, with its revision and number of probes."""
     for stored in objects:
         try:
-            spec = msgspec.json.decode(stored.spec, type=QuarantineSpec)
+            spec = decode_json(stored.spec, QuarantineSpec)
             yield int(stored.name, 16), (stored.revision, spec.probes)
         except (msgspec.MsgspecError, ValueError) as error:
             log(Event.QUARANTINE_UNREADABLE, name=stored.name, fault=str(error))
--- a/marjoramspool/engines/client.py
+++ b/marjoramspool/engines/client.py
@@ -31,6 +31,7 @@
 )
 from marjoramspool.http import LimitCallback, Sessions, report_limit
 from marjoramspool.targets import LoadReport, limit_key
+from marjoramspool.untrusted_json import decode_json
 
 __all__ = ["EngineDispatcher"]
 
@@ -82,7 +83,7 @@
             url = f"http://{address}/load"
             async with self.sessions.select(reuse).get(url, timeout=timeout) as response:
                 body = await read_body(response, self.sessions.memory)
-            report = msgspec.json.decode(body, type=Report)
+            report = decode_json(body, Report)
         except (aiohttp.ClientError, MayHaveRunError, TimeoutError, msgspec.MsgspecError):
             return None
         report_limit(response, limit_key(address), sent_at, self.on_limit)
@@ -180,7 +181,7 @@
                 if response.status != HTTP_OK:
                     return MISSING
                 body = await read_body(response, self.sessions.memory)
-            return msgspec.json.decode(body, type=AttemptState).state
+            return decode_json(body, AttemptState).state
         except (
             aiohttp.ClientError,
             MayHaveRunError,
--- a/marjoramspool/engines/orders.py
+++ b/marjoramspool/engines/orders.py
@@ -17,6 +17,7 @@
 from marjoramspool.failures import MayHaveRunError
 from marjoramspool.lease import Lease
 from marjoramspool.storage import Platform
+from marjoramspool.untrusted_json import decode_json
 
 __all__ = ["Order", "OrderReconciler"]
 
@@ -147,7 +148,7 @@
         try:
             async with self.engines.sessions.pooled.get(url, timeout=timeout) as response:
                 body = await read_body(response, self.engines.sessions.memory)
-            return msgspec.json.decode(body, type=EngineModel).model
+            return decode_json(body, EngineModel).model
         except (aiohttp.ClientError, MayHaveRunError, TimeoutError, msgspec.MsgspecError):
             return None
 
--- a/marjoramspool/lease.py
+++ b/marjoramspool/lease.py
@@ -9,6 +9,7 @@
 from marjoramspool.clock import now
 from marjoramspool.storage import Platform, PlatformError, StoredText, Written
 from marjoramspool.store_versions import combine, epoch_of
+from marjoramspool.untrusted_json import decode_json
 
 __all__ = ["KIND", "Lease"]
 
@@ -98,7 +99,7 @@
             return is_unexpired or self.is_expired(version)
         if stored.value is None:
             return True
-        record = msgspec.json.decode(stored.value, type=LeaseRecord)
+        record = decode_json(stored.value, LeaseRecord)
         return record.token == self.token or self.is_expired(stored.version)
 
     def is_expired(self, version: int) -> bool:
--- a/marjoramspool/peers/discovery.py
+++ b/marjoramspool/peers/discovery.py
@@ -11,6 +11,7 @@
 from marjoramspool.peers.directory import Directory
 from marjoramspool.platform.store import PlatformError, Store
 from marjoramspool.stored_objects import StoredObject
+from marjoramspool.untrusted_json import decode_json
 
 __all__ = ["KIND", "Discovery", "RouterSpec", "read_spec"]
 
@@ -118,6 +119,6 @@
 def read_spec(stored: StoredObject) -> RouterSpec | None:
     """Return the registration in a stored object, None if it cannot be decoded."""
     try:
-        return msgspec.json.decode(stored.spec, type=RouterSpec)
+        return decode_json(stored.spec, RouterSpec)
     except msgspec.MsgspecError:
         return None
--- a/marjoramspool/platform/desired.py
+++ b/marjoramspool/platform/desired.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from marjoramspool import routes
+from marjoramspool.untrusted_json import decode_json
 
 __all__ = ["decode_table"]
 
@@ -114,7 +115,7 @@
 
     Routes of an unknown kind are left out.
     """
-    fields = msgspec.json.decode(spec, type=DesiredFields)
+    fields = decode_json(spec, DesiredFields)
     limits = fields.limits
     return routes.RouteTable(
         version=fields.version,
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -41,6 +41,7 @@
 from marjoramspool.platform.headers import filter_answer_headers, parse_load
 from marjoramspool.prompts import Part
 from marjoramspool.requests import RoutedRequest
+from marjoramspool.untrusted_json import decode_json
 
 __all__ = ["EngineSessions"]
 
@@ -197,7 +198,7 @@
         try:
             async with asyncio.timeout(REPORT_TIMEOUT_S), session.get(url) as response:
                 body = await read_body(response, self.memory)
-            started_ms = msgspec.json.decode(body, type=ReportFields).born
+            started_ms = decode_json(body, ReportFields).born
         except (aiohttp.ClientError, MayHaveRunError, OSError, TimeoutError, ValueError) as error:
             raise NotSentError(f"engine {engine.id} sent no report: {error!r}") from error
         if started_ms != engine.started_ms:
@@ -261,7 +262,7 @@
         try:
             async with asyncio.timeout(CACHE_LIST_TIMEOUT_S), self.pooled.get(url) as response:
                 body = await read_body(response, self.memory)
-            entries = msgspec.json.decode(body, type=ListFields).held
+            entries = decode_json(body, ListFields).held
             return tuple(Part(int(name, 16), tokens) for _, name, tokens, _ in entries)
         except (
             aiohttp.ClientError,
@@ -292,7 +293,7 @@
                 body = await read_body(response, self.memory)
             if response.status != HTTP_OK:
                 return RunState.UNKNOWN
-            report = msgspec.json.decode(body, type=RunsFields)
+            report = decode_json(body, RunsFields)
         except aiohttp.ClientConnectorError as error:
             is_refused = isinstance(error.os_error, ConnectionRefusedError)
             return RunState.REFUSED if is_refused else RunState.UNKNOWN
@@ -320,7 +321,7 @@
                 content = await read_body(response, self.memory)
             if response.status not in (HTTP_OK, HTTP_UNAVAILABLE):
                 return MoveAnswer()
-            fields = msgspec.json.decode(content, type=MoveFields)
+            fields = decode_json(content, MoveFields)
         except (
             aiohttp.ClientError,
             MayHaveRunError,
--- a/marjoramspool/platform/registry.py
+++ b/marjoramspool/platform/registry.py
@@ -5,6 +5,7 @@
 from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.events import Event, log
 from marjoramspool.platform.cold_times import read_cold_time
+from marjoramspool.untrusted_json import decode_json
 
 __all__ = ["decode_engine"]
 
@@ -35,7 +36,7 @@
     reason: Exception | None = None
     for payload in payloads:
         try:
-            fields = msgspec.json.decode(payload, type=EntryFields)
+            fields = decode_json(payload, EntryFields)
         except msgspec.MsgspecError as error:
             reason = reason or error
             continue
--- a/marjoramspool/platform/store.py
+++ b/marjoramspool/platform/store.py
@@ -13,7 +13,8 @@
 from marjoramspool.events import Event, log
 from marjoramspool.http import new_session
 from marjoramspool.keepalive import keepalive_socket
-from marjoramspool.store_versions import combine, epoch_of, revision_of
+from marjoramspool.platform.store_bodies import read_changes, read_object, read_page
+from marjoramspool.store_versions import epoch_of, revision_of
 from marjoramspool.stored_objects import Listing, ListingBuilder, ObjectChange, StoredObject
 
 __all__ = [
@@ -39,7 +40,6 @@
 HTTP_GONE = 410
 HTTP_TOO_MANY = 429
 HTTP_UNAVAILABLE = 503
-JSON_NULL = msgspec.Raw(b"null")
 
 
 class PlatformError(Exception):
@@ -58,44 +58,6 @@
     """Raised if the changes since a revision are gone or not comparable; list again."""
 
 
-class MetadataFields(msgspec.Struct, frozen=True):
-    """Object metadata, which the store maintains."""
-
-    name: str
-    revision: int = 0
-
-
-class ObjectFields(msgspec.Struct, frozen=True):
-    """Object as the store sends it."""
-
-    metadata: MetadataFields
-    spec: msgspec.Raw = JSON_NULL
-    status: msgspec.Raw = JSON_NULL
-
-
-class ListFields(msgspec.Struct, frozen=True):
-    """Page of a listing."""
-
-    items: list[msgspec.Raw]
-    # Revision of the store, not of an object.
-    at: int
-    more: bool = False
-
-
-class EventFields(msgspec.Struct, frozen=True):
-    """Change of one object as the store sends it."""
-
-    object: msgspec.Raw
-    removed: bool = False
-
-
-class WatchFields(msgspec.Struct, frozen=True):
-    """Result of a watch."""
-
-    events: list[EventFields]
-    at: int
-
-
 @dataclass(slots=True, frozen=True)
 class Written:
     """Result of a conditional write that took effect."""
@@ -180,12 +142,11 @@
             if epoch is not None and reply.epoch != epoch:
                 raise PlatformError(f"the store was restored while {kind} was listed; list again")
             epoch = reply.epoch
-            page = decode(ListFields, reply.body)
-            objects = list(read_objects(page.items, epoch))
-            builder.add_page(objects, combine(epoch, page.at))
-            if not page.more or not objects:
+            page = parse(read_page, reply)
+            builder.add_page(page.objects, page.version)
+            if not page.has_more or not page.objects:
                 return
-            query = f"since_revision={quote(objects[-1].name, safe='')}&{stale}".rstrip("&")
+            query = f"since_revision={quote(page.objects[-1].name, safe='')}&{stale}".rstrip("&")
 
     async def watch(
         self, kind: str, revision: int, wait_s: float
@@ -204,17 +165,12 @@
         reply = await self.call("GET", f"{PATH}/{kind}?{query}", wait_s + WATCH_SLACK_S)
         if reply.status == HTTP_GONE or reply.epoch != epoch:
             raise gone
-        fields = decode(WatchFields, reply.body)
-        changes = []
-        for event in fields.events:
-            objects = read_objects([event.object], epoch)
-            changes += [ObjectChange(o, event.removed) for o in objects]
-        return changes, combine(epoch, fields.at)
+        return parse(read_changes, reply)
 
     async def read(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None if it does not exist; raise PlatformError."""
         reply = await self.call("GET", f"{PATH}/{kind}/{quote(name, safe='')}")
-        return None if reply.status == HTTP_NOT_FOUND else read_object(reply.body, reply.epoch)
+        return None if reply.status == HTTP_NOT_FOUND else parse(read_object, reply)
 
     async def write(
         self, kind: str, name: str, spec: object, expected_revision: int
@@ -256,7 +212,7 @@
             raise WriteUncertainError(str(error)) from error
         if reply.status == HTTP_NOT_FOUND:
             return Conflict(None)
-        stored = read_object(reply.body, reply.epoch)
+        stored = parse(read_object, reply)
         if reply.status == HTTP_CONFLICT:
             return Conflict(stored)
         if expected_revision and reply.epoch != epoch_of(expected_revision):
@@ -346,25 +302,9 @@
             log(Event.PLATFORM_BACK, address=self.address, away_s=away_s)
 
 
-def decode(kind: type, body: bytes):
-    """Decode a JSON body; raise PlatformError if it is malformed."""
+def parse(read: Callable, reply: Reply):
+    """Return what `read` finds in the body of an answer; raise PlatformError if it is malformed."""
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
+        return read(reply.body, reply.epoch)
+    except msgspec.DecodeError as error:
         raise PlatformError(f"malformed body from the platform: {error}") from error
-
-
-def read_object(body: bytes, epoch: int) -> StoredObject:
-    """Decode an object of an epoch; raise PlatformError if it is malformed."""
-    fields = decode(ObjectFields, body)
-    revision = combine(epoch, fields.metadata.revision)
-    return StoredObject(fields.metadata.name, revision, fields.spec, fields.status)
-
-
-def read_objects(items: list[msgspec.Raw], epoch: int):
-    """Yield the well-formed objects; log the others."""
-    for item in items:
-        try:
-            yield read_object(item, epoch)
-        except PlatformError as error:
-            log(Event.REGISTRATION_UNREADABLE, engine="?", fault=str(error))
--- a/marjoramspool/storage.py
+++ b/marjoramspool/storage.py
@@ -20,6 +20,7 @@
 )
 from marjoramspool.platform.store import Written as ObjectWritten
 from marjoramspool.stored_objects import StoredObject
+from marjoramspool.untrusted_json import decode_json
 
 __all__ = [
     "Listing",
@@ -193,7 +194,7 @@
 def decode_text(stored: StoredObject) -> StoredText:
     """Return the text object that is stored; raise PlatformError if its spec is not a string."""
     try:
-        value = msgspec.json.decode(stored.spec, type=str)
+        value = decode_json(stored.spec, str)
     except msgspec.MsgspecError as error:
         raise PlatformError(f"the spec of object {stored.name} is not a string: {error}") from error
     return StoredText(stored.name, stored.revision, value)
--- a/marjoramspool/store_versions.py
+++ b/marjoramspool/store_versions.py
@@ -5,7 +5,7 @@
 version combines both, so that comparing two versions is right across restorations.
 """
 
-__all__ = ["combine", "epoch_of", "revision_of"]
+__all__ = ["REVISION_BITS", "combine", "epoch_of", "revision_of"]
 
 # Versions below 8,192 epochs remain exact in JSON, where numbers have 53 bits.
 REVISION_BITS = 40
