Use only entries as engines that have all fields, within their ranges

Cause: zone, version and born had defaults, sequence and the range of figures were not looked at, and whatever stood behind a colon counted as a port. Lists of other routers were taken as they came.

An entry is read from the spec only.

--- a/marjoramspool/peers/state_transfer.py
+++ b/marjoramspool/peers/state_transfer.py
@@ -4,6 +4,8 @@
 
 from marjoramspool.engine_state.cold_engines import ColdEngines
 from marjoramspool.engine_state.engine_list import Engine, EngineList
+from marjoramspool.engine_state.registration_checks import find_fault
+from marjoramspool.events import Event, log
 from marjoramspool.peers.messages import CacheUpdate, CacheUpdateKind, EngineEntry, incarnation_id
 from marjoramspool.placement.engine_selector import EngineSelector
 from marjoramspool.prompts import Part
@@ -44,9 +46,21 @@
     revision: int,
     renewals_until: float | None = None,
 ) -> None:
-    """Replace the engine list by that of another router, as `EngineList.replace_all` does."""
+    """Replace the engine list by that of another router, as `EngineList.replace_all` does.
+
+    A router of an earlier release may list what no engine wrote.
+    """
     engines.revision = revision
-    engines.replace_all((import_engine(engines, entry) for entry in entries), renewals_until)
+    imported = (import_engine(engines, entry) for entry in entries)
+    engines.replace_all(filter(is_sound, imported), renewals_until)
+
+
+def is_sound(engine: Engine) -> bool:
+    """Return whether an engine may have written its registration; log what is wrong with it."""
+    fault = find_fault(engine)
+    if fault:
+        log(Event.REGISTRATION_UNREADABLE, engine=engine.id, fault=fault)
+    return fault is None
 
 
 def import_engine(engines: EngineList, entry: EngineEntry) -> Engine:
--- a/marjoramspool/platform/tests/test_foreign_entries.py
+++ b/marjoramspool/platform/tests/test_foreign_entries.py
@@ -7,9 +7,16 @@
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from bench.local import wait_until
 from bench.platform_fleet import route
+from marjoramspool.engine_state.engine_list import EngineList
+from marjoramspool.engine_state.registration_checks import find_fault
+from marjoramspool.peers.messages import EngineEntry
+from marjoramspool.peers.state_transfer import import_engines
+from marjoramspool.platform.registry import decode_engine
 from marjoramspool.platform.store_bodies import read_changes, read_object, read_page
 
 LOOKUP = route("/lookup/", "idempotent", "desk")
@@ -108,3 +115,161 @@
     site.store.compact_history()
     await wait_until(lambda: other.id in router.engines.engines, "the new engine is known", 4.0)
     assert engine.id in router.engines.engines
+
+
+ENTRY = {
+    "service": "desk",
+    "address": "127.0.0.1:8080",
+    "zone": "zone-a",
+    "version": "v1",
+    "slots": 16,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 1,
+    "born": 1000,
+}
+TEXT_FIELDS = ("service", "address", "zone", "version", "state")
+FIGURES = ("slots", "cold_remaining_ms", "sequence", "born")
+NO_TEXT = [None, True, 7, 1.5, 10**30, [], ["a"], {}, {"a": "b"}]
+NO_FIGURE = [None, True, "7", "", [], [7], {}, {"a": 7}]
+ADDRESSES = [
+    "",
+    ":8080",
+    "127.0.0.1",
+    "127.0.0.1:",
+    "127.0.0.1:0",
+    "127.0.0.1:-1",
+    "127.0.0.1:65536",
+    "127.0.0.1:80800000000000000000",
+    "127.0.0.1:" + "9" * 5000,
+    "127.0.0.1:8\u00b2",
+    "127.0.0.1:\u0663",
+    "127.0.0.1: 80",
+    "127.0.0.1:80/path",
+    "127.0.0.1:80@127.0.0.2:81",
+    "127.0.0:80",
+    "127.0.0.256:80",
+    "localhost:80",
+    "[::1]:80",
+    "127.0.0.1\r\nX: y:80",
+    "a" * 100_000 + ":80",
+]
+ODD_FIELDS = [
+    *(("address", address) for address in ADDRESSES),
+    *((name, value) for name in TEXT_FIELDS for value in NO_TEXT),
+    *((name, value) for name in FIGURES for value in NO_FIGURE),
+    *((name, "x" * 100_000) for name in ("service", "zone", "version")),
+    *(("slots", value) for value in (0, -1, 1.5, 10**9, 10**18, 10**30, 10**400, 1e300)),
+    *(("born", value) for value in (-1, 0.5, 10**18, 10**30, 10**400)),
+    *(("sequence", value) for value in (0.5, 1e300)),
+    ("state", "resting"),
+    ("state", ""),
+]
+
+
+def decode(entry):
+    return decode_engine("i-odd", msgspec.json.encode(entry))
+
+
+def test_an_entry_with_all_its_fields_names_an_engine():
+    assert decode(ENTRY | {"stage": "hybrid", "models": [], "more": {"of": "it"}})
+
+
+@pytest.mark.parametrize("name", ENTRY)
+def test_an_entry_that_lacks_a_field_names_no_engine(name):
+    """Guards against orders that are lost to what listens at the address of such an entry."""
+    assert decode({key: value for key, value in ENTRY.items() if key != name}) is None
+
+
+@pytest.mark.parametrize(
+    ("name", "value"), ODD_FIELDS, ids=[f"{n}-{str(v)[:20]!a}" for n, v in ODD_FIELDS]
+)
+def test_an_entry_with_an_odd_field_names_no_engine(name, value):
+    assert decode(ENTRY | {name: value}) is None
+
+
+@pytest.mark.parametrize("entry", [None, True, 7, "text", [], [ENTRY], {}])
+def test_what_is_no_entry_names_no_engine(entry):
+    assert decode(entry) is None
+
+
+FIELDS = st.sampled_from(list(ENTRY))
+ODD_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
+    lambda values: st.lists(values) | st.dictionaries(st.text(), values),
+)
+
+
+@given(changes=st.dictionaries(FIELDS, ODD_VALUES), extra=ODD_VALUES)
+def test_every_entry_names_a_sound_engine_or_none(changes, extra):
+    engine = decode(ENTRY | changes | {"extra": extra})
+    assert engine is None or find_fault(engine) is None
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"slots": 1 << 63},
+        {"slots": 0},
+        {"address": "127.0.0.1:99999"},
+        {"started_ms": -(1 << 62)},
+        {"service": "x" * 5000},
+    ],
+    ids=str,
+)
+def test_an_odd_entry_in_the_list_of_another_router_is_left_out(changes):
+    """The other router is of an earlier release and lists it."""
+    fields = {
+        "id": "i-odd",
+        "service": "desk",
+        "address": "127.0.0.1:8080",
+        "failure_domain": "zone-a",
+        "slots": 16,
+        "is_draining": False,
+        "started_ms": 1000,
+    }
+    engines = EngineList()
+    good = EngineEntry(**fields | {"id": "i-1"})
+    import_engines(engines, (EngineEntry(**fields | changes), good), 5)
+    assert list(engines.engines) == ["i-1"]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"slots": 10**400},
+        {"slots": 10**18},
+        {"address": "127.0.0.1:99999"},
+        {"address": "127.0.0.1:0"},
+        {"born": 10**40},
+        {"zone": None},
+    ],
+    ids=lambda change: str(change)[:30],
+)
+async def test_requests_are_served_beside_an_odd_entry(site, change):
+    """Guards against requests that fail, one in three or all, since an entry was odd."""
+    for _ in range(2):
+        await site.add_engine("desk")
+    await site.configure(LOOKUP)
+    await site.add_router()
+    odd = ENTRY | {"address": "127.0.0.1:1"} | change
+    await site.put("servers", "i-odd", msgspec.Raw(msgspec.json.encode(odd)))
+    await site.add_router()
+    await site.wait_for_peers()
+    last = await site.add_engine("desk")
+    for router in site.routers:
+        await wait_until(lambda r=router: last.id in r.engines.engines, "the list is followed", 3.0)
+    for number in range(20):
+        status, _, _ = await site.send("/lookup/x", f"q{number}", number % 2, method="GET")
+        assert status == 200
+
+
+async def test_an_engine_whose_entry_becomes_odd_gets_no_more_requests(site):
+    first = await site.add_engine("desk")
+    second = await site.add_engine("desk")
+    await site.configure(LOOKUP)
+    router = await site.add_router()
+    await site.put("servers", first.id, first.registration(slots="many"))
+    await wait_until(
+        lambda: [e.id for e in router.engines.usable("desk")] == [second.id], "it is not used", 2.0
+    )
--- a/marjoramspool/platform/watchers.py
+++ b/marjoramspool/platform/watchers.py
@@ -45,4 +45,4 @@
 
 def decode_registration(stored: StoredObject) -> Engine | None:
     """Return the engine that a stored object registers, or None if it is invalid."""
-    return decode_engine(stored.name, stored.spec, stored.status)
+    return decode_engine(stored.name, stored.spec)
