Leave out odd records among those that routers share through the store

What could happen: one record of another writer ends the reports of a router for good. A router's registration with an address that is none stops the task that sends, a quarantine of a part with more than 64 bits cannot be encoded, an evacuation with a name of 60 KB does not fit a datagram; a service document that is no text hides all changes of the others; an epoch of odd digits fails each call.

Cause: what was decoded was taken as it came.

Change: each record is checked where it is read, logged and left out. A listing of documents names also those that are no text, so that a service keeps the document that it has.

--- a/marjoramspool/document_watcher.py
+++ b/marjoramspool/document_watcher.py
@@ -108,7 +108,7 @@
         for stored in listing.objects:
             body = stored.value.encode() if stored.value is not None else None
             self.configuration.apply_if_newer(stored.name, stored.version, body, "platform")
-        if listing.is_full:
+        if listing.names is not None:
             self.apply_deletions(listing)
         self.store_version = max(self.store_version, listing.version)
         self.configuration.is_complete = True
@@ -127,9 +127,8 @@
 
     def apply_deletions(self, listing: Listing) -> None:
         """Delete the active documents that are missing from a newer full listing."""
-        listed = {stored.name for stored in listing.objects}
         for name, version in self.configuration.versions().items():
-            if name not in listed and version < listing.version:
+            if name not in listing.names and version < listing.version:
                 self.configuration.apply_if_newer(name, listing.version, None, "platform")
 
     async def poll_routers(self) -> None:
--- a/marjoramspool/engine_state/quarantine_store.py
+++ b/marjoramspool/engine_state/quarantine_store.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 from collections.abc import Iterable, Iterator
+from typing import Annotated
 
 import msgspec
 
@@ -29,12 +30,15 @@
 MAX_BACKOFF_S = 5.0
 # A part is tried again only if requests with it still come.
 DEMAND_S = 10.0
+# Ids of parts have at most 64 bits.
+MAX_PART_DIGITS = 16
+MAX_PROBES = 1_000_000
 
 
 class QuarantineSpec(msgspec.Struct, frozen=True):
     """Stored quarantine: how many requests have tried the part again."""
 
-    probes: int = 0
+    probes: Annotated[int, msgspec.Meta(ge=0, le=MAX_PROBES)] = 0
 
 
 class QuarantineStore:
@@ -140,6 +144,18 @@
     for stored in objects:
         try:
             spec = decode_json(stored.spec, QuarantineSpec)
-            yield int(stored.name, 16), (stored.revision, spec.probes)
+            yield parse_part(stored.name), (stored.revision, spec.probes)
         except (msgspec.MsgspecError, ValueError) as error:
             log(Event.QUARANTINE_UNREADABLE, name=stored.name, fault=str(error))
+
+
+def parse_part(name: str) -> int:
+    """Return the part that a record is named after; raise ValueError if it is none.
+
+    The id must fit the messages between routers, and the name must be the one that it is written
+    under.
+    """
+    part = int(name, 16) if len(name) <= MAX_PART_DIGITS else -1
+    if f"{part:x}" != name or part < 0:
+        raise ValueError("the name is no part in hexadecimal")
+    return part
--- a/marjoramspool/engine_state/registration_checks.py
+++ b/marjoramspool/engine_state/registration_checks.py
@@ -7,7 +7,7 @@
 from marjoramspool.addresses import is_endpoint
 from marjoramspool.engine_state.engine_list import Engine
 
-__all__ = ["find_fault"]
+__all__ = ["MAX_NAME_LENGTH", "find_fault"]
 
 MAX_SLOTS = 1_000_000
 # Unix milliseconds that a JSON number holds exactly.
--- a/marjoramspool/peers/discovery.py
+++ b/marjoramspool/peers/discovery.py
@@ -6,8 +6,11 @@
 
 import msgspec
 
+from marjoramspool.addresses import is_ipv4
 from marjoramspool.clock import now
 from marjoramspool.engine_state.engine_list import MAX_COPY_AGE_S
+from marjoramspool.engine_state.registration_checks import MAX_NAME_LENGTH
+from marjoramspool.events import Event, log
 from marjoramspool.peers.directory import Directory
 from marjoramspool.platform.store import PlatformError, Store
 from marjoramspool.stored_objects import StoredObject
@@ -22,6 +25,7 @@
 LIST_PERIOD_S = 20.0
 REGISTRATION_SETTLE_S = 1.5
 REGISTRATION_CHECK_PERIOD_S = 0.5
+MAX_LINK_MBPS = 10_000_000
 
 
 class RouterSpec(msgspec.Struct, frozen=True):
@@ -112,7 +116,7 @@
         """Add the routers of a listing to the directory."""
         for stored in objects:
             spec = read_spec(stored)
-            if spec:
+            if spec and is_sound(stored.name, spec):
                 self.directory.add_peer(spec.address, spec.failure_domain, spec.link_mbps)
 
 
@@ -120,5 +124,20 @@
     """Return the registration in a stored object, None if it cannot be decoded."""
     try:
         return decode_json(stored.spec, RouterSpec)
-    except msgspec.MsgspecError:
+    except msgspec.MsgspecError as error:
+        log(Event.ROUTER_UNREADABLE, router=stored.name, fault=str(error))
         return None
+
+
+def is_sound(name: str, spec: RouterSpec) -> bool:
+    """Return whether reports can be sent to a registered router; log what is wrong with it."""
+    if not is_ipv4(spec.address):
+        fault = f"{spec.address[:MAX_NAME_LENGTH]!r} is no IPv4 address"
+    elif len(spec.failure_domain) > MAX_NAME_LENGTH:
+        fault = f"the failure domain is longer than {MAX_NAME_LENGTH} characters"
+    elif not 0 <= spec.link_mbps <= MAX_LINK_MBPS:
+        fault = f"the link is not between 0 and {MAX_LINK_MBPS} Mbit/s"
+    else:
+        return True
+    log(Event.ROUTER_UNREADABLE, router=name, fault=fault)
+    return False
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -315,4 +315,7 @@
 
 def decode_datagram(data: bytes) -> Datagram:
     """Decode a datagram; raise msgspec.MsgspecError if it is invalid."""
-    return datagram_decoder.decode(data)
+    try:
+        return datagram_decoder.decode(data)
+    except RecursionError as error:
+        raise msgspec.DecodeError("it is nested too deeply") from error
--- a/marjoramspool/peers/state_sync.py
+++ b/marjoramspool/peers/state_sync.py
@@ -153,7 +153,7 @@
                 response.raise_for_status()
                 body = await response.read()
             state = msgspec.msgpack.decode(body, type=STATE_TYPES[path])
-        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as error:
+        except (aiohttp.ClientError, OSError, RecursionError, ValueError) as error:
             log(Event.PEER_STATE_MISSED, address=peer.address, part=path, why=repr(error))
             return False
         log(Event.PEER_STATE_TAKEN, address=peer.address, part=path, bytes=len(body))
--- a/marjoramspool/platform/store.py
+++ b/marjoramspool/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store, which keeps objects by kind and name."""
 
 import asyncio
+import re
 import time
 from collections.abc import Callable
 from contextlib import suppress
@@ -14,7 +15,7 @@
 from marjoramspool.http import new_session
 from marjoramspool.keepalive import keepalive_socket
 from marjoramspool.platform.store_bodies import read_changes, read_object, read_page
-from marjoramspool.store_versions import epoch_of, revision_of
+from marjoramspool.store_versions import MAX_EPOCH, epoch_of, revision_of
 from marjoramspool.stored_objects import Listing, ListingBuilder, ObjectChange, StoredObject
 
 __all__ = [
@@ -29,6 +30,7 @@
 ]
 
 PATH = "/marjoramspool/objects"
+EPOCH_PATTERN = re.compile(r"[0-9]{1,6}")
 MS_PER_S = 1000.0
 # A watch of which only the changes so far are wanted.
 CATCH_UP_TIMEOUT_S = 0.001
@@ -258,7 +260,8 @@
         Raise PlatformError if it is from before the store was restored.
         """
         text = response.headers.get("Store-Era", "")
-        epoch = int(text) if text.isdigit() else self.epoch
+        is_epoch = EPOCH_PATTERN.fullmatch(text) and int(text) <= MAX_EPOCH
+        epoch = int(text) if is_epoch else self.epoch
         if epoch < self.epoch:
             raise PlatformError(f"answer of epoch {epoch}, the store is at epoch {self.epoch}")
         self.advance_epoch(epoch)
--- a/marjoramspool/storage.py
+++ b/marjoramspool/storage.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 import msgspec
@@ -47,11 +48,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Listing:
-    """Objects at a version of the store; all of a kind if `is_full`, else only changed ones."""
+    """Text objects at a version of the store: all of a kind, or only those that have changed.
+
+    `names` are those of all objects, also of those that are no text; None if only changes are told.
+    """
 
     version: int
     objects: list[StoredText]
-    is_full: bool
+    names: frozenset[str] | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -125,10 +129,14 @@
                 return VersionConflict(stored.revision if stored else 0)
 
     async def list_objects(self, kind: str) -> Listing:
-        """Return all objects of a kind; raise PlatformError."""
+        """Return all text objects of a kind; raise PlatformError.
+
+        Objects that are no text are logged and left out.
+        """
         await self.wait_for_budget()
         listing = await self.store.list_objects(kind)
-        return Listing(listing.revision, [decode_text(o) for o in listing.objects], is_full=True)
+        names = frozenset(stored.name for stored in listing.objects)
+        return Listing(listing.revision, list(decode_texts(listing.objects)), names)
 
     async def watch(self, kind: str, after_version: int, wait_s: float) -> Listing:
         """Wait at most `wait_s` for objects that change after a version; raise PlatformError.
@@ -141,14 +149,10 @@
             changes, version = await self.store.watch(kind, after_version, wait_s)
         except HistoryGoneError:
             return await self.list_objects(kind)
-        last_changes = {change.object.name: change for change in changes}
-        objects = [
-            StoredText(change.object.name, version, None)
-            if change.is_removed
-            else decode_text(change.object)
-            for change in last_changes.values()
-        ]
-        return Listing(version, objects, is_full=False)
+        last_changes = {change.object.name: change for change in changes}.values()
+        removed = [StoredText(c.object.name, version, None) for c in last_changes if c.is_removed]
+        written = decode_texts(c.object for c in last_changes if not c.is_removed)
+        return Listing(version, [*removed, *written])
 
     async def register(self, name: str, spec: RouterSpec) -> None:
         """Create or update the registration of a router; raise PlatformError."""
@@ -198,3 +202,12 @@
     except msgspec.MsgspecError as error:
         raise PlatformError(f"the spec of object {stored.name} is not a string: {error}") from error
     return StoredText(stored.name, stored.revision, value)
+
+
+def decode_texts(objects: Iterable[StoredObject]) -> Iterator[StoredText]:
+    """Yield the objects that are texts; log the others."""
+    for stored in objects:
+        try:
+            yield decode_text(stored)
+        except PlatformError as error:
+            log(Event.DOCUMENT_UNREADABLE, name=stored.name, fault=str(error))
--- a/marjoramspool/store_versions.py
+++ b/marjoramspool/store_versions.py
@@ -5,10 +5,11 @@
 version combines both, so that comparing two versions is right across restorations.
 """
 
-__all__ = ["REVISION_BITS", "combine", "epoch_of", "revision_of"]
+__all__ = ["MAX_EPOCH", "REVISION_BITS", "combine", "epoch_of", "revision_of"]
 
-# Versions below 8,192 epochs remain exact in JSON, where numbers have 53 bits.
+# Versions remain exact in JSON, where numbers have 53 bits.
 REVISION_BITS = 40
+MAX_EPOCH = (1 << (53 - REVISION_BITS)) - 1
 
 
 def combine(epoch: int, revision: int) -> int:
--- a/marjoramspool/store_watchers.py
+++ b/marjoramspool/store_watchers.py
@@ -10,6 +10,7 @@
 from marjoramspool.clock import now
 from marjoramspool.engine_state.engine_list import RENEWAL_GRACE_S, Engine, EngineList
 from marjoramspool.engine_state.evacuations import Evacuations
+from marjoramspool.engine_state.registration_checks import MAX_NAME_LENGTH
 from marjoramspool.events import Event, log
 from marjoramspool.platform.store import (
     CATCH_UP_TIMEOUT_S,
@@ -306,8 +307,18 @@
 
     def apply_listing(self, objects: list[StoredObject], revision: int) -> None:
         """Apply a full listing of the evacuations."""
-        self.evacuations.replace((stored.name for stored in objects), revision, "store")
+        names = (stored.name for stored in objects)
+        self.evacuations.replace(filter(is_domain, names), revision, "store")
 
     def apply_changes(self, changes: list[ObjectChange], revision: int) -> None:
         """Apply new and removed evacuations."""
-        self.evacuations.apply_changes(((c.object.name, c.is_removed) for c in changes), revision)
+        named = ((c.object.name, c.is_removed) for c in changes if is_domain(c.object.name))
+        self.evacuations.apply_changes(named, revision)
+
+
+def is_domain(name: str) -> bool:
+    """Return whether a name may be that of a failure domain; log one that is too long for it."""
+    if len(name) <= MAX_NAME_LENGTH:
+        return True
+    log(Event.EVACUATION_UNREADABLE, name=name[:MAX_NAME_LENGTH], length=len(name))
+    return False
