Bound the doublings of an ejection

What callers could see: every request of a service fails after some hours in which one of its engines was never reached, such as an entry that nobody removes.

The new test failed before with OverflowError.

Change: at most eight doublings, which exceed the bound of 8 s. Result: it passes.

--- a/marjoramspool/engine_state/outlier_detection.py
+++ b/marjoramspool/engine_state/outlier_detection.py
@@ -8,12 +8,13 @@
 from marjoramspool.clock import now
 from marjoramspool.events import Event, log
 
-__all__ = ["OutlierDetector"]
+__all__ = ["MAX_EJECTION_S", "OutlierDetector"]
 
 FAILURE_WEIGHT = 0.25
 EJECT_ABOVE_FAILURE_RATE = 0.45
 FIRST_EJECTION_S = 1.0
 MAX_EJECTION_S = 8.0
+MAX_DOUBLINGS = 8
 FIRST_UNREACHABLE_EJECTION_S = 0.5
 MAX_EJECTED_FRACTION = 0.5
 MIN_REPORTS = 2
@@ -66,7 +67,7 @@
         health.is_refusing_connections = False
         health.failure_rate += FAILURE_WEIGHT * (1.0 - health.failure_rate)
         if health.failure_rate > EJECT_ABOVE_FAILURE_RATE:
-            ejection_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**health.ejections)
+            ejection_s = ejection_time_s(FIRST_EJECTION_S, health.ejections)
             health.ejections += 1
             # One more failure after the ejection exceeds the threshold again.
             health.failure_rate = EJECT_ABOVE_FAILURE_RATE - FAILURE_WEIGHT / 2
@@ -77,7 +78,7 @@
         health = self.health.setdefault(engine, EngineHealth())
         health.is_refusing_connections = is_refusing_connections
         self.succeeded_at.pop(engine, None)
-        ejection_s = min(MAX_EJECTION_S, FIRST_UNREACHABLE_EJECTION_S * 2**health.ejections)
+        ejection_s = ejection_time_s(FIRST_UNREACHABLE_EJECTION_S, health.ejections)
         health.ejections += 1
         self.eject(engine, health, ejection_s, is_unreachable=True)
 
@@ -137,3 +138,8 @@
         if len(ejected) > MAX_EJECTED_FRACTION * len(names):
             return names
         return names - ejected
+
+
+def ejection_time_s(first_s: float, earlier: int) -> float:
+    """Return the length of an ejection in seconds, twice as long after each earlier one."""
+    return min(MAX_EJECTION_S, first_s * 2 ** min(earlier, MAX_DOUBLINGS))
--- a/marjoramspool/engine_state/tests/test_engine_availability.py
+++ b/marjoramspool/engine_state/tests/test_engine_availability.py
@@ -4,7 +4,7 @@
 
 from marjoramspool.engine_state.engine_list import RENEWAL_GRACE_S, Engine, EngineList
 from marjoramspool.engine_state.engine_pauses import EnginePauses
-from marjoramspool.engine_state.outlier_detection import OutlierDetector
+from marjoramspool.engine_state.outlier_detection import MAX_EJECTION_S, OutlierDetector
 from marjoramspool.retries import SharedRetryBudget
 
 
@@ -89,6 +89,20 @@
     assert detector.exclude_ejected("abc") == {"b", "c"}, "the second ejection is longer"
 
 
+@pytest.mark.parametrize("is_refusing", [True, False])
+def test_an_engine_that_is_never_reached_can_be_ejected_for_ever(clock, is_refusing):
+    """Guards against requests that fail once the length of an ejection exceeds all numbers."""
+    detector = OutlierDetector(clock)
+    for _ in range(3000):
+        detector.record_unreachable("a", is_refusing)
+        detector.record_failure("a")
+        clock.now += MAX_EJECTION_S
+    detector.record_unreachable("a", is_refusing)
+    assert detector.is_ejected("a")
+    clock.now += MAX_EJECTION_S
+    assert not detector.is_ejected("a")
+
+
 def test_isolated_failures_do_not_eject(clock):
     detector = OutlierDetector(clock)
     for number in range(100):
