Take a refusal on a kept connection only if it names the attempt

Cause: EngineDispatcher took status 429 and 503 for a refusal of whatever it had sent; only answers with content were checked against the attempt.

Change: an answer that names another attempt is rejected, and so is one without content that names none on a connection that may have been used before; the request may have run then. Engines should therefore name the attempt in their refusals (X-Request-Id); requests that may not run twice use new connections, where an unnamed refusal still counts (a fifth test).

--- a/marjoramspool/engines/client.py
+++ b/marjoramspool/engines/client.py
@@ -104,6 +104,7 @@
         send_task = asyncio.create_task(self.send(request, target, attempt, reuse))
         response = await self.wait_with_liveness_checks(send_task, request, target, attempt)
         try:
+            check_identity(response, target, attempt, reuse)
             report_limit(response, limit_key(target.address), sent_at, self.on_limit)
             if response.status in NOT_RUN_STATUSES:
                 raise TargetRefusedError(f"engine {target.name} answered {response.status}")
@@ -320,6 +321,22 @@
                 pass
 
 
+def check_identity(
+    response: aiohttp.ClientResponse, target: Target, attempt: str, is_reused: bool
+) -> None:
+    """Check that an answer belongs to an attempt; raise MayHaveRunError if it may not.
+
+    Fault: an engine writes an earlier refusal once more on a connection that is in use again. An
+    answer with content is checked by the id in that.
+    """
+    echoed = response.headers.get("X-Request-Id")
+    if echoed == attempt:
+        return
+    if echoed is not None or (is_reused and response.status != HTTP_OK):
+        log(LogEvent.ANSWER_REJECTED, attempt=attempt, engine=target.name, echoed=echoed)
+        raise MayHaveRunError(f"engine {target.name} answered {response.status} to another attempt")
+
+
 async def forward_events(first: Event, events: AsyncIterator[Event]) -> AsyncIterator[bytes]:
     """Yield the bytes of events as received; raise BrokenAnswerError if the stream fails."""
     yield first.raw
--- a/marjoramspool/engines/tests/test_answer_integrity.py
+++ b/marjoramspool/engines/tests/test_answer_integrity.py
@@ -105,6 +105,32 @@
     assert status == 200
 
 
+@pytest.mark.parametrize("fault", ["refuse-again", "refuse-again-unnamed"])
+@pytest.mark.parametrize("is_stream", [False, True])
+async def test_a_refusal_that_is_written_again_is_not_taken_for_one(fleet, fault, is_stream):
+    """Guards against callers who are told that a chat was not run, although an engine ran it."""
+    await start_fleet(fleet, engines=1, routers=1)
+    (engine,) = fleet.engines
+    fleet.arm(engine, "refuse")
+    assert (await fleet.chat("first", max_tokens=TOKENS))[1][OUTCOME] == "not-run"
+    fleet.arm(engine, fault)
+    status, headers, _ = await fleet.chat("second", max_tokens=TOKENS, stream=is_stream)
+    assert not engine.faults.armed, "it was written"
+    assert sum(engine.executions.values()) == 1
+    assert (status, headers[OUTCOME]) == (502, "unknown")
+
+
+async def test_a_refusal_without_an_id_on_a_new_connection_is_one(fleet, monkeypatch):
+    await start_fleet(fleet, engines=1, routers=1)
+    (engine,) = fleet.engines
+    monkeypatch.setattr(engine, "name_request", None)
+    key = {"Idempotency-Key": "one"}
+    fleet.arm(engine, "refuse", times=-1)
+    _, headers, _ = await fleet.chat("first", max_tokens=TOKENS, headers=key)
+    assert headers[OUTCOME] == "not-run"
+    assert not engine.executions
+
+
 async def test_requests_with_equal_request_ids_get_their_own_answers(fleet):
     await start_fleet(fleet)
     for engine in fleet.engines:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -84,6 +84,8 @@
         self.fencing = 0
         self.orders: list[dict] = []
         self.silent_connections: set[int] = set()
+        # The last refusal on each connection, as the id of its request.
+        self.refused: dict[int, str] = {}
         self.reported = (0, 0)
         # Content that ends the engine, and what ends it.
         self.poison = b""
@@ -96,6 +98,7 @@
         """Return the HTTP application."""
         app = web.Application(client_max_size=1 << 26, middlewares=[self.apply_faults])
         app.on_response_prepare.append(self.name_limit)
+        app.on_response_prepare.append(self.name_request)
         app.router.add_post("/v1/chat/completions", self.complete)
         app.router.add_get("/v1/streams/{attempt}", self.resume)
         app.router.add_delete("/v1/streams/{attempt}", self.cancel)
@@ -117,13 +120,30 @@
         if id(request.transport) in self.silent_connections:
             await hang()
         if request.path == "/v1/chat/completions":
+            self.repeat_refusal(request)
             if self.faults.consume("refuse"):
+                self.refused[id(request.transport)] = request.headers.get("X-Request-Id", "")
                 return web.Response(status=503)
             if self.faults.consume("cut-before-run"):
                 abort_connection(request)
                 return web.Response(status=503)
         return await handler(request)
 
+    def repeat_refusal(self, request: web.Request) -> None:
+        """Write an earlier refusal once more if that is armed, with its id or without one."""
+        refused = self.refused.get(id(request.transport))
+        if refused is None:
+            return
+        if self.faults.consume("refuse-again"):
+            write_refusal(request, {"X-Request-Id": refused})
+        elif self.faults.consume("refuse-again-unnamed"):
+            write_refusal(request, {})
+
+    async def name_request(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Name the request in its answer, as it was named by the caller."""
+        if "X-Request-Id" in request.headers:
+            response.headers["X-Request-Id"] = request.headers["X-Request-Id"]
+
     async def name_limit(self, _: web.Request, response: web.StreamResponse) -> None:
         """Name the limit in an answer."""
         if self.limit_per_s is not None:
@@ -383,6 +403,13 @@
 STREAM_FAULTS = ("cut", "truncate", "silent", "delay", "duplicate", "skip", "cross", "wrong-id")
 
 
+def write_refusal(request: web.Request, headers: dict[str, str]) -> None:
+    """Write a refusal ahead of the answer to a request."""
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    head = "\r\n".join(["HTTP/1.1 503 Refused", "Content-Length: 0", *lines, "", ""])
+    request.transport.write(head.encode())
+
+
 def answer_tag(body: dict) -> str:
     """Return the tag of the last message, by which a caller recognizes its answer."""
     content = str(body["messages"][-1]["content"])
