--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -22,6 +22,9 @@
 # Work is done in steps of this length, so that a change of the slowness reaches running requests.
 WORK_STEP_S = 0.01
 SIGNATURE = "sig.1"
+SAME_REQUEST = "same"
+# The id in a repeated refusal, by the kind of fault; without an id if it is empty.
+REPEATED_REFUSALS = {"again-old": "r-earlier", "again-same": SAME_REQUEST, "again-unnamed": ""}
 
 
 @dataclass(slots=True)
@@ -86,7 +89,9 @@
     the connection), unframed-cut (no length, reset midway), unframed-part (a stream without length
     or chunks that ends inside an event), close-after-report (connection closed after a report),
     foreign (response to another request), bare (no signature), repeat (a resumed stream starts
-    over), mute (no response), busy503 (a 503 that does not say that the request was not executed).
+    over), mute (no response), busy503 (a 503 that does not say that the request was not executed),
+    again-old, again-same, again-unnamed (an earlier refusal is written once more ahead of an answer
+    on a kept connection: with its own id, with that of the request, or with none).
     While `is_leaving` is set, every response says so. While `retry_after_s` is set, requests are
     refused with it. While `limit_per_s` is set, every response names it. With `load_figures`, every
     response tells the load in that many figures, the fourth being the slowness; `load_text`
@@ -155,6 +160,8 @@
     on_poisoned: Callable[[], None] = lambda: None
     cached_blocks: list[tuple[str, str, int, str]] = field(default_factory=list)
     lists: int = 0
+    # Refusals that were written once more.
+    repeated: int = 0
     running: int = 0
     server: asyncio.Server | None = None
     address: str = ""
@@ -228,9 +235,12 @@
         """Serve one connection."""
         self.open_writers.add(writer)
         try:
+            is_kept_alive = False
             while arrival := await read_request(reader):
                 arrival.running_before = self.running
                 self.running += 1
+                if is_kept_alive:
+                    self.repeat_refusal(arrival, writer)
                 try:
                     is_kept_alive = await self.answer(arrival, reader, writer)
                 finally:
@@ -244,6 +254,14 @@
             self.open_writers.discard(writer)
             writer.close()
 
+    def repeat_refusal(self, arrival: Arrival, writer: asyncio.StreamWriter) -> None:
+        """Write an earlier refusal once more if that is armed."""
+        for kind, name in REPEATED_REFUSALS.items():
+            if self.consume(kind):
+                self.repeated += 1
+                request = arrival.id if name == SAME_REQUEST else name
+                writer.write(self.head(503, request, 0, **{"X-Not-Executed": "1"}))
+
     async def answer(self, arrival: Arrival, reader, writer) -> bool:
         """Answer one request; return whether the connection is kept alive."""
         if arrival.path == "/marjoramspool/kv-list":
