Require numbers of all events where a stream is resumed (own interface)

Cause: check_events looked at the number of an event only if it had one.

Change: where a stream is resumed, an event without a number is an error. Numbers of more than 18 digits count as none, and an event that is nested too deeply as malformed.

--- a/marjoramspool/engines/stream.py
+++ b/marjoramspool/engines/stream.py
@@ -9,6 +9,7 @@
 
 from marjoramspool.events import Event as LogEvent
 from marjoramspool.events import log
+from marjoramspool.untrusted_json import decode_json
 
 __all__ = [
     "Event",
@@ -23,6 +24,7 @@
 TERMINAL_MARKER = b"[DONE]"
 MAX_EVENT_BYTES = 1 << 20
 EVENT_SEPARATOR = b"\n\n"
+MAX_ID_LINE_BYTES = 22
 
 
 class StreamError(Exception):
@@ -113,9 +115,6 @@
             self.handle = self.loop.call_later(remaining_s, self.check)
 
 
-chunk_decoder = msgspec.json.Decoder(ChunkId)
-
-
 async def read_events(content: aiohttp.StreamReader, idle_timeout_s: float) -> AsyncIterator[Event]:
     """Yield the events of a stream.
 
@@ -154,7 +153,7 @@
     for line in raw.split(b"\n"):
         if line.startswith(b"data: "):
             data = line[6:]
-        elif line.startswith(b"id: ") and line[4:].isdigit():
+        elif line.startswith(b"id: ") and line[4:].isdigit() and len(line) <= MAX_ID_LINE_BYTES:
             number = int(line[4:])
     return Event(number, data, raw + EVENT_SEPARATOR) if data is not None else None
 
@@ -165,14 +164,17 @@
     """Yield the events of an attempt with numbers above `after`, in order and without duplicates.
 
     Raise MismatchedAttemptError for content of another attempt and IncompleteStreamError for a
-    missing event.
+    missing event, or for one without a number in a stream that is resumed.
     """
+    is_resumed = after >= 0
     async for event in events:
         if not event.is_last and chunk_id(event) != attempt:
             log(LogEvent.ANSWER_REJECTED, attempt=attempt)
             raise MismatchedAttemptError(
                 f"received an event that does not belong to attempt {attempt}"
             )
+        if event.number < 0 and is_resumed:
+            raise IncompleteStreamError(f"an event without a number follows event {after}")
         if event.number >= 0:
             if event.number <= after:
                 continue
@@ -189,6 +191,6 @@
 def chunk_id(event: Event) -> str | None:
     """Return the id of the attempt that an event belongs to, or None if it is malformed."""
     try:
-        return chunk_decoder.decode(event.data).id
-    except (msgspec.DecodeError, msgspec.ValidationError):
+        return decode_json(event.data, ChunkId).id
+    except msgspec.DecodeError:
         return None
--- a/marjoramspool/engines/tests/test_answer_integrity.py
+++ b/marjoramspool/engines/tests/test_answer_integrity.py
@@ -9,10 +9,11 @@
 
 import msgspec
 import pytest
+from aiohttp import web
 
 from bench.chats import Chat, take_turn
 from bench.local import wait_until
-from standins.engine import answer_tag
+from standins.engine import answer_tag, chunk
 
 TOKENS = 6
 LAST_CHUNK_POSITION = TOKENS
@@ -57,6 +58,45 @@
     assert turn.outcome == "broken", "a truncated answer must not look complete"
 
 
+def error_events(body):
+    return lambda _: web.Response(body=body, content_type="text/event-stream")
+
+
+RESUMPTION_ANSWERS = {
+    "500": lambda _: web.Response(status=500, text="the error"),
+    "404": lambda _: web.Response(status=404, text="the error", content_type="text/html"),
+    "503": lambda _: web.Response(status=503, text="the error"),
+    "200 text": lambda _: web.Response(text="the error"),
+    "200 json": lambda _: web.json_response({"error": "the error"}),
+    "error event": error_events(b'event: error\ndata: {"error":"the error"}\n\n'),
+    "numbered error event": error_events(b'id: 4\ndata: {"error":"the error"}\n\n'),
+    "terminal marker": error_events(b"data: [DONE]\n\n"),
+    "early terminal marker": error_events(b"id: 900\ndata: [DONE]\n\n"),
+    "own chunk without a number": lambda attempt: web.Response(
+        body=b"data: " + chunk(attempt, "the error") + b"\n\ndata: [DONE]\n\n",
+        content_type="text/event-stream",
+    ),
+    "deeply nested": error_events(b"id: 4\ndata: " + b"[" * 50_000 + b"\n\n"),
+    "huge number": error_events(b"id: " + b"9" * 5000 + b"\ndata: x\n\n"),
+    "nothing": error_events(b""),
+}
+
+
+@pytest.mark.parametrize("answer", RESUMPTION_ANSWERS.values(), ids=RESUMPTION_ANSWERS.keys())
+async def test_an_error_is_no_part_of_a_stream_that_breaks(fleet, answer):
+    """Guards against an error in the middle of a stream, or a stream that ends as if complete."""
+    await start_fleet(fleet)
+    for engine in fleet.engines:
+        fleet.arm(engine, "cut", after=3)
+        engine.resumption_answer = answer
+    chat = Chat("chat")
+    turn = await take_turn(fleet.session, fleet.url(), chat, "grip-model", max_tokens=TOKENS)
+    assert not turn.is_complete
+    assert turn.outcome == "broken"
+    word, _, _ = turn.text.partition("-")
+    assert f"{word}-0 {word}-1 {word}-2 {word}-3 ".startswith(turn.text)
+
+
 async def test_engine_stop_during_stream_ends_with_broken_outcome(fleet):
     await start_fleet(fleet, engines=1)
     started = asyncio.Event()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -90,6 +90,8 @@
         # Content that ends the engine, and what ends it.
         self.poison = b""
         self.on_poison: Callable[[], None] = lambda: None
+        # Answer to each request that resumes a stream, None for the stream itself.
+        self.resumption_answer: Callable[[str], web.Response] | None = None
         # Requests per second that each answer names as the limit.
         self.limit_per_s: float | None = None
         self.arrived_at: list[float] = []
@@ -330,6 +332,8 @@
 
     async def resume(self, request: web.Request) -> web.StreamResponse:
         """Resume a stream after the event that Last-Event-ID names."""
+        if self.resumption_answer:
+            return self.resumption_answer(request.match_info["attempt"])
         generation = self.generations.get(request.match_info["attempt"])
         if generation is None or generation.is_cancelled:
             return web.Response(status=404)
