Join a stream only with what goes on with it

Callers that took a stream up got a text in its place.

Cause: an answer of type text/event-stream counted as the continuation whatever its events were, and a success of another type was passed on.

Change: an attempt that goes on after an event gets a stream whose events have ids, else it has failed; comments are left out. The same holds for what comes through another router. An id of more than 18 digits counts as none.

--- a/marjoramspool/attempts.py
+++ b/marjoramspool/attempts.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections.abc import AsyncIterator
-from contextlib import AbstractAsyncContextManager, AsyncExitStack
+from contextlib import AbstractAsyncContextManager, AsyncExitStack, aclosing
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -12,6 +12,7 @@
 from marjoramspool.streams.event_stream import StreamEvent
 
 __all__ = [
+    "SUCCESS_STATUSES",
     "Attempt",
     "EngineAnswer",
     "EngineClient",
@@ -19,9 +20,12 @@
     "RunState",
     "StreamAnswer",
     "WholeAnswer",
+    "continuation",
     "wait_for_first_event",
 ]
 
+SUCCESS_STATUSES = range(200, 300)
+
 
 @dataclass(slots=True)
 class EngineAnswer:
@@ -114,6 +118,33 @@
         """Stop a run and move its memory to another engine."""
 
 
+def continuation(
+    answer: WholeAnswer | StreamAnswer, after_event: int | None
+) -> WholeAnswer | StreamAnswer:
+    """Return an answer to an attempt that goes on with a stream after an event, if it does so.
+
+    Fault: the engine answers with an error, as a success or as an event. Raise MayHaveRunError if
+    the answer is a success and no stream; its stream raises it for an event that is not of the
+    series. An attempt that begins a stream, with `after_event` None, gets the answer as it is.
+    """
+    if after_event is None or answer.status not in SUCCESS_STATUSES:
+        return answer
+    if isinstance(answer, WholeAnswer):
+        raise MayHaveRunError(f"the answer, status {answer.status}, does not go on with the stream")
+    answer.events = numbered_events(answer.events)
+    return answer
+
+
+async def numbered_events(events: AsyncIterator[StreamEvent]) -> AsyncIterator[StreamEvent]:
+    """Yield the events with an id; raise MayHaveRunError at another that is no comment."""
+    async with aclosing(events):
+        async for event in events:
+            if event.event_id is not None:
+                yield event
+            elif not event.is_comment:
+                raise MayHaveRunError("an event without an id does not go on with the stream")
+
+
 async def wait_for_first_event(
     events: AsyncIterator[StreamEvent], stack: AsyncExitStack
 ) -> AsyncIterator[StreamEvent]:
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -14,6 +14,7 @@
     EngineClient,
     StreamAnswer,
     WholeAnswer,
+    continuation,
     wait_for_first_event,
 )
 from marjoramspool.bounds import Bounds
@@ -288,7 +289,7 @@
                 backup = self.runs.begin_backup(request, placement, history, stack, is_continued)
                 attempt = make_attempt(placement, after_event, backup, run_memory)
                 opening = self.client.open(request, attempt)
-                answer = await stack.enter_async_context(opening)
+                answer = continuation(await stack.enter_async_context(opening), after_event)
                 if isinstance(answer, StreamAnswer):
                     history.is_delimited = answer.is_delimited
                     answer.events = await wait_for_first_event(answer.events, stack)
--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -9,12 +9,12 @@
 from yarl import URL
 
 from marjoramspool.answer_bodies import AnswerMemory
+from marjoramspool.attempts import SUCCESS_STATUSES
 from marjoramspool.engine_state.request_limits import EngineKey, parse_limit
 from marjoramspool.events import Event, log
 from marjoramspool.failures import MayHaveRunError, NotSentError
 
 __all__ = [
-    "SUCCESS_STATUSES",
     "LimitCallback",
     "Sessions",
     "can_connect",
@@ -25,7 +25,6 @@
 
 # Header in which a target names the requests per second that it takes from all routers together.
 LIMIT_HEADER = "X-Requests-Per-Second"
-SUCCESS_STATUSES = range(200, 300)
 # Takes a target's key, its limit or None for none, and when the request was sent.
 LimitCallback = Callable[[EngineKey, float | None, float], None]
 
--- a/marjoramspool/peer_attempts.py
+++ b/marjoramspool/peer_attempts.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from marjoramspool.attempt_history import AttemptHistory
-from marjoramspool.attempts import StreamAnswer, WholeAnswer, wait_for_first_event
+from marjoramspool.attempts import StreamAnswer, WholeAnswer, continuation, wait_for_first_event
 from marjoramspool.events import Event, log
 from marjoramspool.failures import (
     AttemptError,
@@ -75,7 +75,7 @@
         try:
             async with asyncio.timeout(self.timeout_s(request)):
                 opening = self.paths.open(request, peer, after_event, earlier_runs)
-                answer = await stack.enter_async_context(opening)
+                answer = continuation(await stack.enter_async_context(opening), after_event)
                 if isinstance(answer, StreamAnswer):
                     answer.events = await wait_for_first_event(answer.events, stack)
                 return answer
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -15,7 +15,14 @@
     read_body,
     read_events,
 )
-from marjoramspool.attempts import Attempt, MoveAnswer, RunState, StreamAnswer, WholeAnswer
+from marjoramspool.attempts import (
+    SUCCESS_STATUSES,
+    Attempt,
+    MoveAnswer,
+    RunState,
+    StreamAnswer,
+    WholeAnswer,
+)
 from marjoramspool.clock import now
 from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.engine_state.reported_speed import LoadFigures
@@ -28,7 +35,6 @@
     TargetRefusedError,
 )
 from marjoramspool.http import (
-    SUCCESS_STATUSES,
     LimitCallback,
     can_connect,
     is_refusing_connections,
--- a/marjoramspool/streams/event_stream.py
+++ b/marjoramspool/streams/event_stream.py
@@ -9,6 +9,8 @@
 EVENT_END = re.compile(rb"\r\n\r\n|\r\n\n|\n\r\n|\n\n|\r\r")
 # All bytes of an event's end but the last may have been received before.
 MAX_END_OVERLAP_BYTES = 3
+# Ids fit into the messages between routers.
+MAX_ID_DIGITS = 18
 
 
 @dataclass(slots=True, frozen=True)
@@ -18,6 +20,11 @@
     event_id: int | None
     raw: bytes
 
+    @property
+    def is_comment(self) -> bool:
+        """Return whether it has comments only, as engines send them to keep connections open."""
+        return all(line.startswith(b":") for line in self.raw.splitlines() if line)
+
 
 class EventSplitter:
     """Incremental splitter; the bytes of an unfinished event are kept in `incomplete`."""
@@ -47,5 +54,5 @@
         field, _, value = line.partition(b":")
         if field == b"id":
             text = value.strip()
-            return int(text) if text.isdigit() else None
+            return int(text) if text.isdigit() and len(text) <= MAX_ID_DIGITS else None
     return None
--- a/marjoramspool/streams/tests/test_event_stream.py
+++ b/marjoramspool/streams/tests/test_event_stream.py
@@ -21,3 +21,16 @@
     splitter = EventSplitter()
     assert [event.event_id for event in splitter.feed(b"id: 1\r\n\r\nid: 2\r\n\r")] == [1]
     assert splitter.incomplete == b"id: 2\r\n\r"
+
+
+def test_an_id_that_fits_no_message_is_none():
+    """Guards against a stream that ends in an error of the program, since an id is too long."""
+    splitter = EventSplitter()
+    events = splitter.feed(b"id: " + b"9" * 5000 + b"\n\nid: " + b"9" * 18 + b"\n\n")
+    assert [event.event_id for event in events] == [None, int("9" * 18)]
+
+
+def test_a_block_of_comments_is_told_from_an_event():
+    splitter = EventSplitter()
+    events = splitter.feed(b": one\r\n: two\r\n\r\n: one\ndata: x\n\n")
+    assert [event.is_comment for event in events] == [True, False]
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -160,6 +160,9 @@
     on_poisoned: Callable[[], None] = lambda: None
     cached_blocks: list[tuple[str, str, int, str]] = field(default_factory=list)
     lists: int = 0
+    # Bytes in place of each answer to a request that goes on with a stream, None for the answer
+    # itself; the connection is closed after them.
+    resumption_answer: bytes | None = None
     # Refusals that were written once more.
     repeated: int = 0
     running: int = 0
@@ -304,6 +307,10 @@
         if self.poison & prompt_parts(arrival):
             await self.end_poisoned()
             return False
+        if self.resumption_answer is not None and "last-event-id" in arrival.headers:
+            name = arrival.id.encode()
+            writer.write(self.resumption_answer.replace(b"%id", name))
+            return False
         if "kv-from" in arrival.headers:
             return await self.go_on(arrival, reader, writer)
         arrival.has_run = True
