--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -59,7 +59,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Record whose connection it is."""
         super().connection_made(transport)
-        self.peer = "{}:{}".format(*transport.get_extra_info("peername"))
+        # None if the peer has reset the connection already.
+        peer = transport.get_extra_info("peername")
+        self.peer = "{}:{}".format(*peer) if peer else ""
 
     def eof_received(self) -> None:
         """Record that the peer closes the connection."""
@@ -99,8 +101,8 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body that a reset has cut off; tell of a connection that was idle."""
-        is_idle = self.is_closed_by_peer or exc is not None
-        if is_idle and not self.should_close:
+        is_idle = not self.should_close
+        if is_idle and (self.is_closed_by_peer or exc is not None):
             self.on_idle_closed(self.peer)
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
--- a/marjoramspool/store_watchers.py
+++ b/marjoramspool/store_watchers.py
@@ -98,6 +98,9 @@
                 await self.sync_once()
                 backoff_s = INITIAL_BACKOFF_S
             except HistoryGoneError:
+                if self.is_listing_due:
+                    # It was lost between the pages of a listing, and may be again.
+                    await asyncio.sleep(backoff_s * random.uniform(0.5, 1.5))
                 self.is_listing_due = True
             except PlatformError:
                 self.has_failed = True
