--- a/marjoramspool/engine_state/quarantine_store.py
+++ b/marjoramspool/engine_state/quarantine_store.py
@@ -15,7 +15,7 @@
 from marjoramspool.engine_state.poison_parts import PoisonDetector, Quarantine
 from marjoramspool.events import Event, log
 from marjoramspool.platform.store import Conflict, PlatformError, Store, Written
-from marjoramspool.stored_objects import StoredObject
+from marjoramspool.store_replicas.stored_objects import StoredObject
 from marjoramspool.untrusted_json import decode_json
 
 __all__ = ["KIND", "QuarantineStore"]
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -48,8 +48,8 @@
 )
 from marjoramspool.startup_wait import StartupWait
 from marjoramspool.status import MemberStatus, Status
+from marjoramspool.store_replicas.store_watcher import WatchRole
 from marjoramspool.store_versions import epoch_of
-from marjoramspool.store_watchers import WatchRole
 
 __all__ = ["FleetRouter", "MetricsAddress"]
 
--- a/marjoramspool/peers/discovery.py
+++ b/marjoramspool/peers/discovery.py
@@ -13,7 +13,7 @@
 from marjoramspool.events import Event, log
 from marjoramspool.peers.directory import Directory
 from marjoramspool.platform.store import PlatformError, Store
-from marjoramspool.stored_objects import StoredObject
+from marjoramspool.store_replicas.stored_objects import StoredObject
 from marjoramspool.untrusted_json import decode_json
 
 __all__ = ["KIND", "Discovery", "RouterSpec", "read_spec"]
--- a/marjoramspool/peers/tests/test_watch_role_selection.py
+++ b/marjoramspool/peers/tests/test_watch_role_selection.py
@@ -3,7 +3,7 @@
 from marjoramspool.peers.directory import Directory
 from marjoramspool.peers.relays import select_store_watchers
 from marjoramspool.peers.watch_roles import WatchRoles
-from marjoramspool.store_watchers import WatchRole
+from marjoramspool.store_replicas.store_watcher import WatchRole
 
 PEERS = 40
 # A router that polls from then on has a new state within the 3 s that are promised.
--- a/marjoramspool/peers/watch_roles.py
+++ b/marjoramspool/peers/watch_roles.py
@@ -4,7 +4,7 @@
 
 from marjoramspool.peers import relays
 from marjoramspool.peers.directory import Directory
-from marjoramspool.store_watchers import WatchRole
+from marjoramspool.store_replicas.store_watcher import WatchRole
 
 __all__ = ["WatchRoles"]
 
--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -22,7 +22,7 @@
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import ClientAccount, RouteKind, RouteTable
 from marjoramspool.startup_wait import StartupWait
-from marjoramspool.store_watchers import RouteTableWatcher
+from marjoramspool.store_replicas.route_table_watcher import RouteTableWatcher
 
 __all__ = ["Ingress"]
 
--- a/marjoramspool/platform/store.py
+++ b/marjoramspool/platform/store.py
@@ -15,8 +15,13 @@
 from marjoramspool.http import new_session
 from marjoramspool.keepalive import keepalive_socket
 from marjoramspool.platform.store_bodies import read_changes, read_object, read_page
+from marjoramspool.store_replicas.stored_objects import (
+    Listing,
+    ListingBuilder,
+    ObjectChange,
+    StoredObject,
+)
 from marjoramspool.store_versions import MAX_EPOCH, epoch_of, revision_of
-from marjoramspool.stored_objects import Listing, ListingBuilder, ObjectChange, StoredObject
 
 __all__ = [
     "CATCH_UP_TIMEOUT_S",
--- a/marjoramspool/platform/store_bodies.py
+++ b/marjoramspool/platform/store_bodies.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from marjoramspool.events import Event, log
+from marjoramspool.store_replicas.stored_objects import ObjectChange, StoredObject
 from marjoramspool.store_versions import REVISION_BITS, combine
-from marjoramspool.stored_objects import ObjectChange, StoredObject
 from marjoramspool.untrusted_json import decode_json, split_array, split_object
 
 __all__ = ["Page", "read_changes", "read_object", "read_page"]
--- a/marjoramspool/platform/tests/test_foreign_records.py
+++ b/marjoramspool/platform/tests/test_foreign_records.py
@@ -19,7 +19,7 @@
 from marjoramspool.peers.discovery import Discovery
 from marjoramspool.peers.messages import QuarantineReport, decode_datagram, encode
 from marjoramspool.platform.store import Store
-from marjoramspool.stored_objects import StoredObject
+from marjoramspool.store_replicas.stored_objects import StoredObject
 
 LOOKUP = route("/lookup/", "idempotent", "desk")
 NESTED = msgspec.Raw(b"[" * 20_000 + b"]" * 20_000)
--- a/marjoramspool/platform/tests/test_store_listings.py
+++ b/marjoramspool/platform/tests/test_store_listings.py
@@ -11,9 +11,9 @@
 from bench.local import wait_until
 from bench.platform_fleet import route
 from marjoramspool.platform.store import HistoryGoneError, PlatformError, Store
+from marjoramspool.store_replicas.store_watcher import StoreWatcher, WatchRole
+from marjoramspool.store_replicas.stored_objects import Listing, ObjectChange, StoredObject
 from marjoramspool.store_versions import revision_of
-from marjoramspool.store_watchers import StoreWatcher, WatchRole
-from marjoramspool.stored_objects import Listing, ObjectChange, StoredObject
 
 ENGINES = 6
 PAGE_ITEMS = 2
--- a/marjoramspool/platform/tests/test_watch_roles.py
+++ b/marjoramspool/platform/tests/test_watch_roles.py
@@ -6,7 +6,7 @@
 
 from bench.local import wait_until
 from marjoramspool.platform.store import Store
-from marjoramspool.store_watchers import StoreWatcher, WatchRole
+from marjoramspool.store_replicas.store_watcher import StoreWatcher, WatchRole
 
 CHANGES = 20
 CHANGE_PERIOD_S = 0.05
--- a/marjoramspool/platform/watchers.py
+++ b/marjoramspool/platform/watchers.py
@@ -7,13 +7,11 @@
 from marjoramspool.platform.desired import decode_table
 from marjoramspool.platform.registry import decode_engine
 from marjoramspool.platform.store import Store
-from marjoramspool.store_watchers import (
-    EngineWatcher,
-    EvacuationWatcher,
-    RouteTableWatcher,
-    WatchRole,
-)
-from marjoramspool.stored_objects import StoredObject
+from marjoramspool.store_replicas.engine_watcher import EngineWatcher
+from marjoramspool.store_replicas.evacuation_watcher import EvacuationWatcher
+from marjoramspool.store_replicas.route_table_watcher import RouteTableWatcher
+from marjoramspool.store_replicas.store_watcher import WatchRole
+from marjoramspool.store_replicas.stored_objects import StoredObject
 
 __all__ = ["new_engine_watcher", "new_evacuation_watcher", "new_table_watcher"]
 
--- a/marjoramspool/storage.py
+++ b/marjoramspool/storage.py
@@ -20,7 +20,7 @@
     WriteUncertainError,
 )
 from marjoramspool.platform.store import Written as ObjectWritten
-from marjoramspool.stored_objects import StoredObject
+from marjoramspool.store_replicas.stored_objects import StoredObject
 from marjoramspool.untrusted_json import decode_json
 
 __all__ = [
--- a/marjoramspool/tests/test_stored_objects.py
+++ b/marjoramspool/store_replicas/tests/test_stored_objects.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramspool.stored_objects import ListingBuilder, ObjectChange, StoredObject
+from marjoramspool.store_replicas.stored_objects import ListingBuilder, ObjectChange, StoredObject
 
 NAMES = "abcdefgh"
 NULL = msgspec.Raw(b"null")
