--- a/marjoramspool/platform/tests/test_stream_versions.py
+++ b/marjoramspool/platform/tests/test_stream_versions.py
@@ -14,8 +14,8 @@
 # The router may not send a stream of this route on itself, so that its client has to.
 ONCE = route("/once/", "streaming", "model", stream_resume=True, max_attempts=1)
 STREAMS = 24
-# Time in which a process starts again.
-DOWN_S = 0.3
+# Time in which an engine that goes down and up by turns is down.
+DOWN_S = 0.7
 EVENTS = [f"id: {number}".encode() for number in range(1, 7)]
 
 
@@ -255,8 +255,9 @@
         asyncio.create_task(read_stream(site, "/chat/x", name, number % routers))
         for number, name in enumerate(names)
     ]
-    await asyncio.sleep(0.1)
-    await asyncio.gather(*[engine.restart("v2", DOWN_S) for engine in site.engines[:2]])
+    restarted = site.engines[:2]
+    await wait_until(lambda: all(engine.at_work for engine in restarted), "both execute streams")
+    await asyncio.gather(*[engine.restart("v2", DOWN_S) for engine in restarted])
     await asyncio.gather(*tasks)
     for engine in site.engines:
         engine.piece_interval_s = 0.005
