Have resumed streams reach both cold engines in the test that counts them

Cause: the test left its premise to chance. Resumptions were few (the retry budget of the fleet in the test lets a third of the broken streams go on), and requests at one steady rate asked for each permission of a cold engine just before they did.

Change: every broken stream may be resumed, a stream breaks later than the next request begins, and two rates share no period. The bound is as it was; the premise is stricter, as both cold engines must get resumptions, not one of them.

--- a/marjoramspool/platform/tests/test_cold_engines.py
+++ b/marjoramspool/platform/tests/test_cold_engines.py
@@ -151,7 +151,11 @@
 
 async def test_retries_and_resumed_streams_count_for_a_cold_engine(site):
     chat = route("/lookup/", "streaming", "desk", stream_resume=True, max_attempts=2)
-    engines = [await site.add_engine("desk", is_stream=True) for _ in range(3)]
+    # Each stream may be resumed, and breaks later than the next one begins, so that first requests
+    # and resumptions ask for the cold engines equally often.
+    site.bounds = Bounds(shutdown_grace_s=3.0, retry_ratio=2.0)
+    options = {"is_stream": True, "piece_interval_s": 0.02}
+    engines = [await site.add_engine("desk", **options) for _ in range(3)]
     cold = engines[:2]
     await site.configure(chat, services=SERVICES)
     await site.add_router()
@@ -162,12 +166,13 @@
     for engine in engines:
         engine.faults["cut"] = 1000
     began_at = time.monotonic()
-    async with requests(site, 40.0):
+    # Two rates that share no period: with one, first requests may always ask just before the
+    # resumptions do, so that those never get a turn at a cold engine.
+    async with requests(site, 23.0), requests(site, 17.0):
         await asyncio.sleep(4.0)
-        # Which of the requests that may go to a cold engine is a resumption is left to chance.
         await wait_until(
-            lambda: any("last-event-id" in a.headers for e in cold for a in e.arrivals),
-            "a resumed stream has reached a cold engine",
+            lambda: all(any("last-event-id" in a.headers for a in e.arrivals) for e in cold),
+            "resumed streams have reached both cold engines",
             COLD_S - 5.0,
         )
     for engine in cold:
