Apply an answer of the store that ends after the list of another router

What callers could see: requests to an engine that drains, sent by a router that had read in the store that it does.

Cause: since an answer to a watch was left out whenever the router had taken a newer list from another router meanwhile, also where the answer told of more than that list. What it had read was forgotten until the next call, and a router that the store then turned away, or that no longer watched, learned it only from others.

Change: an answer is left out only if it ends before the list that was taken. One that ends after it is applied: each object that changed since the call's revision ends as in its last change, whatever the list showed, so that made in their order the changes lead to the state at the answer's revision.

Ruled out: applying only the changes after the list's revision. A removal may bear the revision of the change before it, so it could not be told which list shows it.

--- a/marjoramspool/platform/tests/test_store_listings.py
+++ b/marjoramspool/platform/tests/test_store_listings.py
@@ -163,9 +163,10 @@
 
 
 class HeldUpStore:
-    """Store whose answers are held up until they are released."""
+    """Store whose answers, up to revision 12, are held up until they are released."""
 
-    def __init__(self):
+    def __init__(self, *changes):
+        self.changes = list(changes) or [ObjectChange(entry("a", 12, b'"cold"'), False)]
         self.released = asyncio.Event()
 
     async def list_objects(self, kind):
@@ -174,7 +175,7 @@
 
     async def watch(self, kind, revision, wait_s):
         await self.released.wait()
-        return [ObjectChange(entry("a", 12, b'"cold"'), False)], 12
+        return self.changes, 12
 
 
 def entry(name, revision, spec):
@@ -200,6 +201,28 @@
     assert (watcher.specs, watcher.revision) == ({"a": b'"draining"'}, 20)
 
 
+async def test_an_answer_that_ends_after_a_newer_list_is_applied():
+    """Guards against a router that read that an engine drains, and left it out."""
+    store = HeldUpStore(ObjectChange(entry("a", 12, b'"leaving"'), False))
+    watcher = Entries(store)
+    watcher.revision, watcher.is_listing_due = 10, False
+    await answer_late(watcher, store, 11)
+    assert (watcher.specs, watcher.revision) == ({"a": b'"leaving"'}, 12)
+
+
+async def test_changes_that_a_newer_list_shows_already_lead_to_the_same_state():
+    """Guards against an engine that is removed since an earlier one of its name was."""
+    store = HeldUpStore(
+        ObjectChange(entry("a", 9, b'"earlier"'), True),
+        ObjectChange(entry("a", 11, b'"draining"'), False),
+        ObjectChange(entry("b", 12, b'"ready"'), False),
+    )
+    watcher = Entries(store)
+    watcher.revision, watcher.is_listing_due = 10, False
+    await answer_late(watcher, store, 11)
+    assert watcher.specs == {"a": b'"draining"', "b": b'"ready"'}
+
+
 @pytest.mark.parametrize("known", [None, 5])
 async def test_a_late_listing_does_not_undo_a_newer_list(known):
     store = HeldUpStore()
--- a/marjoramspool/store_replicas/store_watcher.py
+++ b/marjoramspool/store_replicas/store_watcher.py
@@ -97,14 +97,16 @@
     async def sync_once(self) -> None:
         """Make one list or watch call and apply its result.
 
-        Fault: an answer is held up while this router takes a newer state from another router. What
-        it brings is older, and is left out; the next call asks for what has come since.
+        Fault: an answer is held up while this router takes a newer state from another router. One
+        that ends before that state would take it back, and is left out. One that ends after it
+        tells what has changed since: the earlier changes, made once more in their order, lead to
+        the same state.
         """
         since = self.revision
         if since is None or self.is_listing_due:
             listing = await self.store.list_objects(self.kind)
             self.record_store_answer()
-            if self.revision != since and listing.revision < self.revision:
+            if self.is_overtaken(since, listing.revision):
                 return
             self.apply_listing(listing.objects, listing.revision)
             self.revision = listing.revision
@@ -115,13 +117,17 @@
         watch_timeout_s = CATCH_UP_TIMEOUT_S if self.has_failed else self.watch_timeout_s()
         changes, revision = await self.store.watch(self.kind, since, watch_timeout_s)
         self.record_store_answer()
-        if self.revision != since:
+        if self.is_overtaken(since, revision):
             return
         self.apply_changes(changes, revision)
         self.revision = max(self.revision, revision)
         if self.watch_role() is WatchRole.STANDBY:
             await asyncio.sleep(self.standby_period_s)
 
+    def is_overtaken(self, since: int | None, revision: int) -> bool:
+        """Return whether a state after `revision` was taken since a call from `since` was made."""
+        return self.revision != since and revision < self.revision
+
     def max_backoff_s(self) -> float:
         """Return the longest backoff between calls during an outage."""
         return MAX_BACKOFF_S if self.revision is not None else MAX_STARTUP_BACKOFF_S
