Leave out entries of engines under names that no header can carry

What callers saw: 500 for about half of the requests (5 of 12, one engine beside the entry), as long as another writer's entry stood in the store under a name with a control character. All other fields of the entry were sound.

Cause: the name goes into X-Expect-Instance, and the HTTP library refuses to send a header with such a character. Names were only checked for their length. An empty name sends an empty header, so that no engine would check it.

Ruled out: names with spaces or of other scripts; they are sent and refused with 421.

--- a/marjoramspool/engine_state/registration_checks.py
+++ b/marjoramspool/engine_state/registration_checks.py
@@ -1,7 +1,7 @@
 """Checks of what a registration says, before anything counts with it.
 
 Fault: an entry that no engine wrote has a figure so large that the choice of an engine fails, or an
-address to which no request can be sent.
+address to which no request can be sent, or a name that no header can carry.
 """
 
 from marjoramspool.addresses import is_endpoint
@@ -21,6 +21,8 @@
     names = (engine.id, engine.service, engine.address, engine.failure_domain, engine.version)
     if any(len(name) > MAX_NAME_LENGTH for name in names):
         return f"a name is longer than {MAX_NAME_LENGTH} characters"
+    if not engine.id or not engine.id.isprintable():
+        return f"{engine.id!r} is no name that a header can carry"
     if not is_endpoint(engine.address):
         return f"{engine.address!r} is no IPv4 address with a port"
     if not 1 <= engine.slots <= MAX_SLOTS:
--- a/marjoramspool/platform/tests/test_foreign_entries.py
+++ b/marjoramspool/platform/tests/test_foreign_entries.py
@@ -188,6 +188,14 @@
     assert decode(ENTRY | {name: value}) is None
 
 
+ODD_NAMES = ["", "a\nb", "a\r\nX-Tenant: crews", "a\0b", "a\x7f", "a\t", "\u2028", "x" * 100_000]
+
+
+@pytest.mark.parametrize("name", ODD_NAMES, ids=lambda name: ascii(name[:20]))
+def test_an_entry_under_a_name_that_no_header_carries_names_no_engine(name):
+    assert decode_engine(name, msgspec.json.encode(ENTRY)) is None
+
+
 @pytest.mark.parametrize("entry", [None, True, 7, "text", [], [ENTRY], {}])
 def test_what_is_no_entry_names_no_engine(entry):
     assert decode(entry) is None
@@ -214,6 +222,8 @@
         {"address": "127.0.0.1:99999"},
         {"started_ms": -(1 << 62)},
         {"service": "x" * 5000},
+        {"id": "i\n1"},
+        {"id": ""},
     ],
     ids=str,
 )
@@ -264,6 +274,16 @@
         assert status == 200
 
 
+async def test_requests_are_served_beside_an_entry_under_an_odd_name(site):
+    """Guards against an error for each request that goes to the entry."""
+    engine = await site.add_engine("desk")
+    await site.configure(LOOKUP)
+    await site.put("servers", "a\nb", engine.registration())
+    await site.add_router()
+    for number in range(20):
+        assert (await site.send("/lookup/x", f"q{number}"))[0] == 200
+
+
 async def test_an_engine_whose_entry_becomes_odd_gets_no_more_requests(site):
     first = await site.add_engine("desk")
     second = await site.add_engine("desk")
