Ask the store again after a failed call, also where others watch it

Cause: in a fleet with relays most routers make no calls to the store. One whose last call had failed (a cut at 1 to 13 s, refusals at 24.5 to 32.5 s) kept that for as long as it heard from others, and took its next answer, tens of seconds later, for the end of the outage. The engine that this answer showed as removed, a second ago, was kept for 2.2 s more.

Change: a router asks again, with the backoff of an outage, until the store answers, whatever its role. What is then removed later counts at once.

--- a/marjoramspool/store_replicas/store_watcher.py
+++ b/marjoramspool/store_replicas/store_watcher.py
@@ -77,7 +77,7 @@
         """Synchronize with the store until cancelled, with backoff while it fails."""
         backoff_s = INITIAL_BACKOFF_S
         while True:
-            if self.revision is not None and self.watch_role() is WatchRole.PASSIVE:
+            if self.may_leave_store_to_others():
                 await asyncio.sleep(PASSIVE_CHECK_PERIOD_S)
                 continue
             try:
@@ -94,6 +94,15 @@
                 await self.store.wait_until_available(backoff_s * random.uniform(0.5, 1.5))
                 backoff_s = min(self.max_backoff_s(), backoff_s * 2)
 
+    def may_leave_store_to_others(self) -> bool:
+        """Return whether this router needs no calls to the store now.
+
+        Fault: a router whose last call failed makes the next one long after the store is back, and
+        takes what was removed meanwhile for lost in the outage.
+        """
+        is_listed = self.revision is not None and not self.has_failed
+        return is_listed and self.watch_role() is WatchRole.PASSIVE
+
     async def sync_once(self) -> None:
         """Make one list or watch call and apply its result.
 
