Fetch the engine list from other routers while a route table is on its way

What callers could see: requests to an engine that has left, sent by a router that waits for a long route table.

Change: each kind of state is followed by a task of its own, and log lines of fetched state tell how long it took.

--- a/marjoramspool/peers/state_sync.py
+++ b/marjoramspool/peers/state_sync.py
@@ -110,11 +110,20 @@
         return web.Response(status=503) if state is None else web.Response(body=encode(state))
 
     async def run(self) -> None:
-        """Check periodically whether a peer has a newer route table or engine list."""
+        """Follow the newest route table and the newest engine list of the other routers.
+
+        Fault: a route table takes seconds over the full link of the peer that sends it. The engine
+        list does not wait for it.
+        """
+        async with asyncio.TaskGroup() as group:
+            for path in (TABLE_PATH, ENGINES_PATH):
+                group.create_task(self.follow(path))
+
+    async def follow(self, path: str) -> None:
+        """Check periodically whether a peer has newer state of one kind."""
         while True:
             await asyncio.sleep(CHECK_PERIOD_S * random.uniform(0.7, 1.3))
-            for path in (TABLE_PATH, ENGINES_PATH):
-                await self.fetch_if_behind(path)
+            await self.fetch_if_behind(path)
 
     def behind_s(self) -> float:
         """Return for how long a peer has been known to have newer state, in seconds."""
@@ -148,14 +157,29 @@
     async def fetch(self, peer: Peer, path: str) -> bool:
         """Fetch and import one kind of state from a peer; return whether that succeeded."""
         url = f"http://{peer.address}:{self.port}{path}"
+        asked_at = now()
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S), self.session.get(url) as response:
                 response.raise_for_status()
                 body = await response.read()
             state = msgspec.msgpack.decode(body, type=STATE_TYPES[path])
         except (aiohttp.ClientError, OSError, RecursionError, ValueError) as error:
-            log(Event.PEER_STATE_MISSED, address=peer.address, part=path, why=repr(error))
+            took_s = round(now() - asked_at, 3)
+            log(
+                Event.PEER_STATE_MISSED,
+                address=peer.address,
+                part=path,
+                took_s=took_s,
+                why=repr(error),
+            )
             return False
-        log(Event.PEER_STATE_TAKEN, address=peer.address, part=path, bytes=len(body))
+        took_s = round(now() - asked_at, 3)
+        log(
+            Event.PEER_STATE_TAKEN,
+            address=peer.address,
+            part=path,
+            bytes=len(body),
+            took_s=took_s,
+        )
         self.import_state(state, peer.address)
         return True
