Tell other routers for how long an engine may renew its lapsed registration

What callers could see: requests to an engine that is gone from the store, until the next change of any engine, sent by routers that had no outage themselves.

Cause: after an outage a router keeps an engine whose registration lapsed for 2.2 s. It listed it to other routers like any other, at a revision at which the store no longer had it. When the engine did not renew, the list changed without a new revision, so that a router which had taken the list saw no newer one.

Change: an entry of the list says for how long the engine may still renew. A router that takes it keeps the engine no longer, and routers that take it from each other do not prolong it. The field comes last and has a default, so that routers of an earlier release read it as before.

--- a/marjoramspool/engine_state/engine_list.py
+++ b/marjoramspool/engine_state/engine_list.py
@@ -239,6 +239,11 @@
             self.usable_by_service.clear()
             log(Event.ENGINE_UNLISTED, engine=engine.id, address=engine.address, displaced=True)
 
+    def renewal_s(self, engine: Engine) -> float | None:
+        """Return for how long an engine may renew its lapsed registration, None if it is listed."""
+        until = self.pending_renewal.get(engine.id)
+        return None if until is None else max(0.0, until - self.clock())
+
     def expire(self) -> None:
         """Unlist the engines that did not renew their registration in time."""
         now_s = self.clock()
--- a/marjoramspool/peers/messages.py
+++ b/marjoramspool/peers/messages.py
@@ -281,6 +281,8 @@
     version: str = ""
     # For how long it is still cold, None if it is not known to be.
     cold_ms: int | None = None
+    # For how long it may still renew its lapsed registration, None if it is registered.
+    renewal_ms: int | None = None
 
 
 class TableState(msgspec.Struct, array_like=True, frozen=True):
--- a/marjoramspool/peers/state_transfer.py
+++ b/marjoramspool/peers/state_transfer.py
@@ -3,7 +3,7 @@
 import math
 
 from marjoramspool.engine_state.cold_engines import ColdEngines
-from marjoramspool.engine_state.engine_list import Engine, EngineList
+from marjoramspool.engine_state.engine_list import RENEWAL_GRACE_S, Engine, EngineList
 from marjoramspool.engine_state.registration_checks import find_fault
 from marjoramspool.events import Event, log
 from marjoramspool.peers.messages import CacheUpdate, CacheUpdateKind, EngineEntry, incarnation_id
@@ -23,7 +23,7 @@
 
 
 def export_engines(engines: EngineList, cold: ColdEngines) -> tuple[EngineEntry, ...]:
-    """Return all registered engines as message entries."""
+    """Return all engines as message entries, those that may renew their registration too."""
     return tuple(
         EngineEntry(
             e.id,
@@ -34,7 +34,8 @@
             e.is_draining,
             e.started_ms,
             e.version,
-            None if (cold_s := cold.last_said_s(e)) is None else math.ceil(cold_s * MS),
+            as_ms(cold.last_said_s(e)),
+            as_ms(engines.renewal_s(e)),
         )
         for e in engines.engines.values()
     )
@@ -49,10 +50,29 @@
     """Replace the engine list by that of another router, as `EngineList.replace_all` does.
 
     A router of an earlier release may list what no engine wrote.
+
+    Fault: the other router keeps an engine whose registration is gone from the store, as it may
+    renew it. Its removal is no change after `revision`, so this router would never hear of it.
     """
     engines.revision = revision
+    known = dict(engines.pending_renewal)
     imported = (import_engine(engines, entry) for entry in entries)
     engines.replace_all(filter(is_sound, imported), renewals_until)
+    for entry in entries:
+        if entry.renewal_ms is not None:
+            until = engines.clock() + renewal_s(entry)
+            # Routers that tell each other of it do not prolong it.
+            engines.remove(entry.id, min(until, known.get(entry.id, until)))
+
+
+def renewal_s(entry: EngineEntry) -> float:
+    """Return for how long an engine may renew its lapsed registration."""
+    return min(max(0.0, entry.renewal_ms / MS), RENEWAL_GRACE_S)
+
+
+def as_ms(seconds: float | None) -> int | None:
+    """Return a time in whole milliseconds, at least as long; None for None."""
+    return None if seconds is None else math.ceil(seconds * MS)
 
 
 def is_sound(engine: Engine) -> bool:
