Do not take an outage of one router for one of the store

What callers could see: requests to an engine up to 3.4 s after the store had removed it, sent by a router that the store had turned away while it served the others.

Cause: every failed call counted as an outage of the store, in which registrations may lapse. A removal in the router's first answer afterwards was taken for such a lapse, and the engine kept for 2.2 s, although other routers had told of changes all the while.

Ruled out: the flags with which routers report whether they reach the store. Most make no calls in a fleet with relays and report what was true at their last one.

--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -349,9 +349,12 @@
         """Merge state of the router at `address` that is newer or not known locally."""
         match state:
             case TableState(revision, table):
-                self.table_watcher.apply_if_newer(revision, zlib.decompress(table), address)
+                spec = zlib.decompress(table)
+                if self.table_watcher.apply_if_newer(revision, spec, address):
+                    self.engine_watcher.outage.record_news()
             case EnginesState(revision, engines):
                 if revision > (self.engine_watcher.revision or 0):
+                    self.engine_watcher.outage.record_news()
                     self.store.advance_epoch(epoch_of(revision))
                     self.engine_watcher.record_epoch(revision)
                     renewals_until = self.engine_watcher.renewal_deadline()
--- a/marjoramspool/platform/tests/test_removal_after_outage.py
+++ b/marjoramspool/platform/tests/test_removal_after_outage.py
@@ -74,3 +74,28 @@
     roles.append(WatchRole.STANDBY)
     await asyncio.sleep(DRAIN_S + 0.5)
     assert {e.id for e in router.engines.usable("desk")} == {engine.id, other.id}
+
+
+async def test_an_engine_that_is_removed_as_the_store_serves_a_router_again_is_not_used(site):
+    """The store turned this router alone away, so that no registration lapsed in an outage."""
+    leaving, other = [await site.add_engine("desk") for _ in range(2)]
+    await site.configure(LOOKUP)
+    router, _ = [await site.add_router() for _ in range(2)]
+    await site.wait_for_peers()
+    address = router.store.address
+    router.store.address = "127.0.0.1:1"
+    await wait_until(lambda: router.engine_watcher.has_failed, "a call failed", 4.0)
+    for number in range(14):
+        await asyncio.sleep(0.5)
+        cold_ms = 500 * number
+        await site.put("servers", other.id, other.registration(cold_remaining_ms=cold_ms))
+        if number % 4 == 3:
+            await site.configure(LOOKUP)
+    router.state_sync.fetch_delay_s = lambda: 60.0
+    await site.remove_object("servers", leaving.id)
+    router.store.address = address
+    await wait_until(
+        lambda: [e.id for e in router.engines.usable("desk")] == [other.id],
+        "the engine is not used",
+        DRAIN_S,
+    )
--- a/marjoramspool/store_replicas/store_watcher.py
+++ b/marjoramspool/store_replicas/store_watcher.py
@@ -12,6 +12,7 @@
     PlatformError,
     Store,
 )
+from marjoramspool.store_replicas.store_outage import StoreOutage
 from marjoramspool.store_replicas.stored_objects import ObjectChange, StoredObject
 
 __all__ = [
@@ -52,9 +53,9 @@
     """Replica of the store objects of one kind: a listing, then watches from its revision."""
 
     __slots__ = (
-        "has_failed",
         "is_listing_due",
         "kind",
+        "outage",
         "recovered_at",
         "revision",
         "standby_period_s",
@@ -69,10 +70,16 @@
         self.revision: int | None = None
         # What is known stays in force until it is listed again.
         self.is_listing_due = True
-        self.has_failed = False
+        self.outage = StoreOutage()
+        # When the last outage ended that all routers may have had.
         self.recovered_at: float | None = None
         self.standby_period_s = STANDBY_PERIOD_S
 
+    @property
+    def has_failed(self) -> bool:
+        """Return whether the last call to the store failed."""
+        return self.outage.is_ongoing
+
     async def run(self) -> None:
         """Synchronize with the store until cancelled, with backoff while it fails."""
         backoff_s = INITIAL_BACKOFF_S
@@ -89,7 +96,7 @@
                     await asyncio.sleep(backoff_s * random.uniform(0.5, 1.5))
                 self.is_listing_due = True
             except PlatformError:
-                self.has_failed = True
+                self.outage.record_failure()
                 # Jitter keeps the routers from reconnecting simultaneously after an outage.
                 await self.store.wait_until_available(backoff_s * random.uniform(0.5, 1.5))
                 backoff_s = min(self.max_backoff_s(), backoff_s * 2)
@@ -151,9 +158,8 @@
         return DESIGNATED_WATCH_TIMEOUT_S
 
     def record_store_answer(self) -> None:
-        """Record that the store answered, and the time of recovery if it had failed."""
-        if self.has_failed:
-            self.has_failed = False
+        """Record that the store answered, and when an outage of all routers ended with that."""
+        if self.outage.is_ongoing and self.outage.end():
             self.recovered_at = now()
 
     def apply_listing(self, objects: list[StoredObject], revision: int) -> None:
