Return only what is used of a member of an unreadable object

partition_member returned a colon that nobody used, and QUOTE was not used either. No change of behaviour; the tests of untrusted_json pass.

--- a/marjoramspool/untrusted_json.py
+++ b/marjoramspool/untrusted_json.py
@@ -13,7 +13,6 @@
 
 # A string, or what separates and nests values; brackets that follow one another are one token.
 TOKEN = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[{]+|[\]}]+|[,:]', re.DOTALL)
-QUOTE = ord('"')
 OPENING = b"[{"
 CLOSING = b"]}"
 
@@ -33,7 +32,7 @@
     """
     members = {}
     for member in split(data, b"{"):
-        name, _, value = partition_member(member)
+        name, value = split_member(member)
         try:
             members[msgspec.json.decode(name, type=str)] = value
         except msgspec.DecodeError:
@@ -46,11 +45,11 @@
     return list(split(data, b"["))
 
 
-def partition_member(member: bytes) -> tuple[bytes, bytes, bytes]:
-    """Return the name of a member, the colon and its value."""
+def split_member(member: bytes) -> tuple[bytes, bytes]:
+    """Return the name of a member and its value, not decoded."""
     name = TOKEN.match(member)
     end = name.end() if name else 0
-    return member[:end], b":", member[end:].lstrip().removeprefix(b":").strip()
+    return member[:end], member[end:].lstrip().removeprefix(b":").strip()
 
 
 def split(data: bytes, bracket: bytes) -> Iterator[bytes]:
