--- a/marjoramspool/attempt_history.py
+++ b/marjoramspool/attempt_history.py
@@ -15,7 +15,7 @@
 from marjoramspool.engine_state.request_limits import AllLimited
 from marjoramspool.failures import AttemptError
 from marjoramspool.outcomes import Problem
-from marjoramspool.placement.engine_selector import Placement
+from marjoramspool.placement.placements import Placement
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.streams.moved_events import RunMove
 
--- a/marjoramspool/attempt_outlook.py
+++ b/marjoramspool/attempt_outlook.py
@@ -13,8 +13,9 @@
     Outlook,
     further_wait_s,
 )
-from marjoramspool.placement.engine_selector import EngineSelector, Placement
+from marjoramspool.placement.engine_selector import EngineSelector
 from marjoramspool.placement.expected_time import expected_factor
+from marjoramspool.placement.placements import Placement
 
 __all__ = ["AttemptOutlook", "attempt_limit"]
 
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -42,7 +42,8 @@
 from marjoramspool.metrics import Metrics
 from marjoramspool.outcomes import NotRun, Problem, Unknown
 from marjoramspool.peer_attempts import PeerAttempts, PeerPathSource
-from marjoramspool.placement.engine_selector import EngineSelector, Placement, Refusal
+from marjoramspool.placement.engine_selector import EngineSelector, Refusal
+from marjoramspool.placement.placements import Placement
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.retries import SharedRetryBudget
 from marjoramspool.streams.run_continuation import RunContinuation
@@ -262,7 +263,7 @@
             wait_s=round(shed.wait_s, 3),
             patience_s=request.route.first_event_timeout_s,
             return_s=round(shed.retry_after_s, 3),
-            tokens_a_s=round(self.selector.prefill_rate(request.service).tokens_per_s),
+            tokens_a_s=round(self.selector.prefill_waits.rate(request.service).tokens_per_s),
         )
         why = f"request shed: estimated prefill wait of {shed.wait_s:.1f} s at the best engine"
         return Problem(503, why, "retry after the given time", shed.retry_after_s)
@@ -324,7 +325,7 @@
             waited_s=waited_s,
         )
         self.metrics.observe(f"first_answer_seconds.{request.service}", waited_s)
-        self.selector.record_first_event(placement, waited_s)
+        self.selector.prefill_waits.record_first_event(placement, waited_s)
         if answer.status >= MIN_SERVER_ERROR_STATUS:
             self.selector.revert_placement(placement)
             if self.is_retry_allowed(request, history):
--- a/marjoramspool/placement/engine_selector.py
+++ b/marjoramspool/placement/engine_selector.py
@@ -4,15 +4,9 @@
 
 from marjoramspool import hashing
 from marjoramspool.admission.account_admission import Contended
-from marjoramspool.admission.load_shedding import (
-    MIN_OVERTAKEN_RANK,
-    PrefillPressure,
-    PrefillRate,
-    Shed,
-    shed_request,
-)
+from marjoramspool.admission.load_shedding import MIN_OVERTAKEN_RANK, Shed
+from marjoramspool.admission.prefill_waits import PrefillWaits
 from marjoramspool.admission.queue_rank import RESUMED_RANK, queue_rank, urgency_rank
-from marjoramspool.clock import now
 from marjoramspool.engine_state.answer_times import AnswerTimes
 from marjoramspool.engine_state.cold_engines import AllCold, ColdEngines
 from marjoramspool.engine_state.engine_list import Engine, EngineList
@@ -29,7 +23,7 @@
 from marjoramspool.engine_state.unreported_load import HotParts, WorkRate
 from marjoramspool.peers.messages import incarnation_id
 from marjoramspool.placement.cache_sources import Holder, select_cache_source
-from marjoramspool.placement.candidate_engines import MAX_COMPARED_ENGINES, EngineRing
+from marjoramspool.placement.candidate_engines import MAX_COMPARED_ENGINES
 from marjoramspool.placement.contended_services import ContendedServices
 from marjoramspool.placement.cost_placement import (
     REQUEST_COST_TOKENS,
@@ -38,13 +32,15 @@
     UnreportedLoad,
     choose_engine,
 )
+from marjoramspool.placement.engine_rings import EngineRings
 from marjoramspool.placement.expected_time import choose_fastest
+from marjoramspool.placement.placements import Placement
 from marjoramspool.placement.shared_parts import SharedParts
 from marjoramspool.prompts import Part
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import NEVER_COLD, ColdStart, RouteTable
 
-__all__ = ["EngineSelector", "Placement", "Refusal"]
+__all__ = ["EngineSelector", "Refusal"]
 
 # Why no engine gets a request.
 Refusal = Shed | AllEvacuated | AllPaused | AllLimited | AllFull | AllCold | Contended | Quarantine
@@ -53,66 +49,10 @@
 CACHE_MEMORY_FRACTION = 0.7
 # The request rate of a hot part is as old as the reported loads, so the report age counts twice.
 HOT_PART_AGE_FACTOR = 2
-# The mean load of a large service is computed again after this time.
-MEAN_LOAD_AGE_S = 0.1
 # More engines than this hold only parts that nearly all prompts share.
 MAX_HOLDERS = 32
 
 
-class Placement:
-    """Context manager that counts a request in an engine's load until the attempt ends."""
-
-    __slots__ = (
-        "cache_source",
-        "choice",
-        "engine",
-        "is_overtaken",
-        "is_prefilled",
-        "loads",
-        "new_parts",
-        "placed_at",
-        "prefill_tokens",
-        "queue_rank",
-    )
-
-    def __init__(
-        self,
-        engine: Engine,
-        loads: EngineLoads,
-        prefill_tokens: int,
-        choice: Choice,
-        queue_rank: int,
-        cache_source: Engine | None = None,
-        new_parts: tuple[Part, ...] = (),
-        is_overtaken: bool = False,
-    ):
-        self.engine = engine
-        self.cache_source = cache_source
-        self.new_parts = new_parts
-        self.placed_at = now()
-        self.loads = loads
-        self.prefill_tokens = prefill_tokens
-        self.choice = choice
-        self.queue_rank = queue_rank
-        # Whether shorter or more urgent requests overtake it in the engine's queue.
-        self.is_overtaken = is_overtaken
-        self.is_prefilled = False
-
-    def __enter__(self):
-        self.loads.begin(self.engine.id, self.prefill_tokens)
-        return self
-
-    def __exit__(self, *details):
-        self.record_prefilled()
-        self.loads.end(self.engine.id)
-
-    def record_prefilled(self) -> None:
-        """Record that the engine has prefilled the prompt, as its first event shows."""
-        if not self.is_prefilled:
-            self.is_prefilled = True
-            self.loads.record_prefill(self.engine.id, self.prefill_tokens)
-
-
 class EngineSelector:
     """Selector of engines that keeps track of their loads and cached prompt parts."""
 
@@ -129,15 +69,13 @@
         "hot_parts",
         "limits",
         "loads",
-        "mean_loads",
         "on_placed",
         "on_reverted",
         "other_routers",
         "outliers",
         "pauses",
         "poison",
-        "prefill_pressures",
-        "prefill_rates",
+        "prefill_waits",
         "request_rates",
         "room",
         "report_age_s",
@@ -169,14 +107,10 @@
         self.poison = PoisonDetector()
         self.caches = PrefixCaches()
         self.shared_parts = SharedParts()
-        self.prefill_rates: dict[str, PrefillRate] = {}
-        self.prefill_pressures: dict[str, PrefillPressure] = {}
+        self.prefill_waits = PrefillWaits()
         self.sent_rates: dict[str, WorkRate] = {}
         self.hot_parts = HotParts()
-        # The ring of each large service and version, with the list of engines that it was made of.
-        self.rings: dict[tuple[str, str | None], tuple[list[Engine], EngineRing]] = {}
-        # The mean requests at the engines of each ring, and when it was computed.
-        self.mean_loads: dict[tuple[str, str | None], tuple[float, float]] = {}
+        self.rings = EngineRings(self.loads)
         # Mean age of the load reports of other routers, in seconds.
         self.report_age_s: Callable[[], float] = lambda: 0.0
         # Part of the routers that this one knows of whose requests it knows, itself included.
@@ -286,8 +220,11 @@
         engine = self.engines.engines[choice.engine.name]
         prefill_tokens = max(0, tokens - choice.engine.cached_tokens)
         rank = queue_rank(prefill_tokens, request.priority)
-        if parts and is_new and (shed := self.shed_request(request, choice, prefill_tokens, rank)):
-            return shed
+        queued_tokens = choice.engine.load.prefill_tokens
+        if parts and is_new:
+            shed = self.prefill_waits.shed(request, queued_tokens, prefill_tokens, rank)
+            if shed:
+                return shed
         sent = self.sent_rates.setdefault(request.service, WorkRate())
         sent.record(prefill_tokens + REQUEST_COST_TOKENS)
         self.limits.record_sent(engine.key)
@@ -295,7 +232,7 @@
         self.request_rates.setdefault(request.service, WorkRate()).record(1.0)
         if not parts:
             return Placement(engine, self.loads, prefill_tokens, choice, rank)
-        is_pressed = self.prefill_pressure(request.service).is_pressed()
+        is_pressed = self.prefill_waits.pressure(request.service).is_pressed()
         # Urgent requests overtake the queue then, so that their wait says little of the prefill.
         is_overtaken = rank >= MIN_OVERTAKEN_RANK and not (is_pressed and request.priority == 0)
         if is_pressed:
@@ -336,8 +273,8 @@
             # Few routers may send to a cold engine: they compare it for each of their requests.
             holders += self.listed(self.cold.permitted(request.service), request.service, version)
             ring_key = (request.service, version)
-            window = self.ring(ring_key, serving).window(key, holders)
-            mean = self.mean_requests(ring_key, serving)
+            window = self.rings.ring(ring_key, serving).window(key, holders)
+            mean = self.rings.mean_requests(ring_key, serving)
             share = len(window) / len(serving)
             choice = self.choose_among(window, request, exclude, parts, key, share, mean)
             if choice is not None:
@@ -451,23 +388,6 @@
         table = self.table()
         return table is None or request.priority <= table.highest_priority(request.service)
 
-    def ring(self, key: tuple[str, str | None], engines: list[Engine]) -> EngineRing:
-        """Return the ring of a service and version, made anew when its engines have changed."""
-        made_of, ring = self.rings.get(key, (None, None))
-        if made_of is not engines:
-            ring = EngineRing(engines)
-            self.rings[key] = (engines, ring)
-        return ring
-
-    def mean_requests(self, key: tuple[str, str | None], engines: list[Engine]) -> float:
-        """Return the mean load of a service's engines, at most `MEAN_LOAD_AGE_S` old."""
-        now_s = now()
-        mean, computed_at = self.mean_loads.get(key, (0.0, -MEAN_LOAD_AGE_S))
-        if now_s - computed_at >= MEAN_LOAD_AGE_S:
-            mean = sum(self.loads.requests(engine.id) for engine in engines) / len(engines)
-            self.mean_loads[key] = (mean, now_s)
-        return mean
-
     def unreported_load(self, request: RoutedRequest, share: float = 1.0) -> UnreportedLoad:
         """Return the unreported load, assuming that all routers send as much as this one.
 
@@ -490,39 +410,6 @@
         """Record the shared parts of a request that any router has placed."""
         self.hot_parts.record(part.id for part in parts)
 
-    def prefill_rate(self, service: str) -> PrefillRate:
-        """Return the prefill rate of a service's engines."""
-        return self.prefill_rates.setdefault(service, PrefillRate())
-
-    def prefill_pressure(self, service: str) -> PrefillPressure:
-        """Return whether a service's engines are under pressure."""
-        return self.prefill_pressures.setdefault(service, PrefillPressure())
-
-    def shed_request(
-        self, request: RoutedRequest, choice: Choice, prefill_tokens: int, rank: int
-    ) -> Shed | None:
-        """Return a `Shed` if a request would wait too long at the best engine, else None."""
-        queued_tokens = choice.engine.load.prefill_tokens
-        rate = self.prefill_rate(request.service)
-        remaining_s = request.remaining_s()
-        patience_s = min(request.route.first_event_timeout_s, remaining_s)
-        pressure = self.prefill_pressure(request.service)
-        pressure.record(rate.prefill_time_s(queued_tokens), patience_s)
-        return shed_request(
-            rank,
-            rate.prefill_time_s(queued_tokens + prefill_tokens),
-            request.route.first_event_timeout_s,
-            remaining_s,
-            hashing.fraction(request.id),
-            request.priority if pressure.is_pressed() else None,
-        )
-
-    def record_first_event(self, placement: Placement, waited_s: float) -> None:
-        """Update the prefill rate with the time until the first event of an answer."""
-        if placement.cache_source is None and placement.is_overtaken:
-            tokens = placement.choice.engine.load.prefill_tokens + placement.prefill_tokens
-            self.prefill_rate(placement.engine.service).record(tokens, waited_s)
-
     def find_cache_source(
         self, engine: Engine, parts: tuple[Part, ...], cached_tokens: int
     ) -> Engine | None:
@@ -565,7 +452,7 @@
         key = (engine.service, engine.version)
         serving = self.engines.usable(*key)
         if len(serving) > MAX_COMPARED_ENGINES:
-            serving = self.ring(key, serving).window(hashing.digest(request_id))
+            serving = self.rings.ring(key, serving).window(hashing.digest(request_id))
         others = [
             e
             for e in serving
--- a/marjoramspool/streams/run_continuation.py
+++ b/marjoramspool/streams/run_continuation.py
@@ -10,7 +10,7 @@
 from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.events import Event, log
 from marjoramspool.failures import AttemptError, BrokenAnswerError
-from marjoramspool.placement.engine_selector import Placement
+from marjoramspool.placement.placements import Placement
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import EngineCapacity
 from marjoramspool.streams.event_stream import StreamEvent
--- a/model/fleet.py
+++ b/model/fleet.py
@@ -13,7 +13,8 @@
 from marjoramspool.peers.directory import Directory
 from marjoramspool.peers.load_broadcast import LoadBroadcast, StateVersions
 from marjoramspool.placement.cost_placement import LOAD_BOUND_EXTRA_REQUESTS
-from marjoramspool.placement.engine_selector import EngineSelector, Placement
+from marjoramspool.placement.engine_selector import EngineSelector
+from marjoramspool.placement.placements import Placement
 from marjoramspool.prompts import Part, Prompt
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import (
