Close the connections of silent servers in the tests of closed links

What was seen: test_routers_with_certificates_form_a_fleet failed in 2 of 3 runs of the tests of routers and of paths together, with a KeyError in the import of cryptography.

Cause: the servers of test_closed_links left their connections to the garbage collector.

Change: the servers close their connections.

--- a/marjoramspool/routers/tests/test_closed_links.py
+++ b/marjoramspool/routers/tests/test_closed_links.py
@@ -4,18 +4,31 @@
 """
 
 import asyncio
+from contextlib import asynccontextmanager, closing
 
 from marjoramspool.ledger import Release
 from marjoramspool.routers.links import Links
 
 
-async def test_a_claim_in_flight_when_its_link_is_closed_returns_none():
+@asynccontextmanager
+async def silent_server():
+    """Accept connections and answer nothing; yield the address."""
+
     async def never_answer(reader, writer):
-        await reader.read()
+        # A writer that is left to the garbage collector closes its connection in any later test.
+        with closing(writer):
+            await reader.read()
 
     server = await asyncio.start_server(never_answer, "127.0.0.1", 0)
-    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-    async with server, Links("me", 1.0, lambda router: address, None) as links:
+    async with server:
+        yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+async def test_a_claim_in_flight_when_its_link_is_closed_returns_none():
+    async with (
+        silent_server() as address,
+        Links("me", 1.0, lambda router: address, None) as links,
+    ):
         claim = asyncio.create_task(links.claim("other", Release("key", "attempt"), 5.0))
         await asyncio.sleep(0.2)
         links.close_link(address)
@@ -24,9 +37,10 @@
 
 
 async def test_cancelling_the_caller_cancels_its_call():
-    server = await asyncio.start_server(lambda r, w: r.read(), "127.0.0.1", 0)
-    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-    async with server, Links("me", 1.0, lambda router: address, None) as links:
+    async with (
+        silent_server() as address,
+        Links("me", 1.0, lambda router: address, None) as links,
+    ):
         claim = asyncio.create_task(links.claim("other", Release("key", "attempt"), 5.0))
         await asyncio.sleep(0.1)
         claim.cancel()
