Do not pass a router over because the channel to it is still connecting (own interface)

Evidence (a trial that prints the answers): the refusals say "router X accepted no request within 0.25 s"; 20 requests were forwarded 21 times, so that four of five refused ones had no second try. All first requests open the same two channels, and the first of them to wait 0.25 s had both routers passed over for a second by all others.

Change: silence on a channel that is not connected yet, for up to a second after it was created, does not make its router unreachable.

--- a/marjoramspool/routers/paths.py
+++ b/marjoramspool/routers/paths.py
@@ -62,6 +62,8 @@
 # The other router's own outcome at the deadline arrives within this time.
 DEADLINE_MARGIN_S = 0.25
 IDLE_CHANNEL_TIMEOUT_S = 30.0
+# A channel that is not connected after this time leads to a router that cannot be reached.
+MAX_CONNECT_TIME_S = 1.0
 
 
 class BrokenPathError(Exception):
@@ -79,13 +81,14 @@
     fails.
     """
 
-    __slots__ = ("channels", "credentials", "last_used", "memory", "selection")
+    __slots__ = ("channels", "created_at", "credentials", "last_used", "memory", "selection")
 
     def __init__(self, selection: PathSelection, credentials: grpc.ChannelCredentials | None):
         self.selection = selection
         self.credentials = credentials
         self.memory = AnswerMemory()
         self.channels: dict[str, grpc.aio.Channel] = {}
+        self.created_at: dict[str, float] = {}
         self.last_used: dict[str, float] = {}
 
     async def __aenter__(self):
@@ -104,6 +107,7 @@
         """Return the channel to a router, created at first use."""
         self.last_used[peer.address] = time.monotonic()
         if peer.address not in self.channels:
+            self.created_at[peer.address] = time.monotonic()
             options = channel_options()
             self.channels[peer.address] = (
                 grpc.aio.secure_channel(peer.address, self.credentials, options)
@@ -112,6 +116,16 @@
             )
         return self.channels[peer.address]
 
+    def is_connecting(self, peer: Member) -> bool:
+        """Return whether the channel to a router is new and not connected yet.
+
+        Load pattern: all requests of a router that has just lost its path open the same channels.
+        That these take longer to connect than a request waits does not make the others unreachable.
+        """
+        age_s = time.monotonic() - self.created_at[peer.address]
+        state = self.channel(peer).get_state()
+        return state is not grpc.ChannelConnectivity.READY and age_s < MAX_CONNECT_TIME_S
+
     async def close_idle_channels(self) -> None:
         """Close the channels that have no request and were not used lately."""
         oldest = time.monotonic() - IDLE_CHANNEL_TIMEOUT_S
@@ -175,7 +189,7 @@
                 self.selection.record_unreachable(peer)
             raise NotSentError(f"router {peer.name} accepted no request: {error}") from error
         except TimeoutError as error:
-            if timeout_s == ACCEPT_TIMEOUT_S:
+            if timeout_s == ACCEPT_TIMEOUT_S and not self.is_connecting(peer):
                 self.selection.record_unreachable(peer)
             raise NotSentError(
                 f"router {peer.name} accepted no request within {timeout_s:g} s"
