Soak: do not count an attempt whose events never arrived as part of a stream

Change: an attempt goes on with a stream if its caller had an event of it already, if its caller resumes it, or if it carries Last-Event-Id; then its version must be that of the run before. Callers record when the first bytes arrive.

As strict: a join that the old check found by two versions of one stream needs one of the three, and its test stays as it was; two new tests show that an attempt after the first event is still found, with and without the header.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -96,6 +96,8 @@
     """Return the body of an answer; record the last event as events arrive."""
     body = b""
     async for chunk in response.content.iter_any():
+        if sent.first_event_at is None:
+            sent.first_event_at = time.monotonic()
         body += chunk
         complete, _, _ = body.rpartition(b"\n\n")
         numbers = [int(line[4:]) for line in complete.split(b"\n") if line.startswith(b"id: ")]
--- a/soak/history.py
+++ b/soak/history.py
@@ -34,6 +34,8 @@
     last_event: int = 0
     first_request: str | None = None
     after: int = 0
+    # When the first event of a stream arrived at the caller, None if none did.
+    first_event_at: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -223,17 +223,42 @@
 
 def check_versions(history: History) -> Iterator[Violation]:
     """Check that streams go on only at the software version that began them."""
-    streams = {sent.id: sent.first_request or sent.id for sent in history.requests}
-    versions = defaultdict(set)
+    requests = {sent.id: sent for sent in history.requests}
+    runs = defaultdict(list)
     for engine in history.platform.engines:
         for arrival in engine.arrivals:
-            if arrival.has_sent_events and arrival.id in streams:
-                versions[streams[arrival.id]].add(arrival.version)
-    joined = [f"{stream} {sorted(found)}" for stream, found in versions.items() if len(found) > 1]
+            if arrival.has_sent_events and arrival.id in requests:
+                sent = requests[arrival.id]
+                runs[sent.first_request or sent.id].append(arrival)
+    joined = [
+        f"{stream} {sorted({arrival.version for arrival in arrivals})}"
+        for stream, arrivals in runs.items()
+        if is_joined(arrivals, requests)
+    ]
     if len(joined) > MAX_JOINED_STREAMS:
         yield Violation("stream versions", f"{len(joined)} streams: {', '.join(joined[:5])}")
 
 
+def is_joined(arrivals: list[Arrival], requests: dict[str, Sent]) -> bool:
+    """Return whether a stream went on at another version than that of the run before.
+
+    An attempt that was given up before its events arrived is no part of the stream: the next one
+    begins it anew.
+    """
+    version = None
+    for arrival in sorted(arrivals, key=lambda arrival: arrival.at):
+        if version not in (None, arrival.version) and goes_on(arrival, requests[arrival.id]):
+            return True
+        version = arrival.version
+    return False
+
+
+def goes_on(arrival: Arrival, sent: Sent) -> bool:
+    """Return whether a run goes on with a stream, as its caller had events of it already."""
+    has_begun = sent.first_event_at is not None and arrival.at >= sent.first_event_at
+    return has_begun or sent.first_request is not None or "last-event-id" in arrival.headers
+
+
 def check_paths(history: History) -> Iterator[Violation]:
     """Check that routers without a path to engines serve their callers nearly as the others do."""
     cuts = [d for d in history.disturbances if d.what == PATH_CUT]
--- a/soak/tests/test_invariants.py
+++ b/soak/tests/test_invariants.py
@@ -220,6 +220,29 @@
     assert violated(history) == {"stream versions"}
 
 
+def test_an_attempt_whose_events_never_arrived_is_no_part_of_a_stream(history):
+    """Guards against a violation where an engine was slow and the next one began the stream."""
+    for number in range(3):
+        ask(history, f"r{number}", "report", first_event_at=100.5)
+        for version, at in (("v1", 100.0), ("v3", 100.4)):
+            arrival = arrive(history, f"r{number}", at=at)
+            arrival.version = version
+            arrival.has_sent_events = True
+    assert not violated(history)
+
+
+@pytest.mark.parametrize("headers", [{}, {"last-event-id": "3"}])
+def test_an_attempt_after_the_first_event_goes_on_with_the_stream(history, headers):
+    for number in range(3):
+        ask(history, f"r{number}", "report", first_event_at=None if headers else 100.2)
+        for version, at in (("v1", 100.0), ("v3", 100.4)):
+            arrival = arrive(history, f"r{number}", at=at)
+            arrival.version = version
+            arrival.has_sent_events = True
+            arrival.headers.update(headers if version == "v3" else {})
+    assert violated(history) == {"stream versions"}
+
+
 def test_callers_of_a_router_without_a_path_that_are_not_served_are_reported(history):
     history.record_disturbance(0, 90.0, 20.0, PATH_CUT)
     for number in range(40):
