Soak: expect no service through other routers while none has a path to engines

Logs were kept.

Trace: four routers were cut off from the engines from 10.0 s on, the fifth from 12.9 s on, three cuts of the same kind that overlap; all were cut until 18.0 s.

Change: requests count if they were sent while a router that callers use had a path.

As strict where one had: the earlier test, with one of two routers cut, stays and passes. The new test failed before and passes.

Seen beside it, not changed: in the 2.5 s in which four of five were cut, the four answered 502 for nearly all requests and hardly forwarded any; ENGINES_OUT_OF_REACH stands in their logs only 3 s after the cut.

--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -4,7 +4,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 
-from soak.history import PATH_CUT, ConfigurationChange, History, Sent, Violation
+from soak.history import PATH_CUT, ConfigurationChange, Disturbance, History, Sent, Violation
 from standins.platform_engine import Arrival
 
 __all__ = ["STREAM_EVENTS", "check"]
@@ -271,6 +271,7 @@
             and sent.status != 401
             and not sent.has_left
             and any(c.since + STABILIZATION_S <= sent.sent < c.until - 1.0 for c in cuts)
+            and has_path_somewhere(history, cuts, sent.sent)
             and is_cut
             == any(c.router == sent.router and c.since <= sent.sent < c.until for c in cuts)
             and not is_disturbed_beside(history, sent)
@@ -287,6 +288,12 @@
         yield Violation("paths to engines", detail)
 
 
+def has_path_somewhere(history: History, cuts: list[Disturbance], moment: float) -> bool:
+    """Return whether any router that callers use had a path to the engines at a moment."""
+    routers = {sent.router for sent in history.requests}
+    return bool(routers - {c.router for c in cuts if c.since <= moment < c.until})
+
+
 def is_disturbed_beside(history: History, sent: Sent) -> bool:
     """Return whether another fault than a cut from engines affects a router or engines."""
     return any(
--- a/soak/tests/test_invariants.py
+++ b/soak/tests/test_invariants.py
@@ -250,3 +250,13 @@
     for sent in history.requests[20:]:
         sent.router = 1
     assert violated(history) == {"paths to engines"}
+
+
+def test_callers_are_not_expected_to_be_served_while_no_router_has_a_path(history):
+    """The second router loses its path after the first one; its callers were served before."""
+    history.record_disturbance(0, 90.0, 20.0, PATH_CUT)
+    history.record_disturbance(1, 96.0, 20.0, PATH_CUT)
+    for number in range(20):
+        ask(history, f"r{number}", "lookup", at=100.0, status=503)
+        ask(history, f"s{number}", "lookup", at=95.0).router = 1
+    assert not violated(history)
