One budget of memory and connections for all clients of a process

What callers saw: crowds of clients ended routers by memory (2,798 MB of 160 MB in the worst form) or took all descriptors, after which no ordinary request and no readiness question was answered.

Cause: limits stood for each request, none for the process. Bodies were kept before route, key and size were looked at; a connection that never sent a byte stayed; the readiness and metrics addresses had no limits; whole answers stayed in memory until slow readers had taken them. In the HTTP library: the head is bounded field by field (128 fields of 64 KiB), trailers and chunk extensions not at all, each read after malformed bytes is kept as one more error with its bytes, and an error inside a body leaves its reader waiting. The 128 fields refused a legal request too.

Change: ClientBudget charges each connection for what it holds, from the settings' memory_mb and max_fds, which were not read before. When it is short, connections that are refused, silent, idle or stalled go first (eviction_order, over dated facts, without sockets), never one with a request that may have run; large requests leave a quarter for small ones; 503 with Retry-After says not run. Route, key and declared length are decided before the body. Heads are charged by their fields and bounded in bytes, whatever their number. After malformed bytes the parser is dropped and the rest discarded up to 1 MiB, with the end of the answers sent, so that no reset takes the refusal away. Pages have connections and memory of their own. Whole answers are written in parts and counted until they are sent; while their memory is taken, targets wait to send.

Two tests of client limits sent no key and are now decided before their body (401): they send one now, and a new test holds the decision without a body, which is stricter.

--- a/marjoramspool/client_server.py
+++ b/marjoramspool/client_server.py
@@ -7,33 +7,26 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from marjoramspool.attempts import StreamAnswer
-from marjoramspool.client_connection import ClientConnection
+from marjoramspool.admission.client_budget import ClientBudget
+from marjoramspool.answer_bodies import SLICE_BYTES, AnswerMemory, body_slices
+from marjoramspool.attempts import StreamAnswer, WholeAnswer
+from marjoramspool.client_connection import (
+    ConnectionLimits,
+    RejectedError,
+    rejection_response,
+)
+from marjoramspool.client_listener import ClientListener
 from marjoramspool.events import Event, log
 from marjoramspool.failures import BrokenAnswerError
 from marjoramspool.outcomes import NotRun, Unknown
 from marjoramspool.requests import RoutedRequest
 from marjoramspool.routes import ClientLimits
 
-__all__ = ["ClientServer", "RejectedError", "check_header_size", "to_multidict"]
+__all__ = ["ClientServer", "to_multidict"]
 
-# Clients reuse connections that have been idle for most of the idle limit. The timeout is longer so
-# that a request does not arrive on a connection that is being closed.
-KEEPALIVE_TIMEOUT_S = 300.0
-LISTEN_BACKLOG = 1024
-CLOSE_TIMEOUT_S = 0.1
 IDLE_CHECK_PERIOD_S = 0.05
-MAX_HEADER_LINE_BYTES = 65_536
-# Bytes of a header line besides name and value: colon, space, CR and LF.
-HEADER_OVERHEAD_BYTES = 4
-
-
-class RejectedError(Exception):
-    """The request is rejected before it is forwarded, with a status and a reason."""
-
-    def __init__(self, status: int, reason: str):
-        super().__init__(reason)
-        self.status = status
+LINGER_S = 10.0
+GROUP = "clients"
 
 
 class ClientServer:
@@ -42,39 +35,42 @@
     `limits` returns the current limits on client requests. Subclasses answer requests in `serve`.
     """
 
-    __slots__ = ("active_connections", "is_draining", "limits", "listener", "server")
+    __slots__ = ("active_connections", "answer_memory", "is_draining", "limits", "listener")
 
-    def __init__(self, limits: Callable[[], ClientLimits]):
+    def __init__(
+        self,
+        limits: Callable[[], ClientLimits],
+        budget: ClientBudget,
+        answer_memory: AnswerMemory,
+    ):
         self.limits = limits
+        self.answer_memory = answer_memory
         self.active_connections: set[asyncio.Protocol] = set()
         self.is_draining = False
-        self.server: web.Server | None = None
-        self.listener: asyncio.Server | None = None
+        self.listener = ClientListener(
+            web.Server(self.handle, handler_cancellation=True),
+            budget,
+            GROUP,
+            budget.limits.connections,
+            ConnectionLimits(
+                lambda: self.limits().header_bytes, lambda: self.limits().header_timeout_s
+            ),
+            LINGER_S,
+            reserved_bytes=0,
+        )
+
+    @property
+    def server(self) -> web.Server:
+        """Return the server of the connections."""
+        return self.listener.server
 
     async def start(self, host: str, port: int) -> None:
         """Listen for clients."""
-        self.server = web.Server(self.handle, handler_cancellation=True)
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(
-            self.create_connection, host, port, backlog=LISTEN_BACKLOG
-        )
-
-    def create_connection(self) -> ClientConnection:
-        """Return the protocol of a new connection."""
-        return ClientConnection(
-            self.server,
-            loop=asyncio.get_running_loop(),
-            auto_decompress=False,
-            access_log=None,
-            header_timeout_s=lambda: self.limits().header_timeout_s,
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-            max_line_size=MAX_HEADER_LINE_BYTES,
-            max_field_size=MAX_HEADER_LINE_BYTES,
-        )
+        await self.listener.start(host, port)
 
     def refuse_connections(self) -> None:
         """Stop accepting connections, and close those without a request."""
-        self.listener.close()
+        self.listener.stop_listening()
         for connection in self.server.connections:
             if not connection.has_request and connection.transport:
                 connection.transport.close()
@@ -86,9 +82,7 @@
 
     async def close(self) -> None:
         """Stop listening and close the remaining connections."""
-        if self.listener:
-            self.listener.close()
-            await self.server.shutdown(CLOSE_TIMEOUT_S)
+        await self.listener.close()
 
     async def handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request; log its rejection, its failure or the disconnect of its client."""
@@ -98,9 +92,7 @@
             return await self.serve(http_request, request_id)
         except RejectedError as error:
             log(Event.REQUEST_REJECTED, request=request_id, status=error.status, why=str(error))
-            return self.request_close_if_draining(
-                web.Response(status=error.status, text=f"{error}\n")
-            )
+            return self.request_close_if_draining(rejection_response(error))
         except asyncio.CancelledError:
             log(Event.CALLER_LEFT, request=request_id)
             raise
@@ -109,8 +101,6 @@
             raise
         finally:
             self.active_connections.discard(http_request.protocol)
-            # The unread rest of a rejected body must not count as a new request.
-            http_request.protocol.has_request = not http_request.content.is_eof()
 
     def request_id(self, http_request: web.BaseRequest) -> str:
         """Return the id of a request, empty if it has none."""
@@ -121,23 +111,30 @@
         raise NotImplementedError
 
     async def read_body(self, http_request: web.BaseRequest) -> bytes:
-        """Read a request body; raise RejectedError if it exceeds the size or time limit."""
-        if not http_request.can_read_body:
-            return b""
-        max_bytes = self.limits().body_bytes
-        timeout_s = self.limits().idle_timeout_s
-        parts = []
-        size = 0
-        try:
-            async with asyncio.timeout(timeout_s):
-                async for chunk in http_request.content.iter_any():
-                    size += len(chunk)
-                    if size > max_bytes:
-                        raise RejectedError(413, f"the body is longer than {max_bytes} bytes")
-                    parts.append(chunk)
-        except TimeoutError as error:
-            raise RejectedError(408, f"the body took longer than {timeout_s:g} s") from error
-        return b"".join(parts)
+        """Read a request body; raise RejectedError if it exceeds a limit."""
+        limits = self.limits()
+        connection = http_request.protocol
+        return await connection.read_body(http_request, limits.body_bytes, limits.idle_timeout_s)
+
+    async def forward_answer(
+        self, http_request: web.BaseRequest, request: RoutedRequest, answer: WholeAnswer
+    ) -> web.StreamResponse:
+        """Send a whole answer in parts, so that a slow reader holds it only once."""
+        log(Event.REQUEST_SERVED, request=request.id, status=answer.status)
+        headers = to_multidict(answer.headers)
+        if len(answer.body) <= SLICE_BYTES:
+            response = web.Response(status=answer.status, headers=headers, body=answer.body)
+            return self.request_close_if_draining(response)
+        response = web.StreamResponse(status=answer.status, headers=headers)
+        response.content_length = len(answer.body)
+        self.request_close_if_draining(response)
+        http_request.protocol.record.answer_deadline = request.deadline
+        with self.answer_memory.holding(len(answer.body)):
+            await response.prepare(http_request)
+            for part in body_slices(answer.body):
+                await response.write(part)
+            await response.write_eof()
+        return response
 
     def error_response(self, outcome: NotRun | Unknown, request_id: str) -> web.Response:
         """Log a request that was not served and return the answer to it."""
@@ -180,15 +177,6 @@
         return response
 
 
-def check_header_size(http_request: web.BaseRequest, max_bytes: int) -> None:
-    """Raise RejectedError if the headers of a request are longer than `max_bytes` bytes."""
-    size = sum(
-        len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in http_request.raw_headers
-    )
-    if size > max_bytes:
-        raise RejectedError(431, f"the headers have {size} bytes, more than {max_bytes}")
-
-
 def to_multidict(headers: list[tuple[str, str]]) -> CIMultiDict:
     """Return headers as the multidict that aiohttp expects."""
     return CIMultiDict(headers)
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -8,6 +8,9 @@
 
 from aiohttp import web
 
+from marjoramspool.admission.client_budget import ClientBudget
+from marjoramspool.answer_bodies import AnswerMemory
+from marjoramspool.client_listener import PAGE_CONNECTIONS, ClientListener
 from marjoramspool.clock import now
 from marjoramspool.engine_state.cold_shares import FleetView
 from marjoramspool.engine_state.engine_list import EngineList
@@ -46,6 +49,7 @@
     new_evacuation_watcher,
     new_table_watcher,
 )
+from marjoramspool.process_limits import client_limits
 from marjoramspool.startup_wait import StartupWait
 from marjoramspool.status import MemberStatus, Status
 from marjoramspool.store_replicas.store_watcher import WatchRole
@@ -76,6 +80,7 @@
     """Router with all its components; use as an async context manager."""
 
     __slots__ = (
+        "budget",
         "cache_bootstrap",
         "directory",
         "discovery",
@@ -108,6 +113,12 @@
         self.settings = settings
         self.metrics_address = metrics_address
         self.metrics = Metrics(None)
+        self.budget = ClientBudget(
+            client_limits(settings.process),
+            self.metrics,
+            lambda: self.table_watcher.client_limits().idle_timeout_s,
+        )
+        answer_memory = AnswerMemory(self.budget.limits.answer_bytes)
         self.store = Store(settings.store_endpoint, STORE_TIMEOUT_S)
         self.engines = EngineList()
         self.directory = Directory(settings.address, settings.failure_domain, settings.link_mbps)
@@ -125,7 +136,7 @@
         self.selector = EngineSelector(
             settings.failure_domain, self.engines, lambda: self.table_watcher.table
         )
-        self.sessions = EngineSessions(settings.address)
+        self.sessions = EngineSessions(settings.address, answer_memory)
         self.sessions.on_departure.append(self.engines.record_announcement)
         self.sessions.on_pause.append(self.selector.pauses.record)
         self.sessions.on_brittle.append(self.selector.room.record_answer)
@@ -140,6 +151,7 @@
         self.paths = PeerPaths(
             self.directory, settings.peers_port, lambda: self.table_watcher.table_version
         )
+        self.paths.memory = answer_memory
         self.load_broadcast = LoadBroadcast(
             settings.peers_port,
             self.directory,
@@ -201,7 +213,9 @@
         self.startup_wait = StartupWait(
             lambda: self.has_initial_state and self.quarantine_store.is_listed
         )
-        self.ingress = Ingress(self.forwarding, self.table_watcher, self.startup_wait)
+        self.ingress = Ingress(
+            self.forwarding, self.table_watcher, self.startup_wait, self.budget, answer_memory
+        )
 
     @property
     def has_initial_state(self) -> bool:
@@ -410,10 +424,11 @@
         self, stack: AsyncExitStack, handler: Callable, address: tuple[str, int]
     ) -> None:
         """Serve `handler` on a separate address."""
-        runner = web.ServerRunner(web.Server(handler, access_log=None))
-        await runner.setup()
-        stack.push_async_callback(runner.cleanup)
-        await web.TCPSite(runner, *address).start()
+        listener = ClientListener(
+            web.Server(handler), self.budget, handler.__name__, PAGE_CONNECTIONS
+        )
+        stack.push_async_callback(listener.close)
+        await listener.start(*address)
 
     def register_gauges(self) -> None:
         """Register the gauges of the metrics page."""
@@ -429,6 +444,9 @@
             "table_revision": lambda: self.table_watcher.table_revision,
             "run_copies_at_work": lambda: len(self.forwarding.runs.backups.copies),
             "run_moves_at_work": lambda: self.forwarding.mover.moves.active,
+            "client_connections": self.budget.connection_count,
+            "client_bytes": lambda: self.budget.held_bytes,
+            "answer_bytes": lambda: self.ingress.answer_memory.used_bytes,
             "store_calls": lambda: self.store.calls,
             "store_answers": lambda: float(self.is_store_available),
         }
--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -29,6 +29,8 @@
 LimitCallback = Callable[[EngineKey, float | None, float], None]
 
 MAX_DISCARDED_BYTES = 256 << 10
+# Bytes of an answer that are read at a time, and that wait for a slow reader.
+READ_BYTES = 32 << 10
 # Short, since a retry may wait for the result.
 REFUSAL_TIMEOUT_S = 0.1
 # A connection that takes longer may be a sign of a cut.
@@ -58,6 +60,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Record whose connection it is."""
+        if hasattr(transport, "max_size"):
+            transport.max_size = READ_BYTES
         super().connection_made(transport)
         # None if the peer has reset the connection already.
         peer = transport.get_extra_info("peername")
@@ -190,6 +194,7 @@
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
         auto_decompress=False,
+        read_bufsize=READ_BYTES,
         skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
         trace_configs=list(trace_configs),
     )
@@ -235,8 +240,8 @@
 
     __slots__ = ("connect_timeout_s", "has_lost_path", "memory", "pooled", "unpooled")
 
-    def __init__(self, connect_timeout_s: float):
-        self.memory = AnswerMemory()
+    def __init__(self, connect_timeout_s: float, memory: AnswerMemory | None = None):
+        self.memory = memory or AnswerMemory()
         self.connect_timeout_s = connect_timeout_s
         self.has_lost_path: Callable[[str], Awaitable[bool]] = never_lost
         self.pooled: aiohttp.ClientSession | None = None
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -131,10 +131,10 @@
         "pooled",
     )
 
-    def __init__(self, local_address: str | None = None):
+    def __init__(self, local_address: str | None = None, memory: AnswerMemory | None = None):
         self.local_address = local_address
         self.malformed = MalformedNotices()
-        self.memory = AnswerMemory()
+        self.memory = memory or AnswerMemory()
         self.on_brittle: list[Callable[[Engine, bool], None]] = []
         self.on_cold: list[Callable[[Engine, float, float], None]] = []
         self.on_departure: list[Callable[[Engine], None]] = []
--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -2,15 +2,12 @@
 
 from aiohttp import web
 
+from marjoramspool.admission.client_budget import ClientBudget
+from marjoramspool.answer_bodies import AnswerMemory
 from marjoramspool.attempts import StreamAnswer, WholeAnswer
-from marjoramspool.client_server import (
-    ClientServer,
-    RejectedError,
-    check_header_size,
-    to_multidict,
-)
+from marjoramspool.client_connection import RejectedError, check_header_size
+from marjoramspool.client_server import ClientServer
 from marjoramspool.clock import now
-from marjoramspool.events import Event, log
 from marjoramspool.forwarding import Forwarding
 from marjoramspool.outcomes import NotRun, Problem
 from marjoramspool.platform.headers import (
@@ -38,9 +35,14 @@
     __slots__ = ("forwarding", "startup_wait", "table_watcher")
 
     def __init__(
-        self, forwarding: Forwarding, table_watcher: RouteTableWatcher, startup_wait: StartupWait
+        self,
+        forwarding: Forwarding,
+        table_watcher: RouteTableWatcher,
+        startup_wait: StartupWait,
+        budget: ClientBudget,
+        answer_memory: AnswerMemory,
     ):
-        super().__init__(table_watcher.client_limits)
+        super().__init__(table_watcher.client_limits, budget, answer_memory)
         self.forwarding = forwarding
         self.table_watcher = table_watcher
         self.startup_wait = startup_wait
@@ -52,9 +54,7 @@
     async def serve(self, http_request: web.BaseRequest, request_id: str) -> web.StreamResponse:
         """Validate a request, forward it and return its answer."""
         received = now()
-        http_request.protocol.record_complete_headers()
         check_header_size(http_request, self.limits().header_bytes)
-        body = await self.read_body(http_request)
         await self.startup_wait.wait(client_timeout_s(http_request, DEFAULT_CLIENT_TIMEOUT_S))
         table = self.table_watcher.table
         if table is None:
@@ -62,24 +62,27 @@
                 503, "route table not loaded yet", "retry the request", NO_TABLE_RETRY_AFTER_S
             )
             return self.error_response(NotRun(problem), request_id)
-        request = route_request(http_request, body, request_id, table, received)
+        # What can be refused without the body is not kept until it is complete.
+        request = route_request(http_request, request_id, table, received)
+        http_request.protocol.reserve_request()
+        body = await self.read_body(http_request)
+        if self.table_watcher.table is not table:
+            request = route_request(http_request, request_id, self.table_watcher.table, received)
+        request.body = body
         async with self.forwarding.serve(request) as outcome:
             match outcome:
                 case StreamAnswer():
                     return await self.forward_stream(http_request, request, outcome)
-                case WholeAnswer(status, headers, content):
-                    log(Event.REQUEST_SERVED, request=request_id, status=status)
-                    return self.request_close_if_draining(
-                        web.Response(status=status, headers=to_multidict(headers), body=content)
-                    )
+                case WholeAnswer():
+                    return await self.forward_answer(http_request, request, outcome)
                 case _:
                     return self.error_response(outcome, request_id)
 
 
 def route_request(
-    http_request: web.BaseRequest, body: bytes, request_id: str, table: RouteTable, received: float
+    http_request: web.BaseRequest, request_id: str, table: RouteTable, received: float
 ) -> RoutedRequest:
-    """Return the request with its route and account; raise RejectedError."""
+    """Return the request with its route and account, without its body; raise RejectedError."""
     host = http_request.headers.get("Host", "")
     route = table.match(host, http_request.raw_path.partition("?")[0])
     if route is None:
@@ -99,7 +102,7 @@
         method=http_request.method,
         path=http_request.raw_path,
         headers=filter_request_headers(headers.items()),
-        body=body,
+        body=b"",
         received=received,
         deadline=received + timeout_s,
         prompt=parse_prompt(
--- a/marjoramspool/platform/settings.py
+++ b/marjoramspool/platform/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from marjoramspool.bounds import Bounds
+from marjoramspool.process_limits import DEFAULT_MEMORY_BYTES, ProcessLimits, open_file_limit
 
 __all__ = [
     "BALANCER_REMOVAL_DELAY_S",
@@ -21,6 +22,7 @@
 # The load balancer probes once a second and removes a host after two failed probes.
 BALANCER_REMOVAL_DELAY_S = 2.3
 MS_PER_S = 1000.0
+MEBIBYTE = 1 << 20
 
 
 class SettingsError(Exception):
@@ -59,6 +61,8 @@
     """Capacity of the host."""
 
     link_mbps: float = 1000.0
+    memory_mb: int = DEFAULT_MEMORY_BYTES // MEBIBYTE
+    max_fds: int | None = None
 
 
 class SettingsFields(msgspec.Struct, frozen=True):
@@ -87,6 +91,7 @@
     store_endpoint: str
     link_mbps: int
     bounds: Bounds
+    process: ProcessLimits = ProcessLimits(DEFAULT_MEMORY_BYTES, open_file_limit())
 
 
 def read_settings(path: str) -> HostSettings:
@@ -105,6 +110,10 @@
     ):
         if not is_endpoint(value):
             raise SettingsError(f"{path}: {key}: {value!r} is not IP:PORT; {remedy}")
+    for key in ("memory_mb", "max_fds"):
+        value = getattr(fields.limits, key)
+        if value is not None and value < 1:
+            raise SettingsError(f"{path}: limits.{key}: it is no number from 1; {remedy}")
     bounds = fields.bounds
     for key in ("cold_overshoot", "cold_slack"):
         if not 0.0 <= getattr(bounds, key) < math.inf:
@@ -127,6 +136,10 @@
             cold_overshoot=bounds.cold_overshoot,
             cold_slack=bounds.cold_slack,
         ),
+        process=ProcessLimits(
+            memory_bytes=fields.limits.memory_mb * MEBIBYTE,
+            descriptors=fields.limits.max_fds or open_file_limit(),
+        ),
     )
 
 
--- a/marjoramspool/platform/tests/test_client_limits.py
+++ b/marjoramspool/platform/tests/test_client_limits.py
@@ -63,7 +63,8 @@
 
 async def test_the_rest_of_a_rejected_body_is_no_new_request(fleet):
     reader, writer = await connect(fleet)
-    head = f"POST /lookup/a HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 90000\r\n\r\n"
+    fields = f"Host: {HOST}\r\nApi-Key: {KEY}\r\nContent-Length: 90000\r\n"
+    head = f"POST /lookup/a HTTP/1.1\r\n{fields}\r\n"
     writer.write(head.encode() + b"b" * 60_000)
     async with asyncio.timeout(5.0):
         assert b" 413 " in await reader.readline()
@@ -97,7 +98,20 @@
 
 async def test_a_missing_body_is_answered_with_a_timeout(fleet):
     reader, writer = await connect(fleet)
-    writer.write(f"POST /lookup/a HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 9\r\n\r\n".encode())
+    fields = f"Host: {HOST}\r\nApi-Key: {KEY}\r\nContent-Length: 9\r\n"
+    writer.write(f"POST /lookup/a HTTP/1.1\r\n{fields}\r\n".encode())
     async with asyncio.timeout(5.0):
         assert b" 408 " in await reader.readline()
     writer.close()
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"), [("/none/a", KEY, 404), ("/lookup/a", "k", 401)]
+)
+async def test_what_is_known_before_the_body_is_decided_without_it(fleet, path, key, status):
+    reader, writer = await connect(fleet)
+    fields = f"Host: {HOST}\r\nApi-Key: {key}\r\nContent-Length: 9\r\n"
+    writer.write(f"POST {path} HTTP/1.1\r\n{fields}\r\n".encode())
+    async with asyncio.timeout(5.0):
+        assert f" {status} ".encode() in await reader.readline()
+    writer.close()
