Bound the processor time that parsing chunk framing takes

What callers saw: while 200 clients send bodies in chunks of one byte, an ordinary request waits for seconds and ends with 502 or 504 (its attempt timed out though the engine answered at once).

Cause: a chunk takes 1.36 us to parse, 3.7 ms for each read of 16 KiB, so that one round over the crowd took 0.7 s. Ruled out: memory (within its bound) and the engine (idle).

Change: framing beyond twice the body draws on one token bucket of the process (1.5 MiB a second, 4 MiB at once); a connection beyond it is not read until its share has accrued, and the time limit of its body is extended by that time. An ordinary chunked body costs nothing.

--- a/marjoramspool/admission/client_budget.py
+++ b/marjoramspool/admission/client_budget.py
@@ -12,6 +12,7 @@
     choose_for_connections,
     choose_for_memory,
 )
+from marjoramspool.admission.token_bucket import TokenBucket
 from marjoramspool.clock import now
 from marjoramspool.events import Event, log
 from marjoramspool.metrics import Metrics
@@ -22,6 +23,10 @@
 SMALL_REQUEST_BYTES = 64 << 10
 # Share of the budget for what goes beyond it, so that large requests leave room for small ones.
 LARGE_REQUEST_SHARE = 0.75
+# Bytes a second of chunk framing that are parsed, and how many at once. Parsing a chunk takes the
+# processor as long as parsing some kilobytes of a long one.
+FRAMING_BYTES_PER_S = 1.5 * (1 << 20)
+FRAMING_BURST_BYTES = 4 << 20
 # Connections closed at a time, so that each new one of a crowd does not rank all others again.
 EVICTION_BATCH = 8
 
@@ -43,6 +48,7 @@
 
     __slots__ = (
         "clock",
+        "framing",
         "held_bytes",
         "idle_timeout_s",
         "large_bytes",
@@ -66,6 +72,7 @@
         self.records: dict[str, set[ConnectionRecord]] = {}
         self.held_bytes = 0
         self.large_bytes = 0
+        self.framing = TokenBucket(FRAMING_BYTES_PER_S, FRAMING_BURST_BYTES, clock)
 
     def open(
         self, group: str, cost_bytes: int, limit: int, reserved_bytes: int = 0
--- a/marjoramspool/admission/token_bucket.py
+++ b/marjoramspool/admission/token_bucket.py
@@ -31,6 +31,12 @@
         self.tokens -= amount
         return True
 
+    def borrow(self, amount: float) -> float:
+        """Consume tokens that may not have accrued yet; return the seconds until they have."""
+        self.refill()
+        self.tokens -= amount
+        return max(0.0, -self.tokens / self.rate_per_s)
+
     def wait_s(self, amount: float = 1.0) -> float:
         """Return the seconds until enough tokens will be available."""
         self.refill()
--- a/marjoramspool/client_connection.py
+++ b/marjoramspool/client_connection.py
@@ -40,6 +40,8 @@
 HEAD_COPIES = 3
 # Copies of a byte of a body: as received, and in the buffer of the connection to the target.
 BODY_COPIES = 2
+# Bytes sent for each byte of a body, up to which its framing costs no more than a body without.
+USUAL_FRAMING = 2
 # Bytes after a refusal that are read, so that the client can send on until it reads the refusal.
 MAX_DISCARDED_BYTES = 1 << 20
 RETRY_AFTER_S = 1.0
@@ -212,9 +214,30 @@
         if grown and self.record.phase is not Phase.REFUSED:
             self.forget_unparsed()
             self.charge(BODY_COPIES * grown)
+            self.pause_for_framing(len(data) - USUAL_FRAMING * grown)
         elif data and not grown and not has_heads:
             self.record_unparsed(data)
 
+    def pause_for_framing(self, size: int) -> None:
+        """Read no more until the framing of the body is within what is parsed in a second.
+
+        Fault: bodies in chunks of one byte take all processor time, and no request is answered.
+        """
+        delay_s = self.budget.framing.borrow(size) if size > 0 else 0.0
+        if not delay_s or self._buffer_paused:
+            return
+        self._pause_reading_for_buffer()
+        self.record.progressed_at += delay_s
+        if self.body_scope is not None:
+            # The client cannot send meanwhile.
+            self.body_scope.reschedule(self.body_scope.when() + delay_s)
+        self._loop.call_later(delay_s, self.resume_reading_body)
+
+    def resume_reading_body(self) -> None:
+        """Read on after a pause."""
+        if self.transport is not None and self._buffer_paused:
+            self._resume_reading_for_buffer()
+
     def record_unparsed(self, data: bytes) -> None:
         """Charge bytes that complete no head and are no part of a body."""
         if self.record.phase in (Phase.OPENING, Phase.IDLE):
