Own interface: callers, TLS handshakes and the operators' page share the budget

What callers saw: 100 bodies of 4 MB short of their end took 522 MB, 200 endless heads 804 MB; 700 silent connections, or TLS handshakes that stop half-way, at either address: nobody served.

Change: both listeners use ClientListener; key and, for plain services, the service are checked before the body; with TLS connections are accepted one at a time, counted before their handshake, and an eviction cancels it. New settings: memory-bytes (300 MiB) and descriptors (what the operating system allows) in [limits]; header-bytes bounds the whole head.

--- a/marjoramspool/callers/requests.py
+++ b/marjoramspool/callers/requests.py
@@ -16,7 +16,13 @@
 from marjoramspool.outcomes import Problem
 from marjoramspool.untrusted_json import decode_json
 
-__all__ = ["AFFINITY_HEADER", "parse_chat_request", "get_request_id", "parse_service_request"]
+__all__ = [
+    "AFFINITY_HEADER",
+    "authorize_head",
+    "get_request_id",
+    "parse_chat_request",
+    "parse_service_request",
+]
 
 AFFINITY_HEADER = "Marjoramspool-Affinity"
 AFFINITY_COOKIE = "marjoramspool_affinity"
@@ -119,18 +125,32 @@
     )
 
 
-def authorize(
-    http_request: web.Request, service: str, kind: str, configuration: Configuration
-) -> tuple[Document, Account]:
-    """Return the service's document and the caller's account; raise RejectedError if denied."""
+def authorize_head(http_request: web.Request, configuration: Configuration) -> None:
+    """Check what is known before the body; raise RejectedError if the request is denied."""
+    service = http_request.match_info.get("service")
+    if service is None:
+        authenticate(http_request, configuration)
+    else:
+        authorize(http_request, service, "plain", configuration)
+
+
+def authenticate(http_request: web.Request, configuration: Configuration) -> str:
+    """Return the hash of the caller's key; raise RejectedError if no account has it."""
     scheme, _, key = http_request.headers.get("Authorization", "").partition(" ")
     if scheme.lower() != "bearer" or not key.strip():
         remedy = "send Authorization: Bearer KEY"
         raise RejectedError(Problem(401, "the request has no key", remedy))
     key_hash = hash_key(key.strip())
-    documents = configuration.documents()
-    if not any(document.find_account(key_hash) for document in documents):
+    if not any(document.find_account(key_hash) for document in configuration.documents()):
         raise RejectedError(Problem(401, "the key is unknown", "use a key of a client account"))
+    return key_hash
+
+
+def authorize(
+    http_request: web.Request, service: str, kind: str, configuration: Configuration
+) -> tuple[Document, Account]:
+    """Return the service's document and the caller's account; raise RejectedError if denied."""
+    key_hash = authenticate(http_request, configuration)
     document = configuration.document(service)
     if document is None or document.kind != kind:
         remedy = "name a service that has a document"
--- a/marjoramspool/callers/server.py
+++ b/marjoramspool/callers/server.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import ssl
-from contextlib import contextmanager
+from contextlib import AsyncExitStack, contextmanager
 
 from aiohttp import web
 
+from marjoramspool import client_connection
+from marjoramspool.admission.client_budget import ClientBudget
+from marjoramspool.answer_bodies import AnswerMemory, body_slices
 from marjoramspool.callers.affinity import encode_hint
 from marjoramspool.callers.problems import (
     OUTCOME_HEADER,
@@ -16,10 +19,13 @@
 )
 from marjoramspool.callers.requests import (
     AFFINITY_HEADER,
+    authorize_head,
     get_request_id,
     parse_chat_request,
     parse_service_request,
 )
+from marjoramspool.client_connection import ConnectionLimits, check_header_size
+from marjoramspool.client_listener import serve_application
 from marjoramspool.configuration import Configuration
 from marjoramspool.dispatch import Answer, Request
 from marjoramspool.failures import BrokenAnswerError
@@ -32,6 +38,9 @@
 __all__ = ["CallersServer", "tls_context"]
 
 BODY_TIMEOUT_S = 15.0
+HEADER_TIMEOUT_S = 15.0
+LINGER_S = 10.0
+GROUP = "callers"
 WRITE_TIMEOUT_S = 15.0
 # Client timeout assumed while no document is known that states a deadline.
 ASSUMED_CLIENT_TIMEOUT_S = 3.0
@@ -44,6 +53,8 @@
     """HTTP server for callers; counts requests in flight so that a shutdown can wait for them."""
 
     __slots__ = (
+        "answer_memory",
+        "budget",
         "configuration",
         "startup_wait",
         "idle",
@@ -52,11 +63,17 @@
         "limits",
         "metrics",
         "routing",
-        "runner",
+        "stack",
     )
 
     def __init__(
-        self, routing: Routing, configuration: Configuration, limits: Limits, metrics: Metrics
+        self,
+        routing: Routing,
+        configuration: Configuration,
+        limits: Limits,
+        metrics: Metrics,
+        budget: ClientBudget,
+        answer_memory: AnswerMemory,
     ):
         self.routing = routing
         self.configuration = configuration
@@ -67,7 +84,9 @@
         self.is_draining = False
         self.idle = asyncio.Event()
         self.idle.set()
-        self.runner: web.AppRunner | None = None
+        self.budget = budget
+        self.answer_memory = answer_memory
+        self.stack = AsyncExitStack()
 
     async def start(self, host: str, port: int, tls: TlsFiles | None) -> None:
         """Listen for callers."""
@@ -76,22 +95,18 @@
         app.router.add_route("*", "/services/{service}/{path:.*}", self.service)
         app.router.add_get("/livez", self.livez)
         app.router.add_get("/readyz", self.readyz)
-        self.runner = web.AppRunner(
-            app,
-            access_log=None,
-            handler_cancellation=True,
-            auto_decompress=False,
-            max_field_size=self.limits.header_bytes,
-            max_line_size=self.limits.header_bytes,
-        )
-        await self.runner.setup()
+        limits = ConnectionLimits(lambda: self.limits.header_bytes, lambda: HEADER_TIMEOUT_S)
         context = tls_context(tls) if tls else None
-        await web.TCPSite(self.runner, host, port, ssl_context=context).start()
+        connections = self.budget.limits.connections
+        await self.stack.enter_async_context(
+            serve_application(
+                app, self.budget, GROUP, connections, (host, port), limits, LINGER_S, 0, context
+            )
+        )
 
     async def close(self) -> None:
         """Stop listening and close the remaining connections."""
-        if self.runner:
-            await self.runner.cleanup()
+        await self.stack.aclose()
 
     async def livez(self, _: web.Request) -> web.Response:
         """Respond that the process is running."""
@@ -121,8 +136,9 @@
             return self.build_problem_response(NotRun(problem), request_id)
         with self.counted_in_flight():
             try:
-                body = await self.read_body(http_request)
                 await self.wait_for_configuration()
+                authorize_head(http_request, self.configuration)
+                body = await self.read_body(http_request)
                 request = parse_request(http_request, body, request_id, self.configuration)
                 async with self.routing.serve(request) as outcome:
                     if isinstance(outcome, Answer):
@@ -157,18 +173,19 @@
             raise RejectedError(NO_CONFIGURATION_PROBLEM)
 
     async def read_body(self, http_request: web.Request) -> bytes:
-        """Read a request body; raise RejectedError if it exceeds the size or time limit."""
+        """Read a request body; raise RejectedError if it exceeds a limit."""
+        connection = http_request.protocol
+        limit = self.limits.body_bytes
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                return await http_request.read()
-        except web.HTTPRequestEntityTooLarge as error:
-            remedy = f"send at most {self.limits.body_bytes} bytes"
-            raise RejectedError(Problem(413, "the body is too large", remedy)) from error
-        except TimeoutError as error:
-            remedy = f"send the whole body within {BODY_TIMEOUT_S:g} s"
-            raise RejectedError(
-                Problem(408, "the body was not received in time", remedy)
-            ) from error
+            check_header_size(http_request, self.limits.header_bytes)
+            connection.reserve_request()
+            return await connection.read_body(http_request, limit, BODY_TIMEOUT_S)
+        except client_connection.RejectedError as error:
+            remedy = (
+                f"send headers of at most {self.limits.header_bytes} bytes and a body of {limit}"
+            )
+            problem = Problem(error.status, str(error), remedy, error.retry_after_s)
+            raise RejectedError(problem) from error
 
     def build_problem_response(self, outcome: NotRun | Unknown, request_id: str) -> web.Response:
         """Count an unsuccessful outcome and return its problem response."""
@@ -195,10 +212,12 @@
         trace = self.routing.traces.get(request.id)
         outcome = "unknown"
         try:
-            await response.prepare(http_request)
-            async for part in answer.parts:
-                await write_with_timeout(http_request, response, part)
-            await response.write_eof()
+            with self.answer_memory.holding(answer.length or 0):
+                await response.prepare(http_request)
+                async for part in answer.parts:
+                    for piece in body_slices(part):
+                        await write_with_timeout(http_request, response, piece)
+                await response.write_eof()
             outcome = COMPLETED
         except BrokenAnswerError as error:
             problem = Problem(502, str(error), "send the request again", 1.0)
@@ -224,7 +243,7 @@
 
 
 async def write_with_timeout(
-    http_request: web.Request, response: web.StreamResponse, part: bytes
+    http_request: web.Request, response: web.StreamResponse, part: bytes | memoryview
 ) -> None:
     """Write to a caller; close the connection if the caller does not read within the timeout."""
     transport = http_request.transport
--- a/marjoramspool/operators/server.py
+++ b/marjoramspool/operators/server.py
@@ -1,11 +1,13 @@
 """HTTP server for operators: liveness, readiness, status and request traces."""
 
 import asyncio
+from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
 import msgspec
 from aiohttp import web
 
+from marjoramspool.client_listener import PAGE_CONNECTIONS, serve_application
 from marjoramspool.engine_state.poison_parts import describe_quarantines
 from marjoramspool.routers import peers_pb2 as pb
 from marjoramspool.status import CellStatus, ControlStatus, MemberStatus, Status
@@ -16,17 +18,18 @@
 __all__ = ["OperatorsServer", "build_status"]
 
 EXPLAIN_TIMEOUT_S = 1.0
+GROUP = "operators"
 JSON_TYPE = "application/json"
 
 
 class OperatorsServer:
     """HTTP server for operators."""
 
-    __slots__ = ("router", "runner")
+    __slots__ = ("router", "stack")
 
     def __init__(self, router: "Router"):
         self.router = router
-        self.runner: web.AppRunner | None = None
+        self.stack = AsyncExitStack()
 
     async def start(self, host: str, port: int) -> None:
         """Listen for operators."""
@@ -35,14 +38,13 @@
         app.router.add_get("/readyz", self.router.callers.readyz)
         app.router.add_get("/status", self.status)
         app.router.add_get("/explain/{request}", self.explain)
-        self.runner = web.AppRunner(app, access_log=None)
-        await self.runner.setup()
-        await web.TCPSite(self.runner, host, port).start()
+        await self.stack.enter_async_context(
+            serve_application(app, self.router.budget, GROUP, PAGE_CONNECTIONS, (host, port))
+        )
 
     async def close(self) -> None:
         """Stop listening."""
-        if self.runner:
-            await self.runner.cleanup()
+        await self.stack.aclose()
 
     async def status(self, _: web.Request) -> web.Response:
         """Respond with the status of this router."""
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -9,6 +9,8 @@
 
 from marjoramspool import partition
 from marjoramspool.admission.admission_control import AdmissionController
+from marjoramspool.admission.client_budget import ClientBudget
+from marjoramspool.answer_bodies import AnswerMemory
 from marjoramspool.audit import AuditLog
 from marjoramspool.callers.server import CallersServer
 from marjoramspool.claims import Claims, select_preferred_router
@@ -27,6 +29,7 @@
 from marjoramspool.metrics import Metrics
 from marjoramspool.operators.server import OperatorsServer
 from marjoramspool.peer_routing import PeerRouting
+from marjoramspool.process_limits import client_limits
 from marjoramspool.routers.credentials import client_credentials, server_credentials
 from marjoramspool.routers.gossip import DRAIN_REPORT_SOURCE, Gossip
 from marjoramspool.routers.links import Links
@@ -45,6 +48,8 @@
 __all__ = ["Router"]
 
 RESTART_DELAY_S = 0.5
+# For how long callers may leave a connection idle.
+IDLE_TIMEOUT_S = 60.0
 IDLE_LINK_CHECK_PERIOD_S = 10.0
 GRANT_RESEND_PERIOD_S = 5.0
 
@@ -55,6 +60,7 @@
     __slots__ = (
         "admission_controller",
         "audit",
+        "budget",
         "callers",
         "claims",
         "configuration",
@@ -87,6 +93,9 @@
         super().__init__(settings.name, RESTART_DELAY_S)
         self.settings = settings
         self.metrics = Metrics(settings.statsd)
+        self.budget = ClientBudget(
+            client_limits(settings.limits.process), self.metrics, lambda: IDLE_TIMEOUT_S
+        )
         self.targets = Targets()
         self.configuration = Configuration()
         self.membership = Membership(
@@ -101,7 +110,9 @@
         self.platform = Platform(
             settings.platform, timings.platform_timeout_s, settings.limits.platform_calls_per_s
         )
-        self.sessions = Sessions(timings.connect_timeout_s)
+        self.sessions = Sessions(
+            timings.connect_timeout_s, AnswerMemory(self.budget.limits.answer_bytes)
+        )
         self.engines = EngineDispatcher(self.sessions)
         self.services = ServiceDispatcher(self.sessions)
         self.reach = TargetReach(self.configuration, self.targets, self.sessions)
@@ -161,6 +172,7 @@
         self.paths = RouterPaths(
             PathSelection(self.membership), client_credentials(settings.peers_tls)
         )
+        self.paths.memory = self.sessions.memory
         self.failures = TargetFailures(self.targets, self.reach, self.paths)
         self.routing = Routing(
             self.admission_controller,
@@ -175,7 +187,12 @@
             PeerRouting(self.paths, self.configuration, self.metrics),
         )
         self.callers = CallersServer(
-            self.routing, self.configuration, settings.limits, self.metrics
+            self.routing,
+            self.configuration,
+            settings.limits,
+            self.metrics,
+            self.budget,
+            self.sessions.memory,
         )
         self.path_server = PathServer(self.callers, self.configuration, self.reach)
         self.operators = OperatorsServer(self)
--- a/marjoramspool/settings.py
+++ b/marjoramspool/settings.py
@@ -4,10 +4,12 @@
 from pathlib import Path
 
 from marjoramspool.inifile import Diagnostic, InvalidFileError, Reader, parse_endpoint
+from marjoramspool.process_limits import DEFAULT_MEMORY_BYTES, ProcessLimits, open_file_limit
 
 __all__ = ["Limits", "Settings", "Timings", "TlsFiles", "load_settings", "read_settings"]
 
 MEBIBYTE = 1 << 20
+MIN_MEMORY_BYTES = 96 * MEBIBYTE
 
 
 @dataclass(slots=True, frozen=True)
@@ -28,6 +30,7 @@
     requests: int
     platform_calls_per_s: float
     traces: int
+    process: ProcessLimits
 
 
 @dataclass(slots=True, frozen=True)
@@ -123,6 +126,12 @@
         requests=section.integer("requests", 1, 100_000, 4096),
         platform_calls_per_s=platform.number("calls-per-second", 0.1, 1000, 20.0),
         traces=section.integer("traces", 1, 100_000, 2000),
+        process=ProcessLimits(
+            memory_bytes=section.integer(
+                "memory-bytes", 96 * MEBIBYTE, 1 << 40, DEFAULT_MEMORY_BYTES
+            ),
+            descriptors=section.integer("descriptors", 300, 1 << 30, open_file_limit()),
+        ),
     )
     section.finish()
     return limits
