Do not take an ordinary client for one with the start of a next request

Cause: whether a request ends with a read was judged by that read alone, and the end of a chunked body counted as bytes that are no body. Change: the last four bytes of the connection count, and what came before the end of a body is forgotten with it. A time limit that has passed is not moved any more, which would have failed the connection of another client at an eviction.

--- a/marjoramspool/client_connection.py
+++ b/marjoramspool/client_connection.py
@@ -64,6 +64,7 @@
         "discarded_bytes",
         "header_timer",
         "is_discarding",
+        "last_bytes",
         "limits",
         "newest_body",
         "open_transport",
@@ -107,6 +108,7 @@
         # Received since a head was complete or a body grew, and what is charged for it.
         self.unparsed_bytes = 0
         self.unparsed_cost = 0
+        self.last_bytes = b""
         # Charged for requests that wait for the answer to the one before.
         self.queued_cost = 0
         # Whether nothing that follows is a request.
@@ -149,6 +151,7 @@
         if self.is_discarding:
             return
         parsed_before = self._request_count
+        had_open_body = self.has_open_body
         super().data_received(data)
         if self.transport is None:
             return
@@ -159,21 +162,31 @@
             self._messages.pop()
             self.reject(400, "the request is malformed")
             return
+        self.last_bytes = (self.last_bytes + data)[-len(HEAD_END) :]
         self.end_discarded_body()
         if messages:
             self.record_heads(messages, len(data))
         self.record_growth(data, bool(messages))
+        if had_open_body and not self.has_open_body:
+            # The end of a chunked body, which may come apart from its last chunk.
+            self.forget_unparsed()
         if data and self.has_rest(data):
             # How long it is only the parser knows; it is less than one read.
             self.unparsed_bytes = max(1, self.unparsed_bytes)
 
+    @property
+    def has_open_body(self) -> bool:
+        """Return whether the end of the newest body has not been received."""
+        return self.newest_body is not None and not self.newest_body.is_eof()
+
     def has_rest(self, data: bytes) -> bool:
         """Return whether the start of a next head follows a request that ended in these bytes."""
-        if self.newest_body is None or not self.newest_body.is_eof():
+        if self.newest_body is None or self.has_open_body:
+            return False
+        if self.last_bytes == HEAD_END:
             return False
         received = getattr(self.newest_body, "_buffer", None)
-        end = received[-1] if received else HEAD_END
-        return not data.endswith((end, HEAD_END))
+        return not received or not data.endswith(received[-1])
 
     def count_discarded(self, size: int) -> None:
         """Count bytes that follow a refusal; stop reading after too many."""
@@ -225,7 +238,7 @@
             return
         self._pause_reading_for_buffer()
         self.record.progressed_at += delay_s
-        if self.body_scope is not None:
+        if self.is_reading_body:
             # The client cannot send meanwhile.
             self.body_scope.reschedule(self.body_scope.when() + delay_s)
         self._loop.call_later(delay_s, self.resume_reading_body)
@@ -330,9 +343,14 @@
     def end_body(self, error: RejectedError) -> None:
         """Have the read of the present body fail."""
         self.rejection = error
-        if self.body_scope is not None:
+        if self.is_reading_body:
             self.body_scope.reschedule(self._loop.time())
 
+    @property
+    def is_reading_body(self) -> bool:
+        """Return whether a body is being read whose time limit has not passed."""
+        return self.body_scope is not None and not self.body_scope.expired()
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/marjoramspool/platform/tests/test_client_limits.py
+++ b/marjoramspool/platform/tests/test_client_limits.py
@@ -115,3 +115,22 @@
     async with asyncio.timeout(5.0):
         assert f" {status} ".encode() in await reader.readline()
     writer.close()
+
+
+@pytest.mark.parametrize("end", [b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"])
+@pytest.mark.parametrize("split", [1, 2, 3, 5])
+async def test_a_request_whose_last_bytes_come_apart_keeps_its_connection(fleet, end, split):
+    """Guards against a connection that is taken for one with the start of a next request."""
+    reader, writer = await connect(fleet)
+    fields = f"Host: {HOST}\r\nApi-Key: {KEY}\r\nX-Request-Id: r1"
+    request = f"POST /lookup/a HTTP/1.1\r\n{fields}".encode() + end
+    for _ in range(2):
+        writer.write(request[:-split])
+        await asyncio.sleep(0.05)
+        writer.write(request[-split:])
+        async with asyncio.timeout(5.0):
+            assert b" 200 " in await reader.readline()
+            await reader.readuntil(b"answer to ")
+        # Longer than the time limit of a head.
+        await asyncio.sleep(0.6)
+    writer.close()
