Take bytes without a status for what they are: no answer

What callers saw: an engine in trouble sent a status of 000 (MIXED), and the client got "HTTP/1.1 0" with the engine's body and signature; the own interface said "completed". The same with 001 and 099, with 600 and 999 where a request is not tried again, with versions 0.9 and 2.0 and RTSP/1.0, and with NUL or another control byte in the reason. A 101 was given to the client as its answer, which leaves a connection on which nothing more is to be read.

Cause: the HTTP library parses answers as browsers do and checks neither the range of a status nor the reason; nobody checked after it.

Ruled out: a check by each caller of a session (requests, probes, reports, moves, cache lists, the store, peers, commands, both dispatchers), since it would be forgotten at the next one; the library's strict mode, which only its debug flag turns on and which does not look at the range of a status either.

Change: all sessions come from http.new_session and share one class of connections, which is now TargetConnection in a module of its own. It has each answer scanned (answer_grammar, answer_scanner: no sockets, no library) before the library parses it. Bytes after the end of an answer belong to no request: they are not parsed any more, and end the connection. What is malformed fails the attempt as a failure of its engine, while another engine can still be asked.

--- /dev/null
+++ b/marjoramspool/answer_grammar.py
@@ -0,0 +1,153 @@
+"""Grammar of HTTP/1.1 answers: status lines, fields, chunks, and how the body is delimited.
+
+References: RFC 9110 (semantics), RFC 9112 (HTTP/1.1).
+"""
+
+import re
+from collections import defaultdict
+from collections.abc import Generator
+from dataclasses import dataclass, field
+
+import aiohttp
+
+__all__ = ["Body", "Expected", "Line", "MalformedAnswerError", "answer_grammar"]
+
+# Longest line of an answer, in bytes.
+MAX_LINE_BYTES = 64 << 10
+# Bytes of a malformed line that are quoted in the log.
+MAX_QUOTED_BYTES = 80
+TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+# A missing space after the status is common where the reason phrase is empty.
+STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([0-9]{3})(?: " + TEXT + rb")?")
+BLANKS = rb"[ \t]*+"
+FIELD_LINE = re.compile(rb"([^:\s]*+)\s*+:" + BLANKS + rb"(.*)", re.DOTALL)
+CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]+)")
+DIGITS = re.compile(rb"[0-9]+")
+STATUSES = range(100, 600)
+INTERIM_STATUSES = range(100, 200)
+SWITCHING_PROTOCOLS = 101
+# Statuses whose answers have no body, whatever their fields say.
+BODILESS_STATUSES = (204, 304)
+LENGTH_FIELD = b"content-length"
+CODING_FIELD = b"transfer-encoding"
+
+
+class MalformedAnswerError(aiohttp.ClientPayloadError):
+    """The bytes are no HTTP/1.1 answer; `excerpt` quotes the line, for the log alone."""
+
+    def __init__(self, why: str, line: bytes = b""):
+        super().__init__(why)
+        self.excerpt = line[:MAX_QUOTED_BYTES]
+
+
+@dataclass(slots=True, frozen=True)
+class Line:
+    """A line is expected, with its end."""
+
+
+@dataclass(slots=True, frozen=True)
+class Body:
+    """Bytes of a body are expected, `size` of them, or all until the end if it is None."""
+
+    size: int | None
+
+
+Expected = Line | Body
+Grammar = Generator[Expected, bytes, None]
+LINE = Line()
+
+
+@dataclass(slots=True)
+class Head:
+    """Status line and fields of an answer, with the values of each field by its lower-case name."""
+
+    minor_version: int
+    status: int
+    fields: dict[bytes, list[bytes]] = field(default_factory=lambda: defaultdict(list))
+
+
+def answer_grammar(is_bodiless: bool) -> Grammar:
+    """Yield what an answer has to go on with, and receive each line.
+
+    `is_bodiless` is set for the answer to a HEAD request. Raise MalformedAnswerError.
+    """
+    head = yield from read_head()
+    while head.status in INTERIM_STATUSES:
+        head = yield from read_head()
+    if is_bodiless or head.status in BODILESS_STATUSES:
+        return
+    if is_chunked(head):
+        yield from read_chunks()
+        return
+    size = body_size(head)
+    if size != 0:
+        yield Body(size)
+
+
+def read_head() -> Generator[Expected, bytes, Head]:
+    """Return the head of the next answer; empty lines before it are skipped."""
+    line = b""
+    while not line:
+        line = without_end((yield LINE))
+    head = parse_status_line(line)
+    head.fields = yield from read_fields()
+    return head
+
+
+def read_fields() -> Generator[Expected, bytes, dict[bytes, list[bytes]]]:
+    """Return the fields up to the empty line that ends them."""
+    fields = defaultdict(list)
+    while line := without_end((yield LINE)):
+        if match := FIELD_LINE.fullmatch(line):
+            fields[match[1].lower()].append(match[2])
+    return fields
+
+
+def read_chunks() -> Grammar:
+    """Yield what a body in chunks has to go on with, its trailer fields included."""
+    while size := parse_chunk_size((yield LINE)):
+        yield Body(size)
+        yield LINE
+    yield from read_fields()
+
+
+def without_end(line: bytes) -> bytes:
+    """Return a line of a head without its end, which is CR LF or LF."""
+    return line[:-2] if line.endswith(b"\r\n") else line[:-1]
+
+
+def parse_status_line(line: bytes) -> Head:
+    """Return a head without fields; raise MalformedAnswerError."""
+    match = STATUS_LINE.fullmatch(line)
+    if match is None:
+        raise MalformedAnswerError("the status line is malformed", line)
+    status = int(match[2])
+    if status not in STATUSES:
+        raise MalformedAnswerError(f"the status is {status:03}, which is none", line)
+    if status == SWITCHING_PROTOCOLS:
+        raise MalformedAnswerError("it switches to another protocol, unasked", line)
+    return Head(int(match[1]), status)
+
+
+def is_chunked(head: Head) -> bool:
+    """Return whether the body is in chunks."""
+    text = b",".join(head.fields.get(CODING_FIELD, ()))
+    codings = [coding.strip(b" \t").lower() for coding in text.split(b",")]
+    return codings[-1] == b"chunked"
+
+
+def body_size(head: Head) -> int | None:
+    """Return the length of the body in bytes, None if it has none."""
+    values = head.fields.get(LENGTH_FIELD)
+    if values is None:
+        return None
+    value = values[0].rstrip(b" \t")
+    return int(value) if DIGITS.fullmatch(value) else None
+
+
+def parse_chunk_size(line: bytes) -> int:
+    """Return the size of a chunk in bytes; raise MalformedAnswerError."""
+    match = CHUNK_SIZE.match(line)
+    if match is None:
+        raise MalformedAnswerError("the size of a chunk is malformed", line)
+    return int(match[1], 16)
--- a/marjoramspool/events.py
+++ b/marjoramspool/events.py
@@ -82,6 +82,7 @@
     ATTEMPT_FAILED = (601, "info", "an attempt failed")
     STREAM_RESUMED = (602, "info", "a stream was resumed over a new connection")
     ANSWER_REJECTED = (603, "error", "an answer was rejected because it belongs to another attempt")
+    ANSWER_MALFORMED = (618, "error", "the bytes that a target sent are no answer")
     REQUEST_PLACED = (604, "info", "a request was assigned to an engine")
     REQUEST_REFUSED = (605, "info", "a request was refused and was not executed")
     REQUEST_FAILED = (606, "info", "a request got no complete answer and may have been executed")
--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -1,11 +1,10 @@
-"""HTTP client sessions without automatic retries, whose connections bound what they discard."""
+"""HTTP client sessions without automatic retries, whose connections check what they receive."""
 
 import asyncio
 import functools
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 from marjoramspool.answer_bodies import AnswerMemory
@@ -13,6 +12,7 @@
 from marjoramspool.engine_state.request_limits import EngineKey, parse_limit
 from marjoramspool.events import Event, log
 from marjoramspool.failures import MayHaveRunError, NotSentError
+from marjoramspool.target_connection import READ_BYTES, TargetConnection
 
 __all__ = [
     "LimitCallback",
@@ -28,92 +28,12 @@
 # Takes a target's key, its limit or None for none, and when the request was sent.
 LimitCallback = Callable[[EngineKey, float | None, float], None]
 
-MAX_DISCARDED_BYTES = 256 << 10
-# Bytes of an answer that are read at a time, and that wait for a slow reader.
-READ_BYTES = 32 << 10
 # Short, since a retry may wait for the result.
 REFUSAL_TIMEOUT_S = 0.1
 # A connection that takes longer may be a sign of a cut.
 LATE_CONNECTION_S = 0.1
 
 
-class BoundedResponseHandler(ResponseHandler):
-    """Connection whose reset fails a body, and that bounds what is no part of one.
-
-    Faults: a body without length or chunks is reset, which the parser takes for its end; a peer
-    sends empty lines, interim answers or a chunk size without end, which the parser discards until
-    the deadline of the request.
-    """
-
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        on_idle_closed: Callable[[str], None] = lambda _: None,
-    ):
-        super().__init__(loop=loop)
-        self.discarded_bytes = 0
-        self.body_bytes = 0
-        # Called with the `HOST:PORT` of a peer that closes a connection which could be used again.
-        self.on_idle_closed = on_idle_closed
-        self.peer = ""
-        self.is_closed_by_peer = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Record whose connection it is."""
-        if hasattr(transport, "max_size"):
-            transport.max_size = READ_BYTES
-        super().connection_made(transport)
-        # None if the peer has reset the connection already.
-        peer = transport.get_extra_info("peername")
-        self.peer = "{}:{}".format(*peer) if peer else ""
-
-    def eof_received(self) -> None:
-        """Record that the peer closes the connection."""
-        self.is_closed_by_peer = True
-        super().eof_received()
-
-    def set_response_params(self, **params) -> None:
-        """Prepare for the next response."""
-        self.discarded_bytes = 0
-        self.body_bytes = 0
-        super().set_response_params(**params)
-
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes; break the connection after too many that are no part of a body."""
-        super().data_received(data)
-        body_bytes = 0 if self._payload is None else self._payload.total_bytes
-        if body_bytes > self.body_bytes:
-            self.body_bytes = body_bytes
-            self.discarded_bytes = 0
-            return
-        self.discarded_bytes += len(data)
-        if self.discarded_bytes > MAX_DISCARDED_BYTES:
-            self.break_off()
-
-    def break_off(self) -> None:
-        """Fail the response and close the connection."""
-        error = aiohttp.ClientPayloadError(
-            f"the peer sent {self.discarded_bytes} bytes that are no part of a body"
-        )
-        payload = self._payload
-        transport = self.transport
-        self.set_exception(error)
-        if payload is not None:
-            payload.set_exception(error)
-        if transport is not None:
-            transport.abort()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail a body that a reset has cut off; tell of a connection that was idle."""
-        is_idle = not self.should_close
-        if is_idle and (self.is_closed_by_peer or exc is not None):
-            self.on_idle_closed(self.peer)
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(f"the connection broke: {exc!r}"))
-        super().connection_lost(exc)
-
-
 def report_limit(
     response: aiohttp.ClientResponse,
     key: EngineKey,
@@ -189,7 +109,7 @@
     )
     # aiohttp has no public option for the class of its connections.
     loop = asyncio.get_running_loop()
-    connector._factory = functools.partial(BoundedResponseHandler, loop, on_idle_closed)
+    connector._factory = functools.partial(TargetConnection, loop, on_idle_closed)
     session = aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -15,6 +15,7 @@
     read_body,
     read_events,
 )
+from marjoramspool.answer_grammar import MalformedAnswerError
 from marjoramspool.attempts import (
     SUCCESS_STATUSES,
     Attempt,
@@ -373,6 +374,8 @@
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSentError(f"no connection to engine {engine.id}: {error!r}") from error
+        except MalformedAnswerError as error:
+            raise MayHaveRunError(f"engine {engine.id} sent no answer: {error}") from error
         except (aiohttp.ClientError, OSError) as error:
             raise ResetError(f"engine {engine.id} gave no answer: {error!r}") from error
 
--- /dev/null
+++ b/marjoramspool/platform/tests/test_broken_answers.py
@@ -0,0 +1,195 @@
+"""Answers that are broken never reach a client, and odd but legal ones are served.
+
+An engine in trouble sends what is no answer in the protocol. Guards against a client that gets it
+as its answer, with a body that is not the engine's, that believes that a request has not run which
+has, or that reads the bytes of the engine in the text of an error.
+"""
+
+from contextlib import asynccontextmanager
+
+import pytest
+
+from bench.local import wait_until
+from bench.platform_fleet import HOST, KEY, route
+from bench.raw_http import ask, request_bytes
+from standins.platform_engine import PlatformEngine
+from standins.raw_target import Ending, RawTarget
+
+ROUTES = {
+    "lookup": route("/lookup/", "idempotent", "desk"),
+    "order": route("/order/", "non_idempotent", "desk", max_attempts=1),
+    "chat": route("/chat/", "streaming", "model", stream_resume=True),
+    "report": route("/report/", "streaming", "model", max_attempts=1),
+}
+NAMED = b"X-Request-Id: %id\r\nX-Response-Signature: sig.9\r\n"
+BODY = b"the text of the engine"
+LENGTH = b"Content-Length: %d\r\n" % len(BODY)
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+EVENTS = [b"id: %d\ndata: the text of the engine\n\n" % number for number in range(1, 4)]
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+
+def answer(status_line=OK, *fields, body=BODY, length=LENGTH):
+    """Return an answer with a length and these fields before it."""
+    return status_line + NAMED + b"".join(fields) + length + b"\r\n" + body
+
+
+def chunked(body, *fields, status_line=OK):
+    """Return an answer whose body is in chunks, as given."""
+    return answer(status_line, *fields, body=body, length=CHUNKED)
+
+
+def chunk(data, extension=b""):
+    """Return a chunk."""
+    return b"%x%s\r\n%s\r\n" % (len(data), extension, data)
+
+
+STATUS_LINES = {
+    "status 000": b"HTTP/1.1 000 OK\r\n",
+    "status 000 without reason": b"HTTP/1.1 000 \r\n",
+    "status 001": b"HTTP/1.1 001 OK\r\n",
+    "status 099": b"HTTP/1.1 099 OK\r\n",
+    "status 600": b"HTTP/1.1 600 OK\r\n",
+    "status 999": b"HTTP/1.1 999 OK\r\n",
+    "status of two digits": b"HTTP/1.1 20 OK\r\n",
+    "status of four digits": b"HTTP/1.1 2000 OK\r\n",
+    "no status": b"HTTP/1.1  OK\r\n",
+    "status of letters": b"HTTP/1.1 2x0 OK\r\n",
+    "negative status": b"HTTP/1.1 -20 OK\r\n",
+    "two blanks": b"HTTP/1.1  200 OK\r\n",
+    "tab": b"HTTP/1.1\t200 OK\r\n",
+    "version 2": b"HTTP/2.0 200 OK\r\n",
+    "version 0.9": b"HTTP/0.9 200 OK\r\n",
+    "version 1.10": b"HTTP/1.10 200 OK\r\n",
+    "version in lower case": b"http/1.1 200 OK\r\n",
+    "another protocol": b"RTSP/1.0 200 OK\r\n",
+    "blank before the version": b" HTTP/1.1 200 OK\r\n",
+    "NUL in the reason": b"HTTP/1.1 200 O\0K\r\n",
+    "control byte in the reason": b"HTTP/1.1 200 O\x01K\r\n",
+    "CR in the reason": b"HTTP/1.1 200 O\rK\r\n",
+}
+PROTOCOL_SWITCHES = {
+    "101 with Upgrade": answer(
+        b"HTTP/1.1 101 Switching Protocols\r\n", b"Upgrade: h2c\r\nConnection: Upgrade\r\n"
+    ),
+    "101": answer(b"HTTP/1.1 101 Switching Protocols\r\n"),
+    "101 without length": answer(b"HTTP/1.1 101 Switching\r\n", length=b""),
+}
+BROKEN = {name: answer(line) for name, line in STATUS_LINES.items()} | PROTOCOL_SWITCHES
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+ODD = {
+    "plain": answer(),
+    "no reason": answer(b"HTTP/1.1 200 \r\n"),
+    "no reason and no blank": answer(b"HTTP/1.1 200\r\n"),
+    "odd reason": answer(b"HTTP/1.1 200 \xc3\xa9 \t(fine)\r\n"),
+    "another success": answer(b"HTTP/1.1 299 Odd\r\n"),
+    "lines that end with LF": answer().replace(b"\r\n", b"\n"),
+    "interim answers": INTERIM + answer(),
+    "HTTP/1.0": answer(b"HTTP/1.0 200 OK\r\n"),
+    "HTTP/1.0 without length": answer(b"HTTP/1.0 200 OK\r\n", length=b""),
+    "no length": answer(length=b""),
+    "zeros before the length": answer(length=b"Content-Length: 000022\r\n"),
+    "blanks around the length": answer(length=b"Content-Length:\t 22 \t\r\n"),
+    "chunks": chunked(chunk(BODY[:5]) + chunk(BODY[5:]) + b"0\r\n\r\n"),
+    "chunks in capitals": answer(
+        body=b"000016\r\n" + BODY + b"\r\n000\r\n\r\n", length=b"TRANSFER-ENCODING: Chunked\r\n"
+    ),
+    "empty codings": answer(
+        body=chunk(BODY) + b"0\r\n\r\n", length=b"Transfer-Encoding: , chunked\r\n"
+    ),
+    "chunk extensions": chunked(chunk(BODY, b';a;b=c;d="e\\" f"') + b"0;z=1\r\n\r\n"),
+    "trailers": chunked(chunk(BODY) + b"0\r\nX-Sum: 1\r\nX-Empty:\r\n\r\n", b"Trailer: X-Sum\r\n"),
+    "empty value": answer(OK, b"X-Other:\r\n"),
+    "no blank after the colon": answer(OK, b"X-Other:a\r\n"),
+    "bytes above 127 in a value": answer(OK, b"X-Other: \xff\xe9\xc3\xa9\r\n"),
+    "tab in a value": answer(OK, b"X-Other: a\tb\r\n"),
+    "odd name": answer(OK, b"X!#$%&'*+-.^_`|~9: a\r\n"),
+    "line that is folded": answer(OK, b"X-Other: a\r\n  b\r\n"),
+    "offer of another protocol": answer(OK, b"Upgrade: h2c\r\nConnection: Upgrade\r\n"),
+    "offer without length": answer(OK, b"Upgrade: h2c\r\nConnection: Upgrade\r\n", length=b""),
+    "bytes after the answer": answer() + b"HTTP/1.1 999 more\r\n\r\n",
+}
+
+SSE = b"Content-Type: text/event-stream\r\n"
+STREAM = b"".join(EVENTS)
+ODD_STREAMS = {
+    "chunks": chunked(b"".join(map(chunk, EVENTS)) + b"0\r\n\r\n", SSE),
+    "events in one chunk": chunked(chunk(STREAM) + b"0\r\n\r\n", SSE),
+    "events across chunks": chunked(chunk(STREAM[:30]) + chunk(STREAM[30:]) + b"0\r\n\r\n", SSE),
+    "extensions and trailers": chunked(
+        b"".join(chunk(event, b";a=b") for event in EVENTS) + b"00;c\r\nX-Sum: 1\r\n\r\n", SSE
+    ),
+    "length": answer(OK, SSE, body=STREAM, length=b"Content-Length: %d\r\n" % len(STREAM)),
+    "no length": answer(OK, SSE, body=STREAM, length=b""),
+    "HTTP/1.0": answer(b"HTTP/1.0 200 OK\r\n", SSE, body=STREAM, length=b""),
+    "interim answers": INTERIM + chunked(b"".join(map(chunk, EVENTS)) + b"0\r\n\r\n", SSE),
+}
+
+
+@asynccontextmanager
+async def serving(site, answer, ending):
+    """Start a router and an engine of each service that sends the answer; yield the engines."""
+    async with RawTarget(answer, ending) as desk, RawTarget(answer, ending) as model:
+        for service, target in (("desk", desk), ("model", model)):
+            engine = PlatformEngine(f"i-{service}", service, address=target.address)
+            await site.put("servers", engine.id, engine.registration())
+        await site.configure(*ROUTES.values())
+        router = await site.add_router()
+        await wait_until(lambda: len(router.engines.engines) == 2, "the engines are listed")
+        yield desk, model
+
+
+async def play(site, kind, method="POST", body=b"question"):
+    """Send a request of a kind; return the answer as its client reads it."""
+    endpoint = site.routers[0].settings.client_endpoint
+    fields = {"Host": HOST, "Api-Key": KEY}
+    return await ask(endpoint, request_bytes(method, f"/{kind}/x", f"r-{kind}", fields, body))
+
+
+def is_own_failure(received):
+    """Return whether an answer is a failure of the router that does not say "not run"."""
+    return (
+        received.is_complete
+        and received.status >= 500
+        and received.status not in NOT_RUN_STATUSES
+        and b"sig.9" not in received.head
+    )
+
+
+@pytest.mark.parametrize("ending", [Ending.CLOSE, Ending.OPEN, Ending.RESET])
+@pytest.mark.parametrize("broken", BROKEN.values(), ids=BROKEN.keys())
+async def test_a_broken_answer_is_a_failure_of_its_engine(site, broken, ending):
+    async with serving(site, broken, ending) as (desk, model):
+        for kind in ROUTES:
+            received = await play(site, kind)
+            assert is_own_failure(received), (kind, received)
+        assert {f"r-{kind}" for kind in ROUTES} <= {*desk.requests, *model.requests}
+        assert await site.readiness() == 200
+
+
+def ending_of(answer):
+    """Return how a connection goes on after an answer: open, unless that is what ends it."""
+    head = answer.lower()
+    is_delimited = b"content-length:" in head or b"transfer-encoding:" in head
+    return Ending.OPEN if is_delimited else Ending.CLOSE
+
+
+@pytest.mark.parametrize("odd", ODD.values(), ids=ODD.keys())
+async def test_an_odd_answer_is_served(site, odd):
+    async with serving(site, odd, ending_of(odd)):
+        for kind in ("lookup", "order"):
+            received = await play(site, kind)
+            assert received.status in range(200, 300)
+            assert received.is_complete
+            assert received.body == BODY
+            assert b"sig.9" in received.head
+
+
+@pytest.mark.parametrize("odd", ODD_STREAMS.values(), ids=ODD_STREAMS.keys())
+async def test_an_odd_stream_is_served(site, odd):
+    async with serving(site, odd, ending_of(odd)):
+        for kind in ("chat", "report"):
+            received = await play(site, kind)
+            assert (received.status, received.body) == (200, STREAM)
+            assert received.is_complete
--- a/marjoramspool/tests/test_refused_connections.py
+++ b/marjoramspool/tests/test_refused_connections.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from marjoramspool.http import BoundedResponseHandler, is_refusing_connections, new_session
+from marjoramspool.http import is_refusing_connections, new_session
+from marjoramspool.target_connection import TargetConnection
 
 
 @pytest.mark.parametrize(
@@ -43,7 +44,7 @@
     """Guards against a request that fails with an error of the program; its peer has no name."""
     closed = []
     loop = asyncio.get_running_loop()
-    handler = BoundedResponseHandler(loop, closed.append)
+    handler = TargetConnection(loop, closed.append)
     transport = asyncio.Transport({"peername": None})
     handler.connection_made(transport)
     handler.connection_lost(ConnectionResetError())
