Reject answers whose field lines are malformed

What callers saw: an engine in trouble sent a field name with a blank before its colon ("Transfer-Encoding : chunked"), and the client got that line as it came, with a body that was not the engine's; a first line that begins with a blank was passed on; a control byte in a value was read here, and then the answer could not be written: the connection of the client closed without any answer.

Cause: the HTTP library's parser is lenient with what it receives, and its writer is strict with what it sends, so that the fault was found when no other engine could be asked any more.

Change: the grammar of answers checks each field line: a token, a colon directly after it, a value without control bytes other than a tab. What is served as before: folded lines, empty values, bytes above 127 in values, lines that end with LF.

--- a/marjoramspool/answer_grammar.py
+++ b/marjoramspool/answer_grammar.py
@@ -16,11 +16,14 @@
 MAX_LINE_BYTES = 64 << 10
 # Bytes of a malformed line that are quoted in the log.
 MAX_QUOTED_BYTES = 80
+TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 # A missing space after the status is common where the reason phrase is empty.
 STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([0-9]{3})(?: " + TEXT + rb")?")
+# Possessive, so that no line takes time beyond its length.
 BLANKS = rb"[ \t]*+"
-FIELD_LINE = re.compile(rb"([^:\s]*+)\s*+:" + BLANKS + rb"(.*)", re.DOTALL)
+FIELD_LINE = re.compile(rb"(" + TOKEN + rb"):" + BLANKS + rb"(" + TEXT + rb")")
+FOLDED_LINE = re.compile(rb"[ \t]" + BLANKS + rb"(" + TEXT + rb")")
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]+)")
 DIGITS = re.compile(rb"[0-9]+")
 STATUSES = range(100, 600)
@@ -97,9 +100,18 @@
 def read_fields() -> Generator[Expected, bytes, dict[bytes, list[bytes]]]:
     """Return the fields up to the empty line that ends them."""
     fields = defaultdict(list)
+    values: list[bytes] | None = None
     while line := without_end((yield LINE)):
-        if match := FIELD_LINE.fullmatch(line):
-            fields[match[1].lower()].append(match[2])
+        if folded := FOLDED_LINE.fullmatch(line):
+            if values is None:
+                raise MalformedAnswerError("the first field line begins with a blank", line)
+            values[-1] = values[-1].rstrip(b" \t") + b" " + folded[1]
+            continue
+        match = FIELD_LINE.fullmatch(line)
+        if match is None:
+            raise MalformedAnswerError("a field line is malformed", line)
+        values = fields[match[1].lower()]
+        values.append(match[2])
     return fields
 
 
--- a/marjoramspool/platform/tests/test_broken_answers.py
+++ b/marjoramspool/platform/tests/test_broken_answers.py
@@ -76,7 +76,45 @@
     "101": answer(b"HTTP/1.1 101 Switching Protocols\r\n"),
     "101 without length": answer(b"HTTP/1.1 101 Switching\r\n", length=b""),
 }
-BROKEN = {name: answer(line) for name, line in STATUS_LINES.items()} | PROTOCOL_SWITCHES
+FIELD_LINES = {
+    "blank before the colon": b"X-Other : a\r\n",
+    "tab before the colon": b"X-Other\t: a\r\n",
+    "blank in a name": b"X Other: a\r\n",
+    "control byte in a name": b"X-\x01Other: a\r\n",
+    "NUL in a name": b"X-\0Other: a\r\n",
+    "DEL in a name": b"X-\x7fOther: a\r\n",
+    "byte above 127 in a name": b"X-\xe9: a\r\n",
+    "separator in a name": b"X(Other): a\r\n",
+    "no name": b": a\r\n",
+    "no colon": b"X-Other\r\n",
+    "NUL in a value": b"X-Other: a\0b\r\n",
+    "control byte in a value": b"X-Other: a\x01b\r\n",
+    "escape in a value": b"X-Other: a\x1bb\r\n",
+    "backspace in a value": b"X-Other: a\x08\r\n",
+    "DEL in a value": b"X-Other: a\x7fb\r\n",
+    "CR in a value": b"X-Other: a\rb\r\n",
+    "control byte in the type": b"Content-Type: text/\x02plain\r\n",
+}
+HEADS = {
+    "first line begins with a blank": OK + b" X-Other: a\r\n" + answer().removeprefix(OK),
+    "first line begins with a tab": OK + b"\tX-Other: a\r\n" + answer().removeprefix(OK),
+    "first line is blank": OK + b"  \r\n" + answer().removeprefix(OK),
+    "blank before the colon of the coding": answer(
+        body=chunk(BODY) + b"0\r\n\r\n", length=b"Transfer-Encoding : chunked\r\n"
+    ),
+    "blank before the colon of the length": answer(length=b"Content-Length : %d\r\n" % len(BODY)),
+    "status line twice": OK + answer(),
+    "no fields": OK[:-2],
+    "other bytes": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" * 4,
+    "text": BODY + b"\r\n\r\n",
+}
+BROKEN = (
+    {name: answer(line) for name, line in STATUS_LINES.items()}
+    | PROTOCOL_SWITCHES
+    | {name: answer(OK, line) for name, line in FIELD_LINES.items()}
+    | HEADS
+    | {"503 that is broken": answer(b"HTTP/1.1 503 Full\r\n", b"X-Not-Executed: 1\r\nA B: c\r\n")}
+)
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
 ODD = {
     "plain": answer(),
