Reject answers whose length, codings or chunks are malformed

What callers saw: bodies in transfer codings that nobody here can decode (gzip, identity, an unknown one, "chunked,", chunked twice) were given to the client as if they were the body, some with the framing of their chunks in them; chunks that did not end where their size says, that ended with LF, or that had a size with blanks were accepted, and trailers with control bytes; so were chunks in HTTP/1.0.

Its view of where a body ends decides what a client gets, and it does not fail where it is in doubt.

Change: the grammar checks the length, the codings (only chunked, once, at the end, in HTTP/1.1 and without a length), each chunk and its extensions, and the trailers (RFC 9112, 6 and 7). Possessive patterns, so that no line takes time beyond its length. Served as before: chunk extensions, trailers, zeros before a size, empty codings, no length, HTTP/1.0.

--- a/marjoramspool/answer_grammar.py
+++ b/marjoramspool/answer_grammar.py
@@ -18,13 +18,17 @@
 MAX_QUOTED_BYTES = 80
 TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+QUOTED = rb'"(?:[\t \x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t\x20-\x7e\x80-\xff])*"'
 # A missing space after the status is common where the reason phrase is empty.
 STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([0-9]{3})(?: " + TEXT + rb")?")
 # Possessive, so that no line takes time beyond its length.
 BLANKS = rb"[ \t]*+"
 FIELD_LINE = re.compile(rb"(" + TOKEN + rb"):" + BLANKS + rb"(" + TEXT + rb")")
 FOLDED_LINE = re.compile(rb"[ \t]" + BLANKS + rb"(" + TEXT + rb")")
-CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]+)")
+EXTENSION_VALUE = rb"(?:" + BLANKS + rb"=" + BLANKS + rb"(?:" + TOKEN + rb"|" + QUOTED + rb"))?"
+CHUNK_SIZE = re.compile(
+    rb"([0-9A-Fa-f]+)(?:" + BLANKS + rb";" + BLANKS + TOKEN + EXTENSION_VALUE + rb")*"
+)
 DIGITS = re.compile(rb"[0-9]+")
 STATUSES = range(100, 600)
 INTERIM_STATUSES = range(100, 200)
@@ -119,7 +123,9 @@
     """Yield what a body in chunks has to go on with, its trailer fields included."""
     while size := parse_chunk_size((yield LINE)):
         yield Body(size)
-        yield LINE
+        end = yield LINE
+        if end != b"\r\n":
+            raise MalformedAnswerError("a chunk does not end where its size says", end)
     yield from read_fields()
 
 
@@ -142,24 +148,34 @@
 
 
 def is_chunked(head: Head) -> bool:
-    """Return whether the body is in chunks."""
+    """Return whether the body is in chunks; raise MalformedAnswerError for other codings."""
     text = b",".join(head.fields.get(CODING_FIELD, ()))
     codings = [coding.strip(b" \t").lower() for coding in text.split(b",")]
-    return codings[-1] == b"chunked"
+    applied = [coding for coding in codings if coding]
+    if not applied:
+        return False
+    # The HTTP library finds `chunked` only at the end of the field.
+    if applied != [b"chunked"] or codings[-1] != b"chunked":
+        raise MalformedAnswerError("the transfer coding is unknown", text)
+    if head.minor_version == 0 or LENGTH_FIELD in head.fields:
+        raise MalformedAnswerError("a body in chunks has a length or is of HTTP/1.0", text)
+    return True
 
 
 def body_size(head: Head) -> int | None:
-    """Return the length of the body in bytes, None if it has none."""
+    """Return the length of the body in bytes, None if it has none; raise MalformedAnswerError."""
     values = head.fields.get(LENGTH_FIELD)
     if values is None:
         return None
     value = values[0].rstrip(b" \t")
-    return int(value) if DIGITS.fullmatch(value) else None
+    if len(values) > 1 or not DIGITS.fullmatch(value):
+        raise MalformedAnswerError("the length is malformed", b", ".join(values))
+    return int(value)
 
 
 def parse_chunk_size(line: bytes) -> int:
     """Return the size of a chunk in bytes; raise MalformedAnswerError."""
-    match = CHUNK_SIZE.match(line)
-    if match is None:
+    match = CHUNK_SIZE.fullmatch(line.removesuffix(b"\r\n"))
+    if match is None or not line.endswith(b"\r\n"):
         raise MalformedAnswerError("the size of a chunk is malformed", line)
     return int(match[1], 16)
--- a/marjoramspool/platform/tests/test_broken_answers.py
+++ b/marjoramspool/platform/tests/test_broken_answers.py
@@ -108,11 +108,72 @@
     "other bytes": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" * 4,
     "text": BODY + b"\r\n\r\n",
 }
+LENGTHS = {
+    "empty": b"Content-Length: \r\n",
+    "negative": b"Content-Length: -5\r\n",
+    "signed": b"Content-Length: +22\r\n",
+    "hexadecimal": b"Content-Length: 0x16\r\n",
+    "fraction": b"Content-Length: 22.0\r\n",
+    "with letters": b"Content-Length: 22a\r\n",
+    "two numbers": b"Content-Length: 22 22\r\n",
+    "list": b"Content-Length: 22, 5\r\n",
+    "two that differ": b"Content-Length: 5\r\nContent-Length: 22\r\n",
+    "too large": b"Content-Length: 99999999999999999999999\r\n",
+    "too long": b"Content-Length: 23\r\n",
+}
+CODINGS = {
+    "gzip": (b"gzip", BODY),
+    "unknown": (b"rot13", BODY),
+    "identity": (b"identity", BODY),
+    "gzip, then chunks": (b"gzip, chunked", chunk(BODY) + b"0\r\n\r\n"),
+    "chunks, then gzip": (b"chunked, gzip", chunk(BODY) + b"0\r\n\r\n"),
+    "chunks twice": (b"chunked, chunked", chunk(BODY) + b"0\r\n\r\n"),
+    "chunks and nothing": (b"chunked,", chunk(BODY) + b"0\r\n\r\n"),
+    "quoted": (b'"chunked"', chunk(BODY) + b"0\r\n\r\n"),
+    "with a parameter": (b"chunked;q=1", chunk(BODY) + b"0\r\n\r\n"),
+    "longer name": (b"xchunked", chunk(BODY) + b"0\r\n\r\n"),
+    "with a length": (b"chunked\r\nContent-Length: 22", chunk(BODY) + b"0\r\n\r\n"),
+}
+CHUNKS = {
+    "no size": b"\r\n" + BODY + b"\r\n0\r\n\r\n",
+    "size of letters": b"xyz\r\n" + BODY + b"\r\n0\r\n\r\n",
+    "negative size": b"-16\r\n" + BODY + b"\r\n0\r\n\r\n",
+    "size with a prefix": b"0x16\r\n" + BODY + b"\r\n0\r\n\r\n",
+    "size too large": b"fffffffffffffffff\r\n" + BODY + b"\r\n0\r\n\r\n",
+    "blank before the size": b" 16\r\n" + BODY + b"\r\n0\r\n\r\n",
+    "blank after the size": b"16 \r\n" + BODY + b"\r\n0\r\n\r\n",
+    "two sizes": b"16 16\r\n" + BODY + b"\r\n0\r\n\r\n",
+    "LF after the size": b"16\n" + BODY + b"\r\n0\r\n\r\n",
+    "CR after the size": b"16\r" + BODY + b"\r\n0\r\n\r\n",
+    "LF after the data": b"16\r\n" + BODY + b"\n0\r\n\r\n",
+    "nothing after the data": b"16\r\n" + BODY + b"0\r\n\r\n",
+    "longer than its size": b"15\r\n" + BODY + b"\r\n0\r\n\r\n",
+    "shorter than its size": b"17\r\n" + BODY + b"\r\n0\r\n\r\n",
+    "empty extension": b"16;\r\n" + BODY + b"\r\n0\r\n\r\n",
+    "control byte in an extension": b"16;a=\x01\r\n" + BODY + b"\r\n0\r\n\r\n",
+    "open quote in an extension": b'16;a="b\r\n' + BODY + b"\r\n0\r\n\r\n",
+    "no last chunk": chunk(BODY),
+    "no end after the last chunk": chunk(BODY) + b"0\r\n",
+    "malformed trailer": chunk(BODY) + b"0\r\nX Other: a\r\n\r\n",
+    "trailer with a control byte": chunk(BODY) + b"0\r\nX-Other: a\x01\r\n\r\n",
+    "trailer that begins with a blank": chunk(BODY) + b"0\r\n X-Other: a\r\n\r\n",
+}
 BROKEN = (
     {name: answer(line) for name, line in STATUS_LINES.items()}
     | PROTOCOL_SWITCHES
     | {name: answer(OK, line) for name, line in FIELD_LINES.items()}
     | HEADS
+    | {f"length: {name}": answer(length=line) for name, line in LENGTHS.items()}
+    | {
+        f"coding: {name}": answer(body=body, length=b"Transfer-Encoding: %s\r\n" % coding)
+        for name, (coding, body) in CODINGS.items()
+    }
+    | {
+        "chunks in HTTP/1.0": chunked(
+            chunk(BODY) + b"0\r\n\r\n", status_line=b"HTTP/1.0 200 OK\r\n"
+        )
+    }
+    | {f"chunks: {name}": chunked(body) for name, body in CHUNKS.items()}
     | {"503 that is broken": answer(b"HTTP/1.1 503 Full\r\n", b"X-Not-Executed: 1\r\nA B: c\r\n")}
 )
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
@@ -163,6 +224,12 @@
     "HTTP/1.0": answer(b"HTTP/1.0 200 OK\r\n", SSE, body=STREAM, length=b""),
     "interim answers": INTERIM + chunked(b"".join(map(chunk, EVENTS)) + b"0\r\n\r\n", SSE),
 }
+# As long as the body, whose place it takes in chunks.
+LAST_EVENT = b"id: 4\ndata: the last\n\n"
+BROKEN_STREAMS = {
+    name: chunked(b"".join(map(chunk, EVENTS)) + body.replace(BODY, LAST_EVENT), SSE)
+    for name, body in CHUNKS.items()
+}
 
 
 @asynccontextmanager
@@ -231,3 +298,12 @@
             received = await play(site, kind)
             assert (received.status, received.body) == (200, STREAM)
             assert received.is_complete
+
+
+@pytest.mark.parametrize("broken", BROKEN_STREAMS.values(), ids=BROKEN_STREAMS.keys())
+async def test_a_stream_that_is_broken_midway_does_not_look_complete(site, broken):
+    async with serving(site, broken, Ending.CLOSE):
+        for kind in ("chat", "report"):
+            received = await play(site, kind)
+            assert received.status >= 500 or not received.is_complete
+            assert received.status >= 500 or (STREAM + LAST_EVENT).startswith(received.body)
