Take a body for whole only if its request was read

What callers saw: an engine answered a long upload at once with a 200 that had no length, sent part of its body and stopped sending while the upload was still being written (alone, or with a reset after it). The client got that part as a complete answer.

Cause: without length or chunks, the end of the connection ends a body, and the HTTP library does not ask whether the request had been written by then; a reset that follows the end of what a peer sends is not reported to anybody, since the connection is closed by then.

Change: a request tells its connection whether its body was written (request_class is a public option of the library). With a length or chunks nothing changes.

--- a/marjoramspool/http.py
+++ b/marjoramspool/http.py
@@ -12,7 +12,7 @@
 from marjoramspool.engine_state.request_limits import EngineKey, parse_limit
 from marjoramspool.events import Event, log
 from marjoramspool.failures import MayHaveRunError, NotSentError
-from marjoramspool.target_connection import READ_BYTES, TargetConnection
+from marjoramspool.target_connection import READ_BYTES, TargetConnection, TargetRequest
 
 __all__ = [
     "LimitCallback",
@@ -113,6 +113,7 @@
     session = aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
+        request_class=TargetRequest,
         auto_decompress=False,
         read_bufsize=READ_BYTES,
         skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
--- a/marjoramspool/platform/tests/test_broken_answers.py
+++ b/marjoramspool/platform/tests/test_broken_answers.py
@@ -233,9 +233,12 @@
 
 
 @asynccontextmanager
-async def serving(site, answer, ending):
+async def serving(site, answer, ending, **options):
     """Start a router and an engine of each service that sends the answer; yield the engines."""
-    async with RawTarget(answer, ending) as desk, RawTarget(answer, ending) as model:
+    async with (
+        RawTarget(answer, ending, **options) as desk,
+        RawTarget(answer, ending, **options) as model,
+    ):
         for service, target in (("desk", desk), ("model", model)):
             engine = PlatformEngine(f"i-{service}", service, address=target.address)
             await site.put("servers", engine.id, engine.registration())
--- a/standins/raw_target.py
+++ b/standins/raw_target.py
@@ -10,6 +10,8 @@
 
 __all__ = ["Ending", "RawTarget"]
 
+# Between the end of what a target sends and the reset of its connection.
+RESET_DELAY_S = 0.01
 LENGTH = re.compile(rb"\r\ncontent-length: *([0-9]+)", re.IGNORECASE)
 
 
@@ -21,6 +23,7 @@
     OPEN = "open"
     # Stop sending, and read nothing more.
     SHUT = "shut"
+    READ_AND_CLOSE = "read the request and close"
     SHUT_AND_RESET = "shut and reset"
 
 
@@ -91,7 +94,10 @@
                 reset_connection(writer)
             case Ending.SHUT:
                 writer.write_eof()
+            case Ending.READ_AND_CLOSE:
+                await reader.readexactly(int(length[1]))
+                writer.close()
             case Ending.SHUT_AND_RESET:
                 writer.write_eof()
-                await asyncio.sleep(0)
+                await asyncio.sleep(RESET_DELAY_S)
                 reset_connection(writer)
