Tell clients the cause of a failure, and only the log its details

What callers saw: where the answer of an engine could not be read, the router's own 502 quoted the parser's error: bytes of the engine, its address, and the whole request with its headers, the key of its account among them. Other failures named addresses of engines and routers.

Cause: the texts of AttemptErrors, which become the text of the answer, were put together from the repr of the library's error.

It holds for both entrances, for what goes through other routers, and for streams. What cannot be read counts as a failure of the engine, not as a reset of its connection.

--- a/marjoramspool/answer_bodies.py
+++ b/marjoramspool/answer_bodies.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from marjoramspool.failure_causes import describe_cause
 from marjoramspool.failures import MayHaveRunError
 from marjoramspool.streams.event_stream import EventSplitter, StreamEvent
 
@@ -107,4 +108,4 @@
         while chunk := await response.content.readany():
             yield chunk
     except (aiohttp.ClientError, OSError) as error:
-        raise MayHaveRunError(f"the answer broke off: {error!r}") from error
+        raise MayHaveRunError(f"the answer broke off: {describe_cause(error)}") from error
--- a/marjoramspool/answer_grammar.py
+++ b/marjoramspool/answer_grammar.py
@@ -158,7 +158,7 @@
     if applied != [b"chunked"] or codings[-1] != b"chunked":
         raise MalformedAnswerError("the transfer coding is unknown", text)
     if head.minor_version == 0 or LENGTH_FIELD in head.fields:
-        raise MalformedAnswerError("a body in chunks has a length or is of HTTP/1.0", text)
+        raise MalformedAnswerError("it is unclear where the body ends", text)
     return True
 
 
--- a/marjoramspool/engines/client.py
+++ b/marjoramspool/engines/client.py
@@ -22,6 +22,7 @@
 )
 from marjoramspool.events import Event as LogEvent
 from marjoramspool.events import log
+from marjoramspool.failure_causes import describe_cause
 from marjoramspool.failures import (
     BrokenAnswerError,
     MayHaveRunError,
@@ -134,7 +135,8 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSentError(f"could not connect to engine {target.name}") from error
         except (aiohttp.ClientError, OSError) as error:
-            raise MayHaveRunError(f"engine {target.name} did not answer: {error!r}") from error
+            why = f"engine {target.name} sent no answer: {describe_cause(error)}"
+            raise MayHaveRunError(why) from error
 
     async def wait_with_liveness_checks(
         self, task: asyncio.Task, request: Request, target: Target, attempt: str
@@ -303,7 +305,7 @@
                 response = await self.sessions.unpooled.get(url, headers=headers)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise IncompleteStreamError(
-                f"{cause}; engine {target.name} did not answer the resume: {error!r}"
+                f"{cause}; engine {target.name} did not answer the resume: {describe_cause(error)}"
             ) from error
         if response.status != HTTP_OK:
             response.close()
--- a/marjoramspool/engines/stream.py
+++ b/marjoramspool/engines/stream.py
@@ -9,6 +9,7 @@
 
 from marjoramspool.events import Event as LogEvent
 from marjoramspool.events import log
+from marjoramspool.failure_causes import describe_cause
 from marjoramspool.untrusted_json import decode_json
 
 __all__ = [
@@ -129,7 +130,7 @@
                 timer.start_read()
                 chunk = await content.readany()
             except (aiohttp.ClientError, OSError) as error:
-                raise IncompleteStreamError(f"the connection failed: {error!r}") from error
+                raise IncompleteStreamError(describe_cause(error)) from error
             finally:
                 timer.end_read()
             if not chunk:
--- a/marjoramspool/failures.py
+++ b/marjoramspool/failures.py
@@ -18,8 +18,17 @@
 ]
 
 
+# Longest detail of a failure in a log line.
+MAX_DETAIL_LENGTH = 300
+
+
 class AttemptError(Exception):
-    """The attempt failed before any byte of an answer was passed on."""
+    """The attempt failed before any byte of an answer was passed on; a client may read its text."""
+
+    @property
+    def detail(self) -> str:
+        """Return what the cause says of itself, for the log alone, since it may quote a peer."""
+        return repr(self.__cause__)[:MAX_DETAIL_LENGTH] if self.__cause__ else ""
 
 
 class NotSentError(AttemptError):
--- a/marjoramspool/forwarding.py
+++ b/marjoramspool/forwarding.py
@@ -236,7 +236,7 @@
         self, request: RoutedRequest, history: AttemptHistory, error: AttemptError
     ) -> bool:
         """Record a failed attempt through another router; return whether one more is allowed."""
-        log(Event.ATTEMPT_FAILED, request=request.id, why=str(error))
+        log(Event.ATTEMPT_FAILED, request=request.id, why=str(error), detail=error.detail)
         self.metrics.count(f"attempts_failed.{type(error).__name__}")
         match error:
             case PeerRefusedError(problem=problem):
@@ -456,7 +456,8 @@
         self, request: RoutedRequest, engine: Engine, history: AttemptHistory, error: AttemptError
     ) -> bool:
         """Record a failed attempt; return whether the request may be sent again."""
-        log(Event.ATTEMPT_FAILED, request=request.id, target=engine.id, why=str(error))
+        why, detail = str(error), error.detail
+        log(Event.ATTEMPT_FAILED, request=request.id, target=engine.id, why=why, detail=detail)
         self.metrics.count(f"attempts_failed.{type(error).__name__}")
         match error:
             case NotSentError():
--- a/marjoramspool/peer_attempts.py
+++ b/marjoramspool/peer_attempts.py
@@ -85,7 +85,7 @@
         except AttemptError as error:
             return error
         except TimeoutError:
-            return MayHaveRunError(f"router {peer.address} did not answer before its timeout")
+            return MayHaveRunError("another router did not answer before its timeout")
 
     def timeout_s(self, request: RoutedRequest) -> float:
         """Return the time to wait for the start of an answer."""
--- a/marjoramspool/peer_routing.py
+++ b/marjoramspool/peer_routing.py
@@ -69,5 +69,6 @@
             return await stack.enter_async_context(opening)
         except AttemptError as error:
             trace.add_step("attempt failed", router=peer.name, why=str(error))
-            log(Event.ATTEMPT_FAILED, request=request.id, router=peer.name, why=str(error))
+            why, detail = str(error), error.detail
+            log(Event.ATTEMPT_FAILED, request=request.id, router=peer.name, why=why, detail=detail)
             return error
--- a/marjoramspool/peers/peer_paths.py
+++ b/marjoramspool/peers/peer_paths.py
@@ -11,6 +11,7 @@
 from marjoramspool.answer_bodies import AnswerMemory
 from marjoramspool.attempts import StreamAnswer, WholeAnswer
 from marjoramspool.clock import now
+from marjoramspool.failure_causes import describe_cause
 from marjoramspool.failures import (
     MayHaveRunError,
     NoPathError,
@@ -136,8 +137,8 @@
         try:
             response = await self.send(request, peer, after_event, earlier_runs)
             try:
-                frames = checked_frames(read_frames(response.content), peer)
-                yield await read_answer(frames, peer)
+                frames = checked_frames(read_frames(response.content))
+                yield await read_answer(frames)
             finally:
                 response.close()
         except (NotSentError, NoPathError):
@@ -158,12 +159,13 @@
         try:
             response = await session.post(url, data=data)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise NotSentError(f"no connection to router {peer.address}: {error!r}") from error
+            why = f"no connection to another router: {describe_cause(error)}"
+            raise NotSentError(why) from error
         except (aiohttp.ClientError, OSError) as error:
-            raise ResetError(f"router {peer.address} gave no answer: {error!r}") from error
+            raise ResetError(f"another router sent no answer: {describe_cause(error)}") from error
         if response.status != 200:
             response.close()
-            raise NoPathError(f"router {peer.address} answered {response.status}")
+            raise NoPathError(f"another router answered {response.status}")
         return response
 
 
@@ -197,31 +199,31 @@
     )
 
 
-async def checked_frames(frames: AsyncIterator[Frame], peer: Peer) -> AsyncIterator[Frame]:
+async def checked_frames(frames: AsyncIterator[Frame]) -> AsyncIterator[Frame]:
     """Yield frames; raise MayHaveRunError if they break off."""
     try:
         async for frame in frames:
             yield frame
     except (aiohttp.ClientError, asyncio.IncompleteReadError, OSError, ValueError) as error:
-        raise MayHaveRunError(f"router {peer.address} broke off: {error!r}") from error
+        raise MayHaveRunError(f"another router broke off: {describe_cause(error)}") from error
 
 
-async def read_answer(frames: AsyncIterator[Frame], peer: Peer) -> WholeAnswer | StreamAnswer:
+async def read_answer(frames: AsyncIterator[Frame]) -> WholeAnswer | StreamAnswer:
     """Return an answer once it has begun, a whole one at its end."""
     head = await anext(frames)
     match head:
         case Refusal():
             raise refusal_error(head)
         case AnswerHead(status, headers, True):
-            return StreamAnswer(status, list(headers), stream_events(frames, peer))
+            return StreamAnswer(status, list(headers), stream_events(frames))
         case AnswerHead(status, headers, False):
             body = await anext(frames)
             if isinstance(body, AnswerBody):
                 return WholeAnswer(status, list(headers), body.data)
-    raise MayHaveRunError(f"router {peer.address} sent frames out of order")
+    raise MayHaveRunError("another router sent frames out of order")
 
 
-async def stream_events(frames: AsyncIterator[Frame], peer: Peer) -> AsyncIterator[StreamEvent]:
+async def stream_events(frames: AsyncIterator[Frame]) -> AsyncIterator[StreamEvent]:
     """Yield the events of a stream; raise MayHaveRunError if it breaks off."""
     async for frame in frames:
         match frame:
@@ -230,7 +232,7 @@
             case AnswerEnd():
                 return
             case _:
-                raise MayHaveRunError(f"router {peer.address} sent frames out of order")
+                raise MayHaveRunError("another router sent frames out of order")
 
 
 def refusal_error(refusal: Refusal) -> NoPathError | PeerRefusedError | PeerFailedError:
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -28,6 +28,7 @@
 from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.engine_state.reported_speed import LoadFigures
 from marjoramspool.events import Event, log
+from marjoramspool.failure_causes import describe_cause
 from marjoramspool.failures import (
     DisplacedError,
     MayHaveRunError,
@@ -217,9 +218,10 @@
                 body = await read_body(response, self.memory)
             started_ms = decode_json(body, ReportFields).born
         except (aiohttp.ClientError, MayHaveRunError, OSError, TimeoutError, ValueError) as error:
-            raise NotSentError(f"engine {engine.id} sent no report: {error!r}") from error
+            why = f"engine {engine.id} sent no report: {describe_cause(error)}"
+            raise NotSentError(why) from error
         if started_ms != engine.started_ms:
-            raise DisplacedError(f"engine {engine.id} has started again at {engine.address}")
+            raise DisplacedError(f"engine {engine.id} has started again")
         trace = aiohttp.TraceConfig()
         trace.on_connection_create_start.append(refuse_connection)
         trace.freeze()
@@ -373,11 +375,12 @@
                 trace_request_ctx=context,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise NotSentError(f"no connection to engine {engine.id}: {error!r}") from error
-        except MalformedAnswerError as error:
-            raise MayHaveRunError(f"engine {engine.id} sent no answer: {error}") from error
+            why = f"no connection to engine {engine.id}: {describe_cause(error)}"
+            raise NotSentError(why) from error
         except (aiohttp.ClientError, OSError) as error:
-            raise ResetError(f"engine {engine.id} gave no answer: {error!r}") from error
+            why = f"engine {engine.id} sent no answer: {describe_cause(error)}"
+            is_malformed = isinstance(error, MalformedAnswerError | aiohttp.ClientResponseError)
+            raise (MayHaveRunError if is_malformed else ResetError)(why) from error
 
 
 async def refuse_connection(*_) -> None:
@@ -440,7 +443,7 @@
         log(Event.ANSWER_REJECTED, request=request.id, engine=engine.id, echoed=echoed)
         raise MayHaveRunError(f"engine {engine.id} answered another request")
     if response.status == HTTP_MISDIRECTED:
-        raise DisplacedError(f"address {engine.address} no longer belongs to engine {engine.id}")
+        raise DisplacedError(f"the address of engine {engine.id} belongs to another")
 
 
 def check_answer(engine: Engine, response: aiohttp.ClientResponse) -> None:
--- a/marjoramspool/platform/tests/test_broken_answers.py
+++ b/marjoramspool/platform/tests/test_broken_answers.py
@@ -27,6 +27,7 @@
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 EVENTS = [b"id: %d\ndata: the text of the engine\n\n" % number for number in range(1, 4)]
+UNTOLD = (BODY[:8], KEY.encode(), b"127.0.0.1", b"Error", b"HTTP/", b"sig.9", b"\\x", b"Host")
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -256,12 +257,16 @@
 
 
 def is_own_failure(received):
-    """Return whether an answer is a failure of the router that does not say "not run"."""
+    """Return whether an answer is a failure of the router that does not say "not run".
+
+    Its text quotes neither the engine nor the request, and does not name an address.
+    """
     return (
         received.is_complete
         and received.status >= 500
         and received.status not in NOT_RUN_STATUSES
         and b"sig.9" not in received.head
+        and not any(quoted in received.body for quoted in UNTOLD)
     )
 
 
--- a/marjoramspool/routers/paths.py
+++ b/marjoramspool/routers/paths.py
@@ -289,7 +289,7 @@
                 await write(call, encode(part))
         except (BrokenPathError, TimeoutError) as error:
             kind = MayHaveRunError if part.is_last else NotSentError
-            raise kind(f"router {peer.name} did not take the request: {error!r}") from error
+            raise kind(f"router {peer.name} did not take the request") from error
 
 
 async def answer_parts(call, peer: Member) -> AsyncIterator[bytes]:
--- a/marjoramspool/routing.py
+++ b/marjoramspool/routing.py
@@ -383,7 +383,8 @@
         if isinstance(error, SilentConnectionError):
             history.excluded_targets.remove(target.name)
         trace.add_step("attempt failed", target=target.name, why=str(error))
-        log(Event.ATTEMPT_FAILED, request=request.id, target=target.name, why=str(error))
+        why, detail = str(error), error.detail
+        log(Event.ATTEMPT_FAILED, request=request.id, target=target.name, why=why, detail=detail)
 
     def admission_request(
         self, request: Request, history: AttemptHistory
--- a/marjoramspool/services/client.py
+++ b/marjoramspool/services/client.py
@@ -12,6 +12,7 @@
 from marjoramspool.dispatch import Answer, Request, single_part
 from marjoramspool.document import Target
 from marjoramspool.events import Event, log
+from marjoramspool.failure_causes import describe_cause
 from marjoramspool.failures import MayHaveRunError, NotSentError, SilentConnectionError
 from marjoramspool.http import LimitCallback, Sessions, report_limit
 from marjoramspool.targets import limit_key
@@ -94,7 +95,8 @@
                 f"target {target.name} did not answer within {timeout_s:.2f} s"
             ) from error
         except (aiohttp.ClientError, OSError) as error:
-            raise MayHaveRunError(f"target {target.name} did not answer: {error!r}") from error
+            why = f"target {target.name} sent no answer: {describe_cause(error)}"
+            raise MayHaveRunError(why) from error
 
     async def read_body(self, request: Request, response: aiohttp.ClientResponse) -> bytes:
         """Return the whole body of a response; raise MayHaveRunError if it breaks off."""
--- a/marjoramspool/streams/run_continuation.py
+++ b/marjoramspool/streams/run_continuation.py
@@ -220,6 +220,7 @@
             # It is the same run.
             history.possible_runs -= 1
         if isinstance(result, AttemptError):
-            log(Event.ATTEMPT_FAILED, request=request.id, target=engine.id, why=str(result))
+            why, detail = str(result), result.detail
+            log(Event.ATTEMPT_FAILED, request=request.id, target=engine.id, why=why, detail=detail)
             forwarding.metrics.count(f"attempts_failed.{type(result).__name__}")
         return None
--- a/marjoramspool/streams/stream_resumption.py
+++ b/marjoramspool/streams/stream_resumption.py
@@ -157,7 +157,8 @@
         failure: AttemptError,
     ) -> AsyncIterator[StreamEvent]:
         """Resume a stream after its last event; return the events that follow."""
-        log(Event.ATTEMPT_FAILED, request=request.id, why=str(failure), after=last_event_id)
+        why, detail = str(failure), failure.detail
+        log(Event.ATTEMPT_FAILED, request=request.id, why=why, detail=detail, after=last_event_id)
         if not (
             self.can_go_on(request, history)
             and self.forwarding.is_retry_allowed(request, history)
