Believe what an engine says beside an answer once the answer is whole

What callers saw: a refusal whose body was cut or garbled was reported as "not run" (503 with Retry-After), although nobody knows what such an engine did; a broken answer, one without a signature, or one in an encoding that nobody asked for made the router send a sound engine no requests, since its notices (departure, limit, cold, load, brittle, pause) were read before the answer was checked.

Cause: notices and refusals were read from the head, ahead of the body and of the checks of the content, at the platform, at both dispatchers of the own interface and in probes.

Change: an answer that is no stream is read to its end first, then its content is checked, then its notices are read, then whether it is a refusal. Those of a stream are read with its head, whose grammar the connection has checked.

Kept apart: answers in an encoding that a plain service of the own interface sends are passed on with their header; callers and targets agree on encodings there.

--- a/marjoramspool/engines/client.py
+++ b/marjoramspool/engines/client.py
@@ -106,15 +106,19 @@
         response = await self.wait_with_liveness_checks(send_task, request, target, attempt)
         try:
             check_identity(response, target, attempt, reuse)
-            report_limit(response, limit_key(target.address), sent_at, self.on_limit)
-            if response.status in NOT_RUN_STATUSES:
-                raise TargetRefusedError(f"engine {target.name} answered {response.status}")
-            if request.is_stream and response.content_type == SSE:
+            is_refused = response.status in NOT_RUN_STATUSES
+            if request.is_stream and response.content_type == SSE and not is_refused:
+                report_limit(response, limit_key(target.address), sent_at, self.on_limit)
                 stream = self.open_stream(request, target, attempt, incarnation, response)
                 async with stream as answer:
                     yield answer
-            else:
-                yield await self.read_body(request, target, attempt, response)
+                return
+            # What an answer says is not believed before it is whole.
+            answer = await self.read_body(request, target, attempt, response)
+            report_limit(response, limit_key(target.address), sent_at, self.on_limit)
+            if is_refused:
+                raise TargetRefusedError(f"engine {target.name} answered {response.status}")
+            yield answer
         finally:
             response.close()
 
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -192,17 +192,20 @@
             response = await self.send(request, engine, session, headers, context)
             stack.callback(response.close)
             check_identity(request, engine, response, context.is_reused)
-            report_limit(response, engine.key, sent_at, self.on_limit, "Server-Limit")
+            answer = await self.read_answer(response)
+            check_content(engine, response)
             self.read_notices(engine, response, sent_at)
-            check_answer(engine, response)
-            if response.status in SUCCESS_STATUSES and response.content_type == SSE:
-                events = read_events(response)
-                is_delimited = response.headers.get("Transfer-Encoding", "").lower() == "chunked"
-                headers = answer_headers(response)
-                yield StreamAnswer(response.status, headers, events, is_delimited)
-            else:
-                body = await read_body(response, self.memory)
-                yield WholeAnswer(response.status, answer_headers(response), body)
+            check_executed(engine, response)
+            yield answer
+
+    async def read_answer(self, response: aiohttp.ClientResponse) -> WholeAnswer | StreamAnswer:
+        """Return a stream, or an answer once it is whole: what it says is not believed before."""
+        headers = answer_headers(response)
+        if response.status in SUCCESS_STATUSES and response.content_type == SSE:
+            is_delimited = response.headers.get("Transfer-Encoding", "").lower() == "chunked"
+            return StreamAnswer(response.status, headers, read_events(response), is_delimited)
+        body = await read_body(response, self.memory)
+        return WholeAnswer(response.status, headers, body)
 
     async def open_verified(self, engine: Engine, stack: AsyncExitStack) -> aiohttp.ClientSession:
         """Open a session of one connection, at whose end the registered incarnation answers.
@@ -232,6 +235,7 @@
         self, engine: Engine, response: aiohttp.ClientResponse, sent_at: float
     ) -> None:
         """Pass on what an engine says of itself beside its answer."""
+        report_limit(response, engine.key, sent_at, self.on_limit, "Server-Limit")
         cold_s = read_cold_time(engine.id, response.headers.get("X-Cold-Ms"))
         if cold_s is not None:
             for call in self.on_cold:
@@ -269,9 +273,9 @@
                 asyncio.timeout(PROBE_TIMEOUT_S),
                 self.pooled.get(url, headers=headers, allow_redirects=False) as response,
             ):
+                await read_body(response, self.memory)
                 if response.status in SUCCESS_STATUSES:
                     self.read_load(engine, response)
-                await read_body(response, self.memory)
         except (aiohttp.ClientError, MayHaveRunError, OSError, TimeoutError, ValueError) as error:
             log(Event.ATTEMPT_FAILED, target=engine.id, why=f"probe failed: {error!r}")
 
@@ -432,30 +436,35 @@
 def check_identity(
     request: RoutedRequest, engine: Engine, response: aiohttp.ClientResponse, is_reused: bool
 ) -> None:
-    """Check that an answer belongs to the request and comes from its engine.
-
-    Raise DisplacedError or MayHaveRunError.
-    """
+    """Check that an answer belongs to the request; raise MayHaveRunError if it does not."""
     echoed = response.headers.get("X-Request-Id")
     if echoed != request.id and (
         echoed is not None or is_reused or response.status in SUCCESS_STATUSES
     ):
         log(Event.ANSWER_REJECTED, request=request.id, engine=engine.id, echoed=echoed)
         raise MayHaveRunError(f"engine {engine.id} answered another request")
+
+
+def check_content(engine: Engine, response: aiohttp.ClientResponse) -> None:
+    """Check that an answer is the engine's own; raise DisplacedError or MayHaveRunError."""
     if response.status == HTTP_MISDIRECTED:
         raise DisplacedError(f"the address of engine {engine.id} belongs to another")
+    if "X-Not-Executed" in response.headers:
+        return
+    if "Content-Encoding" in response.headers:
+        raise MayHaveRunError(f"engine {engine.id} sent an encoded answer")
+    if response.status in SUCCESS_STATUSES and "X-Response-Signature" not in response.headers:
+        raise MayHaveRunError(f"the answer of engine {engine.id} has no signature")
 
 
-def check_answer(engine: Engine, response: aiohttp.ClientResponse) -> None:
-    """Check that an answer may be passed on; raise TargetRefusedError or MayHaveRunError."""
+def check_executed(engine: Engine, response: aiohttp.ClientResponse) -> None:
+    """Check that an answer is no refusal; raise TargetRefusedError or MayHaveRunError."""
     if "X-Not-Executed" in response.headers:
         raise TargetRefusedError(f"engine {engine.id} refused with {response.status}")
-    if response.status in NOT_EXECUTED_STATUSES or "Content-Encoding" in response.headers:
+    if response.status in NOT_EXECUTED_STATUSES:
         raise MayHaveRunError(
             f"engine {engine.id} sent an unusable answer, status {response.status}"
         )
-    if response.status in SUCCESS_STATUSES and "X-Response-Signature" not in response.headers:
-        raise MayHaveRunError(f"the answer of engine {engine.id} has no signature")
 
 
 def answer_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
--- a/marjoramspool/platform/tests/test_early_answers.py
+++ b/marjoramspool/platform/tests/test_early_answers.py
@@ -6,15 +6,8 @@
 
 import pytest
 
-from marjoramspool.platform.tests.test_broken_answers import (
-    BODY,
-    answer,
-    chunk,
-    chunked,
-    is_own_failure,
-    play,
-    serving,
-)
+from marjoramspool.platform.tests.test_broken_answers import is_own_failure, play, serving
+from standins.answer_forms import BODY, answer, chunk, chunked
 from standins.raw_target import Ending
 
 # What the kernel of the engine receives ahead, which is far less than the uploads.
--- a/marjoramspool/services/client.py
+++ b/marjoramspool/services/client.py
@@ -54,7 +54,6 @@
         sent_at = now()
         response = await self.send(request, target, attempt, reuse)
         try:
-            report_limit(response, limit_key(target.address), sent_at, self.on_limit)
             if response.headers.get("X-Request-Id", attempt) != attempt:
                 log(Event.ANSWER_REJECTED, attempt=attempt, target=target.name)
                 raise MayHaveRunError(
@@ -62,6 +61,7 @@
                 )
             # Forward the body only when complete: until then an idempotent request can be retried.
             body = await self.read_body(request, response)
+            report_limit(response, limit_key(target.address), sent_at, self.on_limit)
             yield Answer(
                 response.status, filter_headers(response.headers), single_part(body), len(body)
             )
