Own interface: a failure in the form of a stream is a failure

What callers saw: where a model engine answered with a failure of type text/event-stream, the caller got a 200 and `completed`. A failure whose body was encoded, unasked, was passed on without the header that says so, as text that nobody can read.

Cause: the type of an answer decided whether it is a stream, its status was not looked at; the headers of an engine's answer are replaced by the type alone.

Change: only a 200 is a stream; an encoded answer of a model engine, which is never asked for one, is a failure of the engine. Plain services as before: their headers go to the caller, the encoding too, and a test keeps that.

--- a/marjoramspool/engines/client.py
+++ b/marjoramspool/engines/client.py
@@ -106,8 +106,8 @@
         response = await self.wait_with_liveness_checks(send_task, request, target, attempt)
         try:
             check_identity(response, target, attempt, reuse)
-            is_refused = response.status in NOT_RUN_STATUSES
-            if request.is_stream and response.content_type == SSE and not is_refused:
+            is_stream = response.status == HTTP_OK and response.content_type == SSE
+            if request.is_stream and is_stream:
                 report_limit(response, limit_key(target.address), sent_at, self.on_limit)
                 stream = self.open_stream(request, target, attempt, incarnation, response)
                 async with stream as answer:
@@ -116,7 +116,7 @@
             # What an answer says is not believed before it is whole.
             answer = await self.read_body(request, target, attempt, response)
             report_limit(response, limit_key(target.address), sent_at, self.on_limit)
-            if is_refused:
+            if response.status in NOT_RUN_STATUSES:
                 raise TargetRefusedError(f"engine {target.name} answered {response.status}")
             yield answer
         finally:
@@ -332,9 +332,11 @@
 ) -> None:
     """Check that an answer belongs to an attempt; raise MayHaveRunError if it may not.
 
-    Fault: an engine writes an earlier refusal once more on a connection that is in use again. An
-    answer with content is checked by the id in that.
+    Faults: an engine writes an earlier refusal once more on a connection that is in use again; it
+    encodes its answer, unasked. An answer with content is checked by the id in that.
     """
+    if "Content-Encoding" in response.headers:
+        raise MayHaveRunError(f"engine {target.name} sent an encoded answer")
     echoed = response.headers.get("X-Request-Id")
     if echoed == attempt:
         return
--- a/marjoramspool/tests/test_broken_target_answers.py
+++ b/marjoramspool/tests/test_broken_target_answers.py
@@ -4,6 +4,8 @@
 not run which may have, or that reads the bytes of the target in the text of an error.
 """
 
+import gzip
+
 import msgspec
 import pytest
 
@@ -14,6 +16,7 @@
     BROKEN,
     LENGTH,
     ODD,
+    OK,
     answer,
     ending_of,
 )
@@ -94,3 +97,34 @@
     async with RawTarget(cut, Ending.CLOSE) as target:
         await start(fleet, target)
         assert is_unknown(await play(fleet, kind))
+
+
+async def test_a_failure_in_the_form_of_a_stream_is_no_success(fleet):
+    events = b'id: 0\ndata: {"id": "%id"}\n\ndata: [DONE]\n\n'
+    line, kind = b"HTTP/1.1 500 Failure\r\n", b"Content-Type: text/event-stream\r\n"
+    failure = answer(line, kind, body=events, length=b"")
+    async with RawTarget(failure, Ending.CLOSE) as target:
+        await start(fleet, target)
+        assert (await play(fleet, "stream")).status >= 500
+
+
+def encoded(line):
+    """Return an answer whose body is encoded."""
+    body = gzip.compress(BODY)
+    length = b"Content-Length: %d\r\n" % len(body)
+    return answer(line, b"Content-Encoding: gzip\r\n", body=body, length=length)
+
+
+async def test_an_engine_that_encodes_its_answer_unasked_has_failed(fleet):
+    async with RawTarget(encoded(b"HTTP/1.1 400 Bad Request\r\n"), Ending.OPEN) as target:
+        await start(fleet, target)
+        assert is_unknown(await play(fleet, "chat"))
+
+
+async def test_an_encoded_answer_of_a_plain_service_is_passed_on_as_it_is(fleet):
+    """Callers and targets agree on encodings; the router passes on what both say of them."""
+    async with RawTarget(encoded(OK), Ending.OPEN) as target:
+        await start(fleet, target)
+        received = await play(fleet, "lookup", **{"Accept-Encoding": "gzip"})
+        assert (received.status, gzip.decompress(received.body)) == (200, BODY)
+        assert b"Content-Encoding: gzip" in received.head
