Stopping: decide on a request when it is complete, by the time that is left

What callers saw: in a planned stop of one front, in calm, requests whose head came before the stop and whose body was complete only late in the grace were passed on and cut at its end without an answer, orders among them (LOST). Those whose body was never complete were cut with it.

Cause: whether a request is served was decided when its head came; the rest of the grace and what its service takes were not asked.

Half a second before the end the requests still being received are refused, while that can be read, and the router waits up to 0.4 s for it. The same at the own interface, for what other routers send there too; at the platform a router that stops takes nothing from others, which a test keeps.

--- a/bench/raw_http.py
+++ b/bench/raw_http.py
@@ -4,7 +4,7 @@
 import re
 from dataclasses import dataclass
 
-__all__ = ["RawAnswer", "ask", "request_bytes"]
+__all__ = ["RawAnswer", "ask", "read_answer", "request_bytes"]
 
 HEAD_END = b"\r\n\r\n"
 LENGTH = re.compile(rb"\r\ncontent-length: *([0-9]+)\r\n", re.IGNORECASE)
--- a/marjoramspool/callers/server.py
+++ b/marjoramspool/callers/server.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import ssl
-from contextlib import AsyncExitStack, contextmanager
+import time
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 
 from aiohttp import web
 
 from marjoramspool import client_rejections
 from marjoramspool.admission.client_budget import ClientBudget
+from marjoramspool.admission.drain_admission import STOPPING, DrainAdmission, Kind
 from marjoramspool.answer_bodies import AnswerMemory, body_slices
 from marjoramspool.callers.affinity import encode_hint
 from marjoramspool.callers.problems import (
@@ -60,6 +63,7 @@
         "startup_wait",
         "idle",
         "in_flight",
+        "drain_admission",
         "is_draining",
         "limits",
         "metrics",
@@ -83,6 +87,7 @@
         self.metrics = metrics
         self.in_flight = 0
         self.is_draining = False
+        self.drain_admission = DrainAdmission()
         self.idle = asyncio.Event()
         self.idle.set()
         self.budget = budget
@@ -141,13 +146,33 @@
                 authorize_head(http_request, self.configuration)
                 body = await self.read_body(http_request)
                 request = parse_request(http_request, body, request_id, self.configuration)
-                async with self.routing.serve(request) as outcome:
+                async with self.serve(request) as outcome:
                     if isinstance(outcome, Answer):
                         return await self.forward_answer(http_request, request, outcome)
                     return self.build_problem_response(outcome, request_id)
             except RejectedError as error:
                 return self.build_problem_response(NotRun(error.problem), request_id)
 
+    @asynccontextmanager
+    async def serve(self, request: Request) -> AsyncIterator[Answer | NotRun | Unknown]:
+        """Serve a whole request; one that would not be finished before the router ends is refused.
+
+        Requests of other routers are served here too.
+        """
+        kind = Kind(request.document.name, request.is_stream)
+        if self.drain_admission.refuses(kind, request.deadline - time.monotonic()):
+            yield NotRun(STOPPING)
+            return
+        with self.drain_admission.durations.measured(kind) as measurement:
+            async with self.routing.serve(request) as outcome:
+                measurement.is_answered = isinstance(outcome, Answer)
+                yield outcome
+
+    def begin_drain(self, grace_s: float, removal_s: float) -> None:
+        """Begin to stop: the router ends in `grace_s`, new connections come for `removal_s`."""
+        self.is_draining = True
+        self.drain_admission.begin(grace_s, removal_s)
+
     def has_room(self) -> bool:
         """Return whether one more request may be served."""
         return not self.is_draining and self.in_flight < self.limits.requests
--- a/marjoramspool/client_server.py
+++ b/marjoramspool/client_server.py
@@ -8,11 +8,14 @@
 from multidict import CIMultiDict
 
 from marjoramspool.admission.client_budget import ClientBudget
+from marjoramspool.admission.connection_records import Phase
+from marjoramspool.admission.drain_admission import STOPPING, DrainAdmission
 from marjoramspool.answer_bodies import SLICE_BYTES, AnswerMemory, body_slices
 from marjoramspool.attempts import StreamAnswer, WholeAnswer
 from marjoramspool.client_connection import ConnectionLimits
 from marjoramspool.client_listener import ClientListener
 from marjoramspool.client_rejections import RejectedError, rejection_response
+from marjoramspool.clock import now
 from marjoramspool.events import Event, log
 from marjoramspool.failures import BrokenAnswerError
 from marjoramspool.outcomes import NotRun, Unknown
@@ -23,6 +26,7 @@
 
 IDLE_CHECK_PERIOD_S = 0.05
 LINGER_S = 10.0
+REFUSAL_READ_S = 0.4
 GROUP = "clients"
 
 
@@ -32,7 +36,14 @@
     `limits` returns the current limits on client requests. Subclasses answer requests in `serve`.
     """
 
-    __slots__ = ("active_connections", "answer_memory", "is_draining", "limits", "listener")
+    __slots__ = (
+        "active_connections",
+        "answer_memory",
+        "drain_admission",
+        "is_draining",
+        "limits",
+        "listener",
+    )
 
     def __init__(
         self,
@@ -44,6 +55,7 @@
         self.answer_memory = answer_memory
         self.active_connections: set[asyncio.Protocol] = set()
         self.is_draining = False
+        self.drain_admission = DrainAdmission()
         self.listener = ClientListener(
             web.Server(self.handle, handler_cancellation=True),
             budget,
@@ -65,6 +77,17 @@
         """Listen for clients."""
         await self.listener.start(host, port)
 
+    def begin_drain(self, grace_s: float, removal_s: float) -> None:
+        """Begin to stop: the server ends in `grace_s`, new connections come for `removal_s`."""
+        self.is_draining = True
+        self.drain_admission.begin(grace_s, removal_s)
+
+    def refuse_unfinished(self) -> None:
+        """Refuse the requests that are still being received, while the refusal can be read."""
+        for connection in self.server.connections:
+            if connection.record.phase in (Phase.HEAD, Phase.BODY):
+                connection.reject(STOPPING.status, STOPPING.title)
+
     def refuse_connections(self) -> None:
         """Stop accepting connections, and close those without a request."""
         self.listener.stop_listening()
@@ -77,6 +100,14 @@
         while self.active_connections or any(c.has_request for c in self.server.connections):
             await asyncio.sleep(IDLE_CHECK_PERIOD_S)
 
+    async def wait_until_refusals_read(self) -> None:
+        """Wait until clients have read that their requests are refused, for a short time."""
+        deadline = now() + REFUSAL_READ_S
+        while any(c.record.phase is Phase.REFUSED for c in self.server.connections):
+            if now() >= deadline:
+                return
+            await asyncio.sleep(IDLE_CHECK_PERIOD_S)
+
     async def close(self) -> None:
         """Stop listening and close the remaining connections."""
         await self.listener.close()
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -59,6 +59,8 @@
 
 STORE_TIMEOUT_S = 1.0
 STOP_MARGIN_S = 0.4
+# Requests that are still being received are refused this long before the router ends.
+REFUSAL_S = 0.5
 RESTART_DELAY_S = 0.2
 BOOTSTRAP_CHECK_PERIOD_S = 0.02
 # Later than this after a start, a router serves without knowing the evacuations: neither the store
@@ -478,15 +480,21 @@
         refused and open requests finished.
         """
         log(Event.ROUTER_DRAINING, in_flight=len(self.ingress.active_connections))
-        self.ingress.is_draining = True
+        grace_s = self.settings.bounds.shutdown_grace_s - STOP_MARGIN_S
+        self.ingress.begin_drain(grace_s, BALANCER_REMOVAL_DELAY_S)
+        loop = asyncio.get_running_loop()
+        refusal = loop.call_later(grace_s - REFUSAL_S, self.ingress.refuse_unfinished)
         try:
-            async with asyncio.timeout(self.settings.bounds.shutdown_grace_s - STOP_MARGIN_S):
+            async with asyncio.timeout(grace_s):
                 await asyncio.sleep(BALANCER_REMOVAL_DELAY_S)
                 self.ingress.refuse_connections()
                 await self.ingress.wait_until_idle()
                 await self.forwarded.wait_until_idle()
+                await self.ingress.wait_until_refusals_read()
         except TimeoutError:
             log(Event.ROUTER_DRAINING, in_flight=len(self.ingress.active_connections))
+        finally:
+            refusal.cancel()
 
 
 def split_endpoint(text: str) -> tuple[str, int]:
--- a/marjoramspool/platform/ingress.py
+++ b/marjoramspool/platform/ingress.py
@@ -1,8 +1,11 @@
 """Server side of the router: decodes client requests and encodes the answers to them."""
 
+from contextlib import AsyncExitStack
+
 from aiohttp import web
 
 from marjoramspool.admission.client_budget import ClientBudget
+from marjoramspool.admission.drain_admission import STOPPING, Kind
 from marjoramspool.answer_bodies import AnswerMemory
 from marjoramspool.attempts import StreamAnswer, WholeAnswer
 from marjoramspool.client_rejections import RejectedError, check_header_size
@@ -69,7 +72,13 @@
         if self.table_watcher.table is not table:
             request = route_request(http_request, request_id, self.table_watcher.table, received)
         request.body = body
-        async with self.forwarding.serve(request) as outcome:
+        kind = Kind(request.service, request.is_stream)
+        if self.drain_admission.refuses(kind, request.remaining_s()):
+            return self.error_response(NotRun(STOPPING), request_id)
+        async with AsyncExitStack() as stack:
+            measurement = stack.enter_context(self.drain_admission.durations.measured(kind))
+            outcome = await stack.enter_async_context(self.forwarding.serve(request))
+            measurement.is_answered = isinstance(outcome, StreamAnswer | WholeAnswer)
             match outcome:
                 case StreamAnswer():
                     return await self.forward_stream(http_request, request, outcome)
--- a/marjoramspool/platform/tests/test_stopping.py
+++ b/marjoramspool/platform/tests/test_stopping.py
@@ -16,10 +16,13 @@
 import msgspec
 import pytest
 
+from bench.engine_cut import CutMode, cut_from_engines
 from bench.platform_fleet import HOST, KEY, route
+from bench.raw_http import read_answer, request_bytes
 from bench.router_process import RouterProcess
 
 WAIT_S = 10.0
+GRACE_S = 4.0
 
 
 class Router(RouterProcess):
@@ -27,7 +30,7 @@
 
     def __init__(self, site, path):
         settings = site.settings("front-1", "127.0.0.31", "zone-a")
-        settings = replace(settings, bounds=replace(settings.bounds, shutdown_grace_s=4.0))
+        settings = replace(settings, bounds=replace(settings.bounds, shutdown_grace_s=GRACE_S))
         super().__init__(settings, path, path.with_name("log").open("w+b"))
         self.site = site
 
@@ -142,6 +145,95 @@
     assert await asyncio.wait_for(router.process.wait(), WAIT_S) == 0
 
 
+WORK_S = 1.0
+# Bodies are complete at these times after the signal; later ones could not be read any more.
+LATE_S = [0.1 * step for step in range(1, 36)]
+LATE_KINDS = ("/lookup/", "/order/", "/report/")
+
+
+async def ask_late(router, path, request, delay_s, signalled):
+    """Send a head and half of a body, the rest some time after the signal; return the answer."""
+    fields = {"Host": HOST, "Api-Key": KEY}
+    whole = request_bytes("POST", path, request, fields, b"u" * 200)
+    host, _, port = router.settings.client_endpoint.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(whole[:-100])
+        await signalled.wait()
+        await asyncio.sleep(delay_s)
+        writer.write(whole[-100:])
+        return await read_answer(reader)
+    finally:
+        writer.transport.abort()
+
+
+@pytest.mark.parametrize("path", LATE_KINDS)
+async def test_a_request_that_is_complete_late_is_served_whole_or_refused_as_not_run(router, path):
+    site = router.site
+    desk = await site.add_engine("late-desk", work_s=WORK_S)
+    model = await site.add_engine("late-model", is_stream=True, pieces=20, piece_interval_s=0.05)
+    await site.configure(
+        route("/lookup/", "idempotent", "late-desk", target_latency_ms=2000, timeout_ms=9000),
+        route("/order/", "non_idempotent", "late-desk", timeout_ms=9000),
+        route("/report/", "streaming", "late-model", timeout_ms=9000),
+    )
+    await router.start()
+    assert (await router.ask(f"{path}x", "known", method="POST"))[0] == 200
+    signalled = asyncio.Event()
+    asked = {
+        f"late-{n}": asyncio.create_task(
+            ask_late(router, f"{path}x", f"late-{n}", delay_s, signalled)
+        )
+        for n, delay_s in enumerate(LATE_S)
+    }
+    await asyncio.sleep(0.3)
+    router.process.send_signal(signal.SIGTERM)
+    signalled.set()
+    answers = dict(zip(asked, await asyncio.gather(*asked.values()), strict=True))
+    assert await asyncio.wait_for(router.process.wait(), WAIT_S) == 0
+    passed_on = {arrival.id for arrival in desk.arrivals + model.arrivals}
+    served = {name for name, answer in answers.items() if answer.status == 200}
+    cut = sorted(name for name in passed_on & answers.keys() if not answers[name].is_complete)
+    assert cut == []
+    assert served == passed_on & answers.keys()
+    # Those that become complete in the first half of the grace are served.
+    assert served >= {f"late-{n}" for n, delay_s in enumerate(LATE_S) if delay_s < GRACE_S / 2}
+    refused = [answers[name] for name in answers.keys() - served]
+    assert {answer.status for answer in refused} == {503}
+    assert all(b"Retry-After: " in answer.head and answer.is_complete for answer in refused)
+
+
+async def test_a_request_that_never_becomes_complete_is_refused_before_the_end(router):
+    await router.start()
+    host, _, port = router.settings.client_endpoint.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    fields = {"Host": HOST, "Api-Key": KEY, "X-Request-Deadline-Ms": "9000"}
+    writer.write(request_bytes("POST", "/order/x", "half", fields, b"u" * 200)[:-100])
+    await asyncio.sleep(0.1)
+    router.process.send_signal(signal.SIGTERM)
+    answer = await read_answer(reader)
+    assert answer.status == 503
+    assert b"Retry-After: " in answer.head
+    assert answer.is_complete
+    writer.transport.abort()
+    assert await asyncio.wait_for(router.process.wait(), WAIT_S) == 0
+    assert not any(arrival.id == "half" for arrival in router.site.engines[0].arrivals)
+
+
+async def test_a_router_that_stops_takes_nothing_from_other_routers(site):
+    engine = await site.add_engine("desk")
+    await site.configure(route("/order/", "non_idempotent", "desk"))
+    sender, stopping = await site.add_router(), await site.add_router()
+    await site.wait_for_peers()
+    cut_from_engines(sender, CutMode.REFUSE)
+    assert (await site.send("/order/x", "before"))[0] == 200
+    stopping.ingress.begin_drain(GRACE_S, 0.0)
+    status, headers, _ = await site.send("/order/x", "after")
+    assert status == 503
+    assert "Retry-After" in headers
+    assert [arrival.id for arrival in engine.arrivals] == ["before"]
+
+
 async def test_idle_connections_are_closed_at_shutdown(router):
     await router.start()
     host, port = router.settings.client_endpoint.split(":")
--- a/marjoramspool/router.py
+++ b/marjoramspool/router.py
@@ -314,7 +314,7 @@
         """
         timings = self.settings.timings
         log(Event.ROUTER_DRAINING, in_flight=self.callers.in_flight)
-        self.callers.is_draining = True
+        self.callers.begin_drain(timings.drain_delay_s + timings.drain_s, timings.drain_delay_s)
         self.membership.leave()
         await asyncio.gather(*[self.gossip.probe(m) for m in self.membership.live_peers()[:8]])
         # Unregister before the last request is finished, so that nothing delays the close after it.
--- a/marjoramspool/routers/path_server.py
+++ b/marjoramspool/routers/path_server.py
@@ -182,7 +182,7 @@
     async def answer(self, request: Request, writer: ReplyWriter) -> None:
         """Serve a request and send its answer."""
         self.callers.metrics.count("served-for-router")
-        async with writer.signs_of_life(), self.callers.routing.serve(request) as outcome:
+        async with writer.signs_of_life(), self.callers.serve(request) as outcome:
             match outcome:
                 case Answer(status, headers, parts, length, holders):
                     plain = tuple((str(name), str(value)) for name, value in headers.items())
--- a/marjoramspool/tests/test_draining.py
+++ b/marjoramspool/tests/test_draining.py
@@ -134,3 +134,19 @@
     await fleet.remove_router(0)
     status, headers, _ = await fleet.post_closure("order", 0, "one-key")
     assert (status, headers["Marjoramspool-Replayed"]) == (200, "true")
+
+
+async def test_an_order_that_would_outlast_the_shutdown_is_refused_as_not_run(fleet):
+    """Guards against an order that is passed on late and cut at the end of the drain period."""
+    executions = await fleet.add_services(1, work_s=0.5)
+    await fleet.add_routers(1)
+    await fleet.apply_plain()
+    callers = fleet.routers[0].callers
+    assert (await fleet.post_closure("known"))[0] == 200
+    callers.begin_drain(2.0, 0.0)
+    assert (await fleet.post_closure("early"))[0] == 200
+    callers.begin_drain(0.6, 0.0)
+    status, headers, _ = await fleet.post_closure("late")
+    assert (status, headers["Marjoramspool-Outcome"]) == (503, "not-run")
+    assert "Retry-After" in headers
+    assert sum(executions.values()) == 2
