Calls beside requests: believe no broken answer, and go nowhere else

Redirects were followed: a 307 of an engine sent a chat, or a call, to wherever it pointed. Bodies of the store, of peers and of pages for operators had no bound.

--- a/marjoramspool/answer_bodies.py
+++ b/marjoramspool/answer_bodies.py
@@ -10,7 +10,14 @@
 from marjoramspool.failures import MayHaveRunError
 from marjoramspool.streams.event_stream import EventSplitter, StreamEvent
 
-__all__ = ["SLICE_BYTES", "AnswerMemory", "body_slices", "read_body", "read_events"]
+__all__ = [
+    "SLICE_BYTES",
+    "AnswerMemory",
+    "body_slices",
+    "read_body",
+    "read_events",
+    "read_success",
+]
 
 MAX_ANSWER_BYTES = 16 << 20
 MAX_EVENT_BYTES = 1 << 20
@@ -19,6 +26,7 @@
 DEFAULT_MEMORY_BYTES = 48 << 20
 SLICE_BYTES = 32 << 10
 ROOM_POLL_PERIOD_S = 0.02
+HTTP_OK = 200
 
 
 class AnswerMemory:
@@ -80,6 +88,14 @@
     return bytes(body)
 
 
+async def read_success(response: aiohttp.ClientResponse, memory: AnswerMemory) -> bytes:
+    """Read the body of an answer of status 200; raise MayHaveRunError for any other answer."""
+    body = await read_body(response, memory)
+    if response.status != HTTP_OK:
+        raise MayHaveRunError(f"the status is {response.status}")
+    return body
+
+
 def body_slices(body: bytes) -> Iterator[memoryview]:
     """Yield a body in parts that are written one after the other."""
     view = memoryview(body)
--- a/marjoramspool/engines/client.py
+++ b/marjoramspool/engines/client.py
@@ -8,7 +8,7 @@
 import aiohttp
 import msgspec
 
-from marjoramspool.answer_bodies import read_body
+from marjoramspool.answer_bodies import read_body, read_success
 from marjoramspool.clock import now
 from marjoramspool.dispatch import Answer, Request, single_part
 from marjoramspool.document import Target
@@ -82,8 +82,9 @@
         try:
             timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
             url = f"http://{address}/load"
-            async with self.sessions.select(reuse).get(url, timeout=timeout) as response:
-                body = await read_body(response, self.sessions.memory)
+            session = self.sessions.select(reuse)
+            async with session.get(url, timeout=timeout, allow_redirects=False) as response:
+                body = await read_success(response, self.sessions.memory)
             report = decode_json(body, Report)
         except (aiohttp.ClientError, MayHaveRunError, TimeoutError, msgspec.MsgspecError):
             return None
@@ -134,12 +135,18 @@
         url = f"http://{target.address}{request.path}"
         try:
             return await self.sessions.request(
-                request.document.name, reuse, "POST", url, data=request.body, headers=headers
+                request.document.name,
+                reuse,
+                "POST",
+                url,
+                data=request.body,
+                headers=headers,
+                allow_redirects=False,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSentError(f"could not connect to engine {target.name}") from error
         except (aiohttp.ClientError, OSError) as error:
-            why = f"engine {target.name} sent no answer: {describe_cause(error)}"
+            why = f"engine {target.name} gave no answer: {describe_cause(error)}"
             raise MayHaveRunError(why) from error
 
     async def wait_with_liveness_checks(
@@ -183,7 +190,7 @@
         try:
             async with (
                 asyncio.timeout(CONTROL_TIMEOUT_S),
-                self.sessions.unpooled.get(url) as response,
+                self.sessions.unpooled.get(url, allow_redirects=False) as response,
             ):
                 if response.status != HTTP_OK:
                     return MISSING
@@ -306,7 +313,9 @@
         headers = {"Last-Event-ID": str(after)}
         try:
             async with asyncio.timeout(CONTROL_TIMEOUT_S):
-                response = await self.sessions.unpooled.get(url, headers=headers)
+                response = await self.sessions.unpooled.get(
+                    url, headers=headers, allow_redirects=False
+                )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise IncompleteStreamError(
                 f"{cause}; engine {target.name} did not answer the resume: {describe_cause(error)}"
@@ -323,7 +332,10 @@
         """Cancel an attempt at its engine; ignore connection failures."""
         url = f"http://{target.address}/v1/streams/{attempt}"
         with suppress(aiohttp.ClientError, OSError, TimeoutError):
-            async with asyncio.timeout(CONTROL_TIMEOUT_S), self.sessions.unpooled.delete(url):
+            async with (
+                asyncio.timeout(CONTROL_TIMEOUT_S),
+                self.sessions.unpooled.delete(url, allow_redirects=False),
+            ):
                 pass
 
 
--- a/marjoramspool/engines/orders.py
+++ b/marjoramspool/engines/orders.py
@@ -8,7 +8,7 @@
 
 from marjoramspool import hashing
 from marjoramspool.admission.token_bucket import TokenBucket
-from marjoramspool.answer_bodies import read_body
+from marjoramspool.answer_bodies import read_success
 from marjoramspool.audit import AuditLog
 from marjoramspool.configuration import Configuration
 from marjoramspool.document import Document, Target
@@ -27,7 +27,6 @@
 MODEL_LOAD_BURST = 2.0
 ORDER_TIMEOUT_S = 1.0
 LEASE_CANDIDATES = 2
-HTTP_OK = 200
 
 
 class Order(msgspec.Struct, frozen=True):
@@ -146,8 +145,9 @@
         url = f"http://{target.address}/model"
         timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
         try:
-            async with self.engines.sessions.pooled.get(url, timeout=timeout) as response:
-                body = await read_body(response, self.engines.sessions.memory)
+            session = self.engines.sessions.pooled
+            async with session.get(url, timeout=timeout, allow_redirects=False) as response:
+                body = await read_success(response, self.engines.sessions.memory)
             return decode_json(body, EngineModel).model
         except (aiohttp.ClientError, MayHaveRunError, TimeoutError, msgspec.MsgspecError):
             return None
@@ -159,10 +159,11 @@
         body = msgspec.json.encode(order)
         try:
             async with self.engines.sessions.unpooled.post(
-                url, data=body, timeout=timeout
+                url, data=body, timeout=timeout, allow_redirects=False
             ) as response:
-                accepted = response.status == HTTP_OK
-        except (aiohttp.ClientError, TimeoutError):
+                await read_success(response, self.engines.sessions.memory)
+            accepted = True
+        except (aiohttp.ClientError, MayHaveRunError, OSError, TimeoutError):
             accepted = False
         event = Event.ORDER_SENT if accepted else Event.ORDER_FAILED
         log(event, target=target.name, model=order.model, fencing=order.fencing)
--- a/marjoramspool/operators/client.py
+++ b/marjoramspool/operators/client.py
@@ -9,9 +9,11 @@
 import msgspec
 
 from marjoramspool import audit
+from marjoramspool.answer_bodies import AnswerMemory, read_success
 from marjoramspool.configuration import KIND, Change, DocumentBody, encode_body
 from marjoramspool.document import read_document
 from marjoramspool.explain import Trace
+from marjoramspool.failures import MayHaveRunError
 from marjoramspool.http import new_session
 from marjoramspool.status import Status
 from marjoramspool.storage import (
@@ -22,6 +24,7 @@
     WriteUncertainError,
     Written,
 )
+from marjoramspool.untrusted_json import decode_json
 
 __all__ = ["ApplyResult", "ConflictError", "OperatorClient", "fetch_page", "fetch_router_status"]
 
@@ -156,17 +159,22 @@
     try:
         async with (
             new_session(ROUTER_TIMEOUT_S) as session,
-            session.get(f"http://{address}{path}", timeout=timeout) as response,
+            session.get(
+                f"http://{address}{path}", timeout=timeout, allow_redirects=False
+            ) as response,
         ):
-            return await response.read() if response.status == 200 else None
-    except (aiohttp.ClientError, TimeoutError):
+            return await read_success(response, AnswerMemory())
+    except (aiohttp.ClientError, MayHaveRunError, OSError, TimeoutError):
         return None
 
 
 async def fetch_router_status(address: str) -> Status | None:
-    """Return the status of a router, None if it does not answer."""
+    """Return the status of a router, None if it does not answer, or not with a status."""
     body = await fetch_page(address, "/status")
-    return msgspec.json.decode(body, type=Status) if body is not None else None
+    try:
+        return decode_json(body, Status) if body is not None else None
+    except msgspec.DecodeError:
+        return None
 
 
 def decode_document(stored: StoredText) -> DocumentBody | None:
--- a/marjoramspool/peers/state_sync.py
+++ b/marjoramspool/peers/state_sync.py
@@ -8,8 +8,10 @@
 import msgspec
 from aiohttp import web
 
+from marjoramspool.answer_bodies import AnswerMemory, read_success
 from marjoramspool.clock import now
 from marjoramspool.events import Event, log
+from marjoramspool.failures import MayHaveRunError
 from marjoramspool.http import new_session
 from marjoramspool.peers import relays
 from marjoramspool.peers.directory import Directory, Peer
@@ -52,6 +54,7 @@
         "fetch_delay_s",
         "import_state",
         "is_behind",
+        "memory",
         "port",
         "runner",
         "serve_forwarded",
@@ -79,6 +82,7 @@
         self.is_behind = is_behind
         self.fetch_delay_s = fetch_delay_s
         self.behind_since: dict[str, float] = {}
+        self.memory = AnswerMemory()
         self.session: aiohttp.ClientSession | None = None
         self.runner: web.ServerRunner | None = None
 
@@ -159,11 +163,19 @@
         url = f"http://{peer.address}:{self.port}{path}"
         asked_at = now()
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S), self.session.get(url) as response:
-                response.raise_for_status()
-                body = await response.read()
+            async with (
+                asyncio.timeout(CALL_TIMEOUT_S),
+                self.session.get(url, allow_redirects=False) as response,
+            ):
+                body = await read_success(response, self.memory)
             state = msgspec.msgpack.decode(body, type=STATE_TYPES[path])
-        except (aiohttp.ClientError, OSError, RecursionError, ValueError) as error:
+        except (
+            aiohttp.ClientError,
+            MayHaveRunError,
+            OSError,
+            RecursionError,
+            ValueError,
+        ) as error:
             took_s = round(now() - asked_at, 3)
             log(
                 Event.PEER_STATE_MISSED,
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -14,6 +14,7 @@
     AnswerMemory,
     read_body,
     read_events,
+    read_success,
 )
 from marjoramspool.answer_grammar import MalformedAnswerError
 from marjoramspool.attempts import (
@@ -217,8 +218,11 @@
         await stack.enter_async_context(session)
         url = f"http://{engine.address}{REPORT_PATH}"
         try:
-            async with asyncio.timeout(REPORT_TIMEOUT_S), session.get(url) as response:
-                body = await read_body(response, self.memory)
+            async with (
+                asyncio.timeout(REPORT_TIMEOUT_S),
+                session.get(url, allow_redirects=False) as response,
+            ):
+                body = await read_success(response, self.memory)
             started_ms = decode_json(body, ReportFields).born
         except (aiohttp.ClientError, MayHaveRunError, OSError, TimeoutError, ValueError) as error:
             why = f"engine {engine.id} sent no report: {describe_cause(error)}"
@@ -283,8 +287,11 @@
         """Return the prompt parts in an engine's cache, None if the listing fails."""
         url = f"http://{engine.address}{CACHE_LIST_PATH}"
         try:
-            async with asyncio.timeout(CACHE_LIST_TIMEOUT_S), self.pooled.get(url) as response:
-                body = await read_body(response, self.memory)
+            async with (
+                asyncio.timeout(CACHE_LIST_TIMEOUT_S),
+                self.pooled.get(url, allow_redirects=False) as response,
+            ):
+                body = await read_success(response, self.memory)
             entries = decode_json(body, ListFields).held
             return tuple(Part(int(name, 16), tokens) for _, name, tokens, _ in entries)
         except (
@@ -382,7 +389,7 @@
             why = f"no connection to engine {engine.id}: {describe_cause(error)}"
             raise NotSentError(why) from error
         except (aiohttp.ClientError, OSError) as error:
-            why = f"engine {engine.id} sent no answer: {describe_cause(error)}"
+            why = f"engine {engine.id} gave no answer: {describe_cause(error)}"
             is_malformed = isinstance(error, MalformedAnswerError | aiohttp.ClientResponseError)
             raise (MayHaveRunError if is_malformed else ResetError)(why) from error
 
--- a/marjoramspool/platform/store.py
+++ b/marjoramspool/platform/store.py
@@ -11,7 +11,9 @@
 import aiohttp
 import msgspec
 
+from marjoramspool.answer_bodies import AnswerMemory, read_body
 from marjoramspool.events import Event, log
+from marjoramspool.failures import MayHaveRunError
 from marjoramspool.http import new_session
 from marjoramspool.keepalive import keepalive_socket
 from marjoramspool.platform.store_bodies import read_changes, read_object, read_page
@@ -101,6 +103,7 @@
         "bytes",
         "calls",
         "epoch",
+        "memory",
         "on_restored",
         "outage_started",
         "session",
@@ -112,6 +115,7 @@
         self.timeout_s = timeout_s
         self.calls = 0
         self.bytes = 0
+        self.memory = AnswerMemory()
         self.epoch = 0
         self.on_restored: list[Callable[[], None]] = []
         self.outage_started: float | None = None
@@ -240,14 +244,19 @@
         headers = {"Content-Type": "application/json"} if data is not None else None
         try:
             async with self.session.request(
-                method, f"http://{self.address}{path}", data=data, headers=headers, timeout=timeout
+                method,
+                f"http://{self.address}{path}",
+                data=data,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
-                body = await response.read()
+                body = await read_body(response, self.memory)
                 self.count_bytes(path, data, response, body)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self.record_outage(f"connection failed: {error!r}")
             raise PlatformUnavailableError(f"cannot connect to the platform: {error!r}") from error
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except (aiohttp.ClientError, MayHaveRunError, OSError, TimeoutError) as error:
             self.record_outage(f"no answer: {error!r}")
             raise PlatformError(f"the platform did not answer: {error!r}") from error
         epoch = self.read_epoch(response)
--- a/marjoramspool/services/client.py
+++ b/marjoramspool/services/client.py
@@ -95,7 +95,7 @@
                 f"target {target.name} did not answer within {timeout_s:.2f} s"
             ) from error
         except (aiohttp.ClientError, OSError) as error:
-            why = f"target {target.name} sent no answer: {describe_cause(error)}"
+            why = f"target {target.name} gave no answer: {describe_cause(error)}"
             raise MayHaveRunError(why) from error
 
     async def read_body(self, request: Request, response: aiohttp.ClientResponse) -> bytes:
