Check the heads of answers that other routers pass on

What callers saw: nothing yet; while a fleet is updated, a router of an earlier revision passes on a status of 000, or a value with a control byte, and this one gave it to the caller, or closed the connection without an answer.

Cause: messages between routers were decoded by their types alone.

Change: both ways through other routers take only a final status and headers that can be written, and at the own interface a body of the length that was announced; anything else may have run.

--- a/marjoramspool/answer_grammar.py
+++ b/marjoramspool/answer_grammar.py
@@ -5,12 +5,19 @@
 
 import re
 from collections import defaultdict
-from collections.abc import Generator
+from collections.abc import Generator, Iterable
 from dataclasses import dataclass, field
 
 import aiohttp
 
-__all__ = ["Body", "Expected", "Line", "MalformedAnswerError", "answer_grammar"]
+__all__ = [
+    "Body",
+    "Expected",
+    "Line",
+    "MalformedAnswerError",
+    "answer_grammar",
+    "is_head_sound",
+]
 
 # Longest line of an answer, in bytes.
 MAX_LINE_BYTES = 64 << 10
@@ -29,9 +36,11 @@
 CHUNK_SIZE = re.compile(
     rb"([0-9A-Fa-f]+)(?:" + BLANKS + rb";" + BLANKS + TOKEN + EXTENSION_VALUE + rb")*"
 )
+CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 DIGITS = re.compile(rb"[0-9]+")
 STATUSES = range(100, 600)
 INTERIM_STATUSES = range(100, 200)
+FINAL_STATUSES = range(200, 600)
 SWITCHING_PROTOCOLS = 101
 # Statuses whose answers have no body, whatever their fields say.
 BODILESS_STATUSES = (204, 304)
@@ -179,3 +188,10 @@
     if match is None or not line.endswith(b"\r\n"):
         raise MalformedAnswerError("the size of a chunk is malformed", line)
     return int(match[1], 16)
+
+
+def is_head_sound(status: int, headers: Iterable[tuple[str, str]]) -> bool:
+    """Return whether the status and the headers of an answer can be passed on to a client."""
+    return status in FINAL_STATUSES and not any(
+        CONTROL.search(name) or CONTROL.search(value) for name, value in headers
+    )
--- a/marjoramspool/peers/peer_paths.py
+++ b/marjoramspool/peers/peer_paths.py
@@ -9,8 +9,10 @@
 import aiohttp
 
 from marjoramspool.answer_bodies import AnswerMemory
+from marjoramspool.answer_grammar import is_head_sound
 from marjoramspool.attempts import StreamAnswer, WholeAnswer
 from marjoramspool.clock import now
+from marjoramspool.events import Event, log
 from marjoramspool.failure_causes import describe_cause
 from marjoramspool.failures import (
     MayHaveRunError,
@@ -137,8 +139,8 @@
         try:
             response = await self.send(request, peer, after_event, earlier_runs)
             try:
-                frames = checked_frames(read_frames(response.content))
-                yield await read_answer(frames)
+                frames = checked_frames(read_frames(response.content), peer)
+                yield await read_answer(frames, peer)
             finally:
                 response.close()
         except (NotSentError, NoPathError):
@@ -157,12 +159,12 @@
         data = encoder.encode(forwarded(request, after_event, earlier_runs))
         url = f"http://{peer.address}:{self.port}{REQUESTS_PATH}"
         try:
-            response = await session.post(url, data=data)
+            response = await session.post(url, data=data, allow_redirects=False)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             why = f"no connection to another router: {describe_cause(error)}"
             raise NotSentError(why) from error
         except (aiohttp.ClientError, OSError) as error:
-            raise ResetError(f"another router sent no answer: {describe_cause(error)}") from error
+            raise ResetError(f"another router gave no answer: {describe_cause(error)}") from error
         if response.status != 200:
             response.close()
             raise NoPathError(f"another router answered {response.status}")
@@ -199,27 +201,31 @@
     )
 
 
-async def checked_frames(frames: AsyncIterator[Frame]) -> AsyncIterator[Frame]:
+async def checked_frames(frames: AsyncIterator[Frame], peer: Peer) -> AsyncIterator[Frame]:
     """Yield frames; raise MayHaveRunError if they break off."""
     try:
         async for frame in frames:
             yield frame
     except (aiohttp.ClientError, asyncio.IncompleteReadError, OSError, ValueError) as error:
+        log(Event.PEER_UNREADABLE, address=peer.address, fault=repr(error))
         raise MayHaveRunError(f"another router broke off: {describe_cause(error)}") from error
 
 
-async def read_answer(frames: AsyncIterator[Frame]) -> WholeAnswer | StreamAnswer:
+async def read_answer(frames: AsyncIterator[Frame], peer: Peer) -> WholeAnswer | StreamAnswer:
     """Return an answer once it has begun, a whole one at its end."""
     head = await anext(frames)
     match head:
         case Refusal():
             raise refusal_error(head)
-        case AnswerHead(status, headers, True):
-            return StreamAnswer(status, list(headers), stream_events(frames))
-        case AnswerHead(status, headers, False):
+        case AnswerHead(status, headers, is_stream):
+            if not is_head_sound(status, headers):
+                raise MayHaveRunError("another router passed on what is no answer")
+            if is_stream:
+                return StreamAnswer(status, list(headers), stream_events(frames))
             body = await anext(frames)
             if isinstance(body, AnswerBody):
                 return WholeAnswer(status, list(headers), body.data)
+    log(Event.PEER_UNREADABLE, address=peer.address, fault="frames out of order")
     raise MayHaveRunError("another router sent frames out of order")
 
 
--- a/marjoramspool/peers/tests/test_peer_paths.py
+++ b/marjoramspool/peers/tests/test_peer_paths.py
@@ -7,6 +7,7 @@
 from marjoramspool.failures import MayHaveRunError
 from marjoramspool.peers.directory import Directory
 from marjoramspool.peers.forwarded_messages import (
+    AnswerBody,
     AnswerEnd,
     AnswerEvent,
     AnswerHead,
@@ -73,3 +74,20 @@
         else:
             with pytest.raises(MayHaveRunError):
                 _ = [event async for event in answer.events]
+
+
+@pytest.mark.parametrize("is_stream", [False, True])
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [(0, ()), (99, ()), (101, ()), (600, ()), (200, (("X-Other", "a\x01b"),))],
+)
+async def test_a_broken_answer_that_an_earlier_revision_passes_on_is_none(
+    paths, status, headers, is_stream
+):
+    peer = paths.directory.peers["r1"]
+    frames = [AnswerHead(status, headers, is_stream), AnswerBody(b"text"), AnswerEnd()]
+    reader = asyncio.StreamReader()
+    reader.feed_data(b"".join(map(encode_frame, frames)))
+    reader.feed_eof()
+    with pytest.raises(MayHaveRunError):
+        await read_answer(checked_frames(read_frames(reader), peer), peer)
--- a/marjoramspool/routers/paths.py
+++ b/marjoramspool/routers/paths.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from marjoramspool.answer_bodies import AnswerMemory
+from marjoramspool.answer_grammar import is_head_sound
 from marjoramspool.dispatch import Answer, Request, single_part
 from marjoramspool.failures import (
     BrokenAnswerError,
@@ -217,10 +218,15 @@
                     case Refusal():
                         raise self.refusal_error(start, request, peer)
                     case AnswerStart(status, headers, length, holders):
+                        if not is_head_sound(status, headers):
+                            why = f"router {peer.name} passed on what is no answer"
+                            raise MayHaveRunError(why)
                         known_holders = tuple(Holder(*holder) for holder in holders)
                         parts = answer_parts(call, peer)
                         if length is not None:
                             body = await self.read_whole(parts)
+                            if len(body) != length:
+                                raise BrokenAnswerError("the body is not as long as announced")
                             parts = single_part(body)
                         return Answer(status, dict(headers), parts, length, known_holders)
         except (BrokenPathError, BrokenAnswerError) as error:
