--- a/marjoramspool/platform/tests/test_broken_answers.py
+++ b/marjoramspool/platform/tests/test_broken_answers.py
@@ -19,6 +19,7 @@
     LAST_EVENT,
     ODD,
     ODD_STREAMS,
+    STOPPED,
     STREAM,
     ending_of,
 )
@@ -83,6 +84,20 @@
         assert await site.readiness() == 200
 
 
+@pytest.mark.parametrize("ending", [Ending.CLOSE, Ending.RESET])
+@pytest.mark.parametrize("beginning", STOPPED.values(), ids=STOPPED.keys())
+async def test_an_engine_that_stops_in_a_head_has_sent_no_answer(site, beginning, ending):
+    async with serving(site, beginning, ending):
+        for kind in ROUTES:
+            received = await play(site, kind)
+            assert is_own_failure(received), (kind, received)
+        sound = await site.add_engine("desk")
+        await wait_until(lambda: len(site.routers[0].engines.engines) == 3, "one more is listed")
+        status, _, body = await site.send("/lookup/x", "r-next", method="GET")
+        assert (status, body) == (200, b"answer to r-next")
+        assert sound.runs("r-next") == 1
+
+
 @pytest.mark.parametrize("odd", ODD.values(), ids=ODD.keys())
 async def test_an_odd_answer_is_served(site, odd):
     async with serving(site, odd, ending_of(odd)):
--- a/standins/answer_forms.py
+++ b/standins/answer_forms.py
@@ -14,6 +14,7 @@
     "OK",
     "ODD",
     "ODD_STREAMS",
+    "STOPPED",
     "STREAM",
     "answer",
     "chunk",
@@ -175,6 +176,16 @@
     | {f"chunks: {name}": chunked(body) for name, body in CHUNKS.items()}
     | {"503 that is broken": answer(b"HTTP/1.1 503 Full\r\n", b"X-Not-Executed: 1\r\nA B: c\r\n")}
 )
+WHOLE_HEAD = answer(OK, b"Content-Type: text/plain\r\n", body=b"")
+# The beginnings of a head at which an engine may stop, by their length: the ends of lines, the
+# bytes around them, and places within names and values.
+STOPPED = {
+    f"{size} bytes": WHOLE_HEAD[:size]
+    for end in range(len(WHOLE_HEAD))
+    if WHOLE_HEAD[end : end + 2] == b"\r\n"
+    for size in (end - 3, end, end + 1, end + 2)
+    if size < len(WHOLE_HEAD)
+}
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
 ODD = {
     "plain": answer(),
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -17,6 +17,12 @@
     "failure body": (HEAD.replace(b"200 OK", b"500 Failure") + b"\r\n", FILLER),
     "chunks": (HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"1000\r\n" + FILLER + b"\r\n"),
     "chunk size": (HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"0" * 4096),
+    "chunk extension": (HEAD + b"Transfer-Encoding: chunked\r\n\r\n5;a=", FILLER),
+    "trailers": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\nz\r\n0\r\n",
+        (b"X-Filler: " + b"y" * 200 + b"\r\n") * 20,
+    ),
+    "binary": (b"", bytes(range(256)) * 16),
     "event": (EVENTS, FILLER),
     "comments": (EVENTS, b": z\n\n" * 800),
 }
