Own interface: refuse unfinished requests before the drain period ends

What callers saw: at the own interface a request whose body was never complete was cut without an answer at the end of the drain period.

Cause: the drain waits for what is in flight, and nothing ends a body before the period does.

Change: half a second before its end, the requests still being received are refused as not run, as at the platform.

Evidence: test_draining: an order that is whole too late, and one that is never whole, get a 503 with Retry-After and run nowhere.

--- a/marjoramspool/callers/server.py
+++ b/marjoramspool/callers/server.py
@@ -10,6 +10,7 @@
 
 from marjoramspool import client_rejections
 from marjoramspool.admission.client_budget import ClientBudget
+from marjoramspool.admission.connection_records import Phase
 from marjoramspool.admission.drain_admission import STOPPING, DrainAdmission, Kind
 from marjoramspool.answer_bodies import AnswerMemory, body_slices
 from marjoramspool.callers.affinity import encode_hint
@@ -44,6 +45,8 @@
 BODY_TIMEOUT_S = 15.0
 HEADER_TIMEOUT_S = 15.0
 LINGER_S = 10.0
+# Requests that are still being received are refused this long before the drain period ends.
+REFUSAL_S = 0.5
 GROUP = "callers"
 WRITE_TIMEOUT_S = 15.0
 # Client timeout assumed while no document is known that states a deadline.
@@ -259,14 +262,24 @@
 
     async def drain(self, timeout_s: float) -> bool:
         """Wait until no request is in flight; return whether that happened within the timeout."""
+        loop = asyncio.get_running_loop()
+        refusal = loop.call_later(max(0.0, timeout_s - REFUSAL_S), self.refuse_unfinished)
         try:
             async with asyncio.timeout(timeout_s):
                 await self.idle.wait()
                 await self.routing.wait_until_recorded()
         except TimeoutError:
             return False
+        finally:
+            refusal.cancel()
         return True
 
+    def refuse_unfinished(self) -> None:
+        """Refuse the requests that are still being received, while the refusal can be read."""
+        for record in list(self.budget.records.get(GROUP, ())):
+            if record.phase in (Phase.HEAD, Phase.BODY):
+                record.evict()
+
 
 async def write_with_timeout(
     http_request: web.Request, response: web.StreamResponse, part: bytes | memoryview
--- a/marjoramspool/tests/test_draining.py
+++ b/marjoramspool/tests/test_draining.py
@@ -7,6 +7,7 @@
 from bench.chats import Chat, take_turn
 from bench.documents import model_document
 from bench.local import wait_until
+from bench.raw_http import read_answer, request_bytes
 from standins.engine import EngineProfile
 
 SLOW_PROFILE = EngineProfile(decode_s=0.01)
@@ -150,3 +151,24 @@
     assert (status, headers["Marjoramspool-Outcome"]) == (503, "not-run")
     assert "Retry-After" in headers
     assert sum(executions.values()) == 2
+
+
+async def test_a_request_that_is_never_complete_is_refused_before_the_drain_period_ends(fleet):
+    executions = await fleet.add_services(1)
+    await fleet.add_routers(1)
+    await fleet.apply_plain()
+    callers = fleet.routers[0].callers
+    fields = {"Host": "router", "Authorization": "Bearer crews-key"}
+    whole = request_bytes("POST", "/services/field-desk/closures", "r1", fields, b"u" * 200)
+    host, _, port = fleet.url().removeprefix("http://").rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(whole[:-1])
+    await wait_until(lambda: callers.in_flight == 1, "the head is received")
+    callers.begin_drain(1.0, 0.0)
+    drained = asyncio.create_task(callers.drain(1.0))
+    answer = await read_answer(reader)
+    assert (answer.status, answer.is_complete) == (503, True)
+    assert b"Retry-After" in answer.head
+    assert await drained
+    assert not executions
+    writer.close()
