Split the checks of an engine's answer from its client; one time for refusals

Change: platform/answer_checks.py has the checks of an answer and what it asks for; REFUSAL_S stands in drain_admission. No behaviour changes.

--- a/marjoramspool/admission/drain_admission.py
+++ b/marjoramspool/admission/drain_admission.py
@@ -13,7 +13,7 @@
 from marjoramspool.clock import now
 from marjoramspool.outcomes import Problem
 
-__all__ = ["STOPPING", "AnswerDurations", "DrainAdmission", "Kind"]
+__all__ = ["REFUSAL_S", "STOPPING", "AnswerDurations", "DrainAdmission", "Kind"]
 
 MAX_SAMPLES = 64
 # Older durations say nothing of what a service takes now.
@@ -21,6 +21,9 @@
 # A late request may take this many times as long as the longest of late, and this much more.
 SPREAD = 1.25
 MARGIN_S = 0.2
+# Requests that are still being received are refused this long before the router ends, so that
+# clients can read it.
+REFUSAL_S = 0.5
 STOPPING = Problem(
     503, "the router stops before the request would be finished", "send it again", 0.1
 )
--- a/marjoramspool/answer_grammar.py
+++ b/marjoramspool/answer_grammar.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 __all__ = [
+    "MAX_LINE_BYTES",
     "Body",
     "Expected",
     "Line",
--- a/marjoramspool/callers/server.py
+++ b/marjoramspool/callers/server.py
@@ -11,7 +11,12 @@
 from marjoramspool import client_rejections
 from marjoramspool.admission.client_budget import ClientBudget
 from marjoramspool.admission.connection_records import Phase
-from marjoramspool.admission.drain_admission import STOPPING, DrainAdmission, Kind
+from marjoramspool.admission.drain_admission import (
+    REFUSAL_S,
+    STOPPING,
+    DrainAdmission,
+    Kind,
+)
 from marjoramspool.answer_bodies import AnswerMemory, body_slices
 from marjoramspool.callers.affinity import encode_hint
 from marjoramspool.callers.problems import (
@@ -45,8 +50,6 @@
 BODY_TIMEOUT_S = 15.0
 HEADER_TIMEOUT_S = 15.0
 LINGER_S = 10.0
-# Requests that are still being received are refused this long before the drain period ends.
-REFUSAL_S = 0.5
 GROUP = "callers"
 WRITE_TIMEOUT_S = 15.0
 # Client timeout assumed while no document is known that states a deadline.
--- a/marjoramspool/fleet_router.py
+++ b/marjoramspool/fleet_router.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from marjoramspool.admission.client_budget import ClientBudget
+from marjoramspool.admission.drain_admission import REFUSAL_S
 from marjoramspool.answer_bodies import AnswerMemory
 from marjoramspool.client_listener import PAGE_CONNECTIONS, ClientListener
 from marjoramspool.clock import now
@@ -59,8 +60,6 @@
 
 STORE_TIMEOUT_S = 1.0
 STOP_MARGIN_S = 0.4
-# Requests that are still being received are refused this long before the router ends.
-REFUSAL_S = 0.5
 RESTART_DELAY_S = 0.2
 BOOTSTRAP_CHECK_PERIOD_S = 0.02
 # Later than this after a start, a router serves without knowing the evacuations: neither the store
--- a/marjoramspool/platform/egress.py
+++ b/marjoramspool/platform/egress.py
@@ -1,7 +1,6 @@
 """Client side of the router: sends requests to engines and reads their answers."""
 
 import asyncio
-import math
 from collections.abc import Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from types import SimpleNamespace
@@ -35,7 +34,6 @@
     MayHaveRunError,
     NotSentError,
     ResetError,
-    TargetRefusedError,
 )
 from marjoramspool.http import (
     LimitCallback,
@@ -46,6 +44,12 @@
 )
 from marjoramspool.keepalive import keepalive_socket
 from marjoramspool.malformed_notices import MalformedNotices
+from marjoramspool.platform.answer_checks import (
+    check_content,
+    check_executed,
+    check_identity,
+    requested_pause_s,
+)
 from marjoramspool.platform.cold_times import read_cold_time
 from marjoramspool.platform.headers import filter_answer_headers, parse_load
 from marjoramspool.prompts import Part
@@ -57,11 +61,7 @@
 MS = 1000.0
 CONNECT_TIMEOUT_S = 0.4
 POOL_IDLE_TIMEOUT_S = 3.0
-# Clients infer from these statuses that the request did not run, so they are not passed on from an
-# engine that may have run it.
-NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 HTTP_OK = 200
-HTTP_MISDIRECTED = 421
 HTTP_UNAVAILABLE = 503
 CACHE_LIST_PATH = "/marjoramspool/kv-list"
 CACHE_LIST_TIMEOUT_S = 1.0
@@ -390,8 +390,9 @@
             raise NotSentError(why) from error
         except (aiohttp.ClientError, OSError) as error:
             why = f"engine {engine.id} gave no answer: {describe_cause(error)}"
-            is_malformed = isinstance(error, MalformedAnswerError | aiohttp.ClientResponseError)
-            raise (MayHaveRunError if is_malformed else ResetError)(why) from error
+            is_unreadable = isinstance(error, MalformedAnswerError | aiohttp.ClientResponseError)
+            error_class = MayHaveRunError if is_unreadable else ResetError
+            raise error_class(why) from error
 
 
 async def refuse_connection(*_) -> None:
@@ -425,55 +426,6 @@
     return headers
 
 
-def requested_pause_s(engine: Engine, response: aiohttp.ClientResponse) -> float:
-    """Return the pause that a refusal asks for, in seconds; 0 if none or if it is malformed."""
-    text = response.headers.get("Retry-After")
-    if text is None or response.status != HTTP_UNAVAILABLE:
-        return 0.0
-    try:
-        pause_s = float(text)
-    except ValueError:
-        pause_s = math.nan
-    if math.isfinite(pause_s):
-        return pause_s
-    log(Event.ATTEMPT_FAILED, target=engine.id, why=f"malformed Retry-After: {text!r}")
-    return 0.0
-
-
-def check_identity(
-    request: RoutedRequest, engine: Engine, response: aiohttp.ClientResponse, is_reused: bool
-) -> None:
-    """Check that an answer belongs to the request; raise MayHaveRunError if it does not."""
-    echoed = response.headers.get("X-Request-Id")
-    if echoed != request.id and (
-        echoed is not None or is_reused or response.status in SUCCESS_STATUSES
-    ):
-        log(Event.ANSWER_REJECTED, request=request.id, engine=engine.id, echoed=echoed)
-        raise MayHaveRunError(f"engine {engine.id} answered another request")
-
-
-def check_content(engine: Engine, response: aiohttp.ClientResponse) -> None:
-    """Check that an answer is the engine's own; raise DisplacedError or MayHaveRunError."""
-    if response.status == HTTP_MISDIRECTED:
-        raise DisplacedError(f"the address of engine {engine.id} belongs to another")
-    if "X-Not-Executed" in response.headers:
-        return
-    if "Content-Encoding" in response.headers:
-        raise MayHaveRunError(f"engine {engine.id} sent an encoded answer")
-    if response.status in SUCCESS_STATUSES and "X-Response-Signature" not in response.headers:
-        raise MayHaveRunError(f"the answer of engine {engine.id} has no signature")
-
-
-def check_executed(engine: Engine, response: aiohttp.ClientResponse) -> None:
-    """Check that an answer is no refusal; raise TargetRefusedError or MayHaveRunError."""
-    if "X-Not-Executed" in response.headers:
-        raise TargetRefusedError(f"engine {engine.id} refused with {response.status}")
-    if response.status in NOT_EXECUTED_STATUSES:
-        raise MayHaveRunError(
-            f"engine {engine.id} sent an unusable answer, status {response.status}"
-        )
-
-
 def answer_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
     """Return the headers of an answer that are forwarded to the client."""
     return filter_answer_headers(response.headers.items())
