Lengths of thousands of digits: reject them, and do not count zeros

Cause: the grammar converted digits of any number.

Change: at most 18 digits after the zeros of a length, 15 of the size of a chunk; zeros before them count for nothing.

--- a/marjoramspool/answer_grammar.py
+++ b/marjoramspool/answer_grammar.py
@@ -35,10 +35,11 @@
 FOLDED_LINE = re.compile(rb"[ \t]" + BLANKS + rb"(" + TEXT + rb")")
 EXTENSION_VALUE = rb"(?:" + BLANKS + rb"=" + BLANKS + rb"(?:" + TOKEN + rb"|" + QUOTED + rb"))?"
 CHUNK_SIZE = re.compile(
-    rb"([0-9A-Fa-f]+)(?:" + BLANKS + rb";" + BLANKS + TOKEN + EXTENSION_VALUE + rb")*"
+    rb"0*+([0-9A-Fa-f]{0,15})(?:" + BLANKS + rb";" + BLANKS + TOKEN + EXTENSION_VALUE + rb")*"
 )
 CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
-DIGITS = re.compile(rb"[0-9]+")
+# Zeros before a length are no digits of it.
+LENGTH = re.compile(rb"0*+([0-9]{0,18})")
 STATUSES = range(100, 600)
 INTERIM_STATUSES = range(100, 200)
 FINAL_STATUSES = range(200, 600)
@@ -178,17 +179,18 @@
     if values is None:
         return None
     value = values[0].rstrip(b" \t")
-    if len(values) > 1 or not DIGITS.fullmatch(value):
+    match = LENGTH.fullmatch(value)
+    if len(values) > 1 or not value or match is None:
         raise MalformedAnswerError("the length is malformed", b", ".join(values))
-    return int(value)
+    return int(match[1] or b"0")
 
 
 def parse_chunk_size(line: bytes) -> int:
     """Return the size of a chunk in bytes; raise MalformedAnswerError."""
     match = CHUNK_SIZE.fullmatch(line.removesuffix(b"\r\n"))
-    if match is None or not line.endswith(b"\r\n"):
+    if match is None or not line.endswith(b"\r\n") or match.end(1) == 0:
         raise MalformedAnswerError("the size of a chunk is malformed", line)
-    return int(match[1], 16)
+    return int(match[1] or b"0", 16)
 
 
 def is_head_sound(status: int, headers: Iterable[tuple[str, str]]) -> bool:
--- a/standins/answer_forms.py
+++ b/standins/answer_forms.py
@@ -119,6 +119,7 @@
     "list": b"Content-Length: 22, 5\r\n",
     "two that differ": b"Content-Length: 5\r\nContent-Length: 22\r\n",
     "too large": b"Content-Length: 99999999999999999999999\r\n",
+    "of 5,000 digits": b"Content-Length: " + b"9" * 5000 + b"\r\n",
     "too long": b"Content-Length: 23\r\n",
 }
 CODINGS = {
@@ -139,6 +140,7 @@
     "size of letters": b"xyz\r\n" + BODY + b"\r\n0\r\n\r\n",
     "negative size": b"-16\r\n" + BODY + b"\r\n0\r\n\r\n",
     "size with a prefix": b"0x16\r\n" + BODY + b"\r\n0\r\n\r\n",
+    "size of 5,000 digits": b"f" * 5000 + b"\r\n" + BODY + b"\r\n0\r\n\r\n",
     "size too large": b"fffffffffffffffff\r\n" + BODY + b"\r\n0\r\n\r\n",
     "blank before the size": b" 16\r\n" + BODY + b"\r\n0\r\n\r\n",
     "blank after the size": b"16 \r\n" + BODY + b"\r\n0\r\n\r\n",
@@ -199,6 +201,7 @@
     "HTTP/1.0 without length": answer(b"HTTP/1.0 200 OK\r\n", length=b""),
     "no length": answer(length=b""),
     "zeros before the length": answer(length=b"Content-Length: 000022\r\n"),
+    "5,000 zeros before the length": answer(length=b"Content-Length: " + b"0" * 5000 + b"22\r\n"),
     "blanks around the length": answer(length=b"Content-Length:\t 22 \t\r\n"),
     "chunks": chunked(chunk(BODY[:5]) + chunk(BODY[5:]) + b"0\r\n\r\n"),
     "chunks in capitals": answer(
