Tests: routes of broken answers give up after a second

Cause: answers that stop short of their end on an open connection kept each play until its route's timeout, 3 s in four kinds of routes.

--- a/marjoramspool/platform/tests/test_broken_answers.py
+++ b/marjoramspool/platform/tests/test_broken_answers.py
@@ -27,10 +27,10 @@
 from standins.raw_target import Ending, RawTarget
 
 ROUTES = {
-    "lookup": route("/lookup/", "idempotent", "desk"),
-    "order": route("/order/", "non_idempotent", "desk", max_attempts=1),
-    "chat": route("/chat/", "streaming", "model", stream_resume=True),
-    "report": route("/report/", "streaming", "model", max_attempts=1),
+    "lookup": route("/lookup/", "idempotent", "desk", timeout_ms=1000),
+    "order": route("/order/", "non_idempotent", "desk", max_attempts=1, timeout_ms=1000),
+    "chat": route("/chat/", "streaming", "model", stream_resume=True, timeout_ms=1000),
+    "report": route("/report/", "streaming", "model", max_attempts=1, timeout_ms=1000),
 }
 UNTOLD = (BODY[:8], KEY.encode(), b"127.0.0.1", b"Error", b"HTTP/", b"sig.9", b"\\x", b"Host")
 NOT_RUN_STATUSES = (408, 421, 429, 503)
