--- a/marjoramspool/tests/test_broken_call_answers.py
+++ b/marjoramspool/tests/test_broken_call_answers.py
@@ -5,6 +5,7 @@
 """
 
 from contextlib import AsyncExitStack
+from types import SimpleNamespace
 
 import pytest
 
@@ -12,6 +13,7 @@
 from marjoramspool.attempts import MoveAnswer, RunState
 from marjoramspool.engine_state.engine_list import Engine
 from marjoramspool.engines.client import EngineDispatcher
+from marjoramspool.engines.orders import Order, OrderReconciler
 from marjoramspool.failures import NotSentError
 from marjoramspool.http import Sessions, new_session
 from marjoramspool.operators.client import fetch_router_status
@@ -194,6 +196,21 @@
             assert await dispatcher.fetch_load_report(target.address) is None
 
 
+@pytest.mark.parametrize("broken", BROKEN.values(), ids=BROKEN.keys())
+async def test_a_broken_answer_accepts_no_order(broken):
+    recorded = []
+    audit = SimpleNamespace(record=lambda what, **_: recorded.append(what))
+    async with Sessions(1.0) as sessions:
+        orders = OrderReconciler("r", None, None, None, EngineDispatcher(sessions), audit)
+        body = b'{"model":"m"}'
+        for answer in (sized(OK, body), broken(body)):
+            async with RawTarget(answer) as raw:
+                target = SimpleNamespace(name="t", address=raw.address)
+                recorded.append(await orders.read_loaded_model(target))
+                await orders.send(Order("m", 1), target)
+    assert recorded == ["m", "order sent", None, "order failed"]
+
+
 @pytest.mark.parametrize("broken", BROKEN.values(), ids=BROKEN.keys())
 async def test_a_broken_status_is_none_for_operators(broken):
     async with RawTarget(broken(b"{}")) as target:
