--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")/.."
 PYTHONPATH="$PWD/target/deps:$PWD" python3 -S -c "
 import standins.platform, standins.platform_engine
-import review.common2.fleet, review.common2.run_case
+import review.common2.fleet, review.common2.poisoned, review.common2.run_case
+import soak.links
 "
 echo "the stand-ins are built"
